--- /dev/null
+++ b/Makefile
@@ -0,0 +1,38 @@
+# Every target makes its own .venv; only Python 3.11 with pip is needed.
+PYTHON ?= python3
+SEED ?= 1
+QUICK ?= 0
+KEEP ?= 0
+VENV := .venv
+BIN := $(VENV)/bin
+PACKAGES := $(wildcard packages/*)
+
+.PHONY: venv demo test lint format ci bench-path bench-share bench-placement bench-control
+
+venv: $(VENV)/.ready
+
+$(VENV)/.ready: constraints.txt requirements-dev.txt $(PACKAGES:%=%/pyproject.toml)
+	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --disable-pip-version-check -c constraints.txt -r requirements-dev.txt
+	$(BIN)/pip install --quiet --disable-pip-version-check --no-build-isolation -c constraints.txt $(PACKAGES:%=-e ./%)
+	touch $@
+
+demo: venv
+	$(BIN)/python -m vanillashore_standins.demo --seed $(SEED) $(if $(filter 1,$(KEEP)),--keep)
+
+test: venv
+	$(BIN)/python -m pytest -q
+
+lint: venv
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+
+format: venv
+	$(BIN)/ruff format .
+	$(BIN)/ruff check --fix .
+
+ci:
+	bash .ci/run
+
+bench-%: venv
+	$(BIN)/python benches/$*.py --seed $(SEED) $(if $(filter 1,$(QUICK)),--quick)
--- /dev/null
+++ b/packages/vanillashore-node/src/vanillashore_node/_back_ends.py
@@ -0,0 +1,76 @@
+"""An entry's calls to side processes over HTTP."""
+
+from collections.abc import AsyncIterator
+from contextlib import AbstractAsyncContextManager
+from typing import TypeVar
+
+import aiohttp
+
+from vanillashore_node._link import FLEET_HEADER, unreachable
+from vanillashore_schema import NodeSettings
+from vanillashore_wire import (
+    CallDone,
+    CallOrder,
+    DecodeOrder,
+    Frame,
+    FrameSplitter,
+    PrefillDone,
+    PrefillOrder,
+    RefusalError,
+    Refused,
+    decode,
+    encode,
+)
+
+T = TypeVar("T")
+
+CONNECT_TIMEOUT_S = 2.0
+_FAILURES = (aiohttp.ClientError, TimeoutError, OSError, ValueError)
+
+
+class BackEnds:
+    """Sends orders to side processes; every failure raises RefusalError."""
+
+    def __init__(self, session: aiohttp.ClientSession, cfg: NodeSettings) -> None:
+        self._session = session
+        self._headers = {FLEET_HEADER: cfg.node.fleet_secret}
+
+    async def prefill(self, address: str, order: PrefillOrder) -> PrefillDone:
+        """Run a prefill."""
+        return await self._ask(address + "/internal/prefill", order, order.deadline_s, PrefillDone)
+
+    async def call(self, address: str, order: CallOrder) -> CallDone:
+        """Run a call to a plain service."""
+        return await self._ask(address + "/internal/call", order, order.deadline_s, CallDone)
+
+    async def decode(self, address: str, order: DecodeOrder) -> AsyncIterator[list[Frame]]:
+        """Stream the frames of an answer, as they come in."""
+        url = address + "/internal/decode"
+        try:
+            async with self._post(url, order, order.deadline_s) as response:
+                if response.status != 200:
+                    raise RefusalError(decode(await response.read(), Refused))
+                splitter = FrameSplitter()
+                async for data in response.content.iter_any():
+                    frames = splitter.feed(data)
+                    if frames:
+                        yield frames
+        except _FAILURES as exc:
+            raise unreachable(address, f"the decode stream broke: {exc!r}") from exc
+
+    async def _ask(self, url: str, order: object, deadline_s: float, cls: type[T]) -> T:
+        try:
+            async with self._post(url, order, deadline_s) as response:
+                data = await response.read()
+                if response.status != 200:
+                    raise RefusalError(decode(data, Refused))
+                return decode(data, cls)
+        except _FAILURES as exc:
+            raise unreachable(url, f"no answer: {exc!r}") from exc
+
+    def _post(
+        self, url: str, order: object, deadline_s: float
+    ) -> AbstractAsyncContextManager[aiohttp.ClientResponse]:
+        timeout = aiohttp.ClientTimeout(total=deadline_s, sock_connect=CONNECT_TIMEOUT_S)
+        data = encode(order)
+        return self._session.post(url, data=data, headers=self._headers, timeout=timeout)
--- /dev/null
+++ b/packages/vanillashore-node/src/vanillashore_node/_callers.py
@@ -0,0 +1,142 @@
+"""What every request of a caller passes through: ids, limits, keys and refusals."""
+
+import asyncio
+import math
+import re
+import secrets
+import time
+import traceback
+from typing import Any
+
+from aiohttp import web
+from loguru import logger as log
+
+from vanillashore_node._core import NodeCore
+from vanillashore_node._faces import json_response
+from vanillashore_node._openai import error_body
+from vanillashore_schema import WorkspaceConfig, hash_key
+from vanillashore_wire import ErrorCode, Ran, RefusalError, Refused
+
+REQUEST_ID = web.RequestKey("request_id", str)
+REQUEST_ID_HEADER = "X-Request-Id"
+SHED_RETRY_S = 1.0
+_REQUEST_ID_SHAPE = re.compile(r"[A-Za-z0-9._:-]{1,64}")
+_INTERNAL_PATHS = ("/internal/", "/healthz", "/readyz")
+
+
+class CallerGuard:
+    """Middleware of an entry's callers."""
+
+    def __init__(self, core: NodeCore) -> None:
+        self._core = core
+        self._limits = core.cfg.limits
+
+    @web.middleware
+    async def guard(self, request: web.Request, handler: Any) -> web.StreamResponse:
+        """Run a request and turn every failure into a refusal in the callers' shape."""
+        if request.path.startswith(_INTERNAL_PATHS):
+            return await handler(request)
+        request[REQUEST_ID] = _request_id(request)
+        started = time.monotonic()
+        try:
+            response = await self._run(request, handler)
+        except RefusalError as exc:
+            response = self._refuse(request, exc.refused)
+        except web.HTTPException as exc:
+            response = self._refuse(request, _of_http_exception(exc))
+        except Exception:
+            log.bind(request_id=request[REQUEST_ID], trace=traceback.format_exc()).error(
+                "a handler failed"
+            )
+            text = "an unexpected failure; see the logs for this request id"
+            response = self._refuse(request, Refused(ErrorCode.INTERNAL, text, Ran.UNKNOWN))
+        if not response.prepared:
+            response.headers[REQUEST_ID_HEADER] = request[REQUEST_ID]
+        self._log(request, response.status, started)
+        return response
+
+    async def _run(self, request: web.Request, handler: Any) -> web.StreamResponse:
+        state = self._core.state
+        if state.refusing:
+            text = "this process is shutting down; the balancer has others"
+            raise _shed(ErrorCode.SHUTTING_DOWN, text)
+        if self._core.directory.revision == 0:
+            raise _shed(ErrorCode.NOT_CONFIGURED, "no configuration is in force here yet")
+        if state.active >= self._limits.concurrent_requests:
+            raise _shed(ErrorCode.TOO_MANY_REQUESTS, "too many requests at once")
+        self._check_sizes(request)
+        state.active += 1
+        try:
+            return await handler(request)
+        finally:
+            state.active -= 1
+
+    def _check_sizes(self, request: web.Request) -> None:
+        header_bytes = sum(len(name) + len(value) for name, value in request.raw_headers)
+        if header_bytes > self._limits.header_bytes:
+            text = f"more than {self._limits.header_bytes} bytes of headers"
+            raise RefusalError(Refused(ErrorCode.HEADERS_TOO_LARGE, text))
+        if (request.content_length or 0) > self._limits.body_bytes:
+            raise self._too_large()
+
+    def _too_large(self) -> RefusalError:
+        text = f"the body has more than {self._limits.body_bytes} bytes"
+        return RefusalError(Refused(ErrorCode.BODY_TOO_LARGE, text))
+
+    def _refuse(self, request: web.Request, refused: Refused) -> web.Response:
+        response = json_response(error_body(refused, request[REQUEST_ID]), refused.code.status)
+        if refused.retry_after_s is not None:
+            response.headers["Retry-After"] = str(max(1, math.ceil(refused.retry_after_s)))
+        log.bind(request_id=request[REQUEST_ID], code=refused.code.value).info("request refused")
+        return response
+
+    def _log(self, request: web.Request, status: int, started: float) -> None:
+        log.bind(
+            request_id=request[REQUEST_ID],
+            path=request.path,
+            status=status,
+            duration_ms=round((time.monotonic() - started) * 1_000, 1),
+            revision=self._core.directory.revision,
+        ).info("request ended")
+
+
+async def read_body(request: web.Request, timeout_s: float) -> bytes:
+    """Read a caller's body; raise RefusalError if it comes too slowly."""
+    try:
+        async with asyncio.timeout(timeout_s):
+            return await request.read()
+    except TimeoutError as exc:
+        text = f"the body did not arrive within {timeout_s:g} s"
+        raise RefusalError(Refused(ErrorCode.BODY_TIMEOUT, text)) from exc
+
+
+def authenticate(core: NodeCore, request: web.Request) -> WorkspaceConfig:
+    """Return the workspace whose key came with the request; raise RefusalError if none did."""
+    scheme, _, key = request.headers.get("Authorization", "").partition(" ")
+    if scheme.lower() != "bearer" or not key.strip():
+        text = "send a key as Authorization: Bearer"
+        raise RefusalError(Refused(ErrorCode.KEY_MISSING, text))
+    workspace = core.directory.workspace_of_key(hash_key(key.strip()))
+    if workspace is None:
+        raise RefusalError(Refused(ErrorCode.KEY_INVALID, "the key is not valid"))
+    return workspace
+
+
+def _request_id(request: web.Request) -> str:
+    given = request.headers.get(REQUEST_ID_HEADER, "")
+    if _REQUEST_ID_SHAPE.fullmatch(given):
+        return given
+    return f"req-{secrets.token_hex(12)}"
+
+
+def _shed(code: ErrorCode, text: str) -> RefusalError:
+    return RefusalError(Refused(code, text, retry_after_s=SHED_RETRY_S))
+
+
+def _of_http_exception(exc: web.HTTPException) -> Refused:
+    codes = {
+        404: ErrorCode.ROUTE_UNKNOWN,
+        405: ErrorCode.METHOD_NOT_ALLOWED,
+        413: ErrorCode.BODY_TOO_LARGE,
+    }
+    return Refused(codes.get(exc.status, ErrorCode.BAD_REQUEST), exc.reason)
--- /dev/null
+++ b/packages/vanillashore-node/src/vanillashore_node/_calls.py
@@ -0,0 +1,88 @@
+"""Handler of service routes: calls to plain services."""
+
+import base64
+import random
+
+from aiohttp import web
+
+from vanillashore_node._admission import Admission
+from vanillashore_node._back_ends import BackEnds
+from vanillashore_node._callers import REQUEST_ID, authenticate, read_body
+from vanillashore_node._core import NodeCore
+from vanillashore_schema import EndpointRole, RouteConfig
+from vanillashore_wire import CallDone, CallOrder, ErrorCode, Header, RefusalError, Refused
+
+IDEMPOTENCY_HEADER = "Idempotency-Key"
+ENDPOINT_HEADER = "X-Endpoint"
+REPLAYED_HEADER = "Idempotency-Replayed"
+OPEN_WORKSPACE = ""
+FORWARDED_HEADERS = frozenset({"accept", "accept-language", "content-type"})
+
+
+class Calls:
+    """Serves the routes that lead to plain services."""
+
+    def __init__(
+        self, core: NodeCore, admission: Admission, back_ends: BackEnds, rng: random.Random
+    ) -> None:
+        self._core = core
+        self._admission = admission
+        self._back_ends = back_ends
+        self._rng = rng
+
+    async def call(self, request: web.Request) -> web.Response:
+        """Handle any path that a route declares."""
+        route = self._core.directory.route(request.method, request.path)
+        if not route.open:
+            authenticate(self._core, request)
+        body = await read_body(request, self._core.cfg.limits.body_timeout_s)
+        workspace = OPEN_WORKSPACE
+        if not route.open:
+            caller = authenticate(self._core, request)
+            await self._admission.admit(caller, route.cost_tokens)
+            workspace = caller.name
+        order = self._order(request, route, workspace, body)
+        return _response(await self._dispatch(route, order))
+
+    async def _dispatch(self, route: RouteConfig, order: CallOrder) -> CallDone:
+        endpoints = self._core.directory.endpoints(EndpointRole.SERVICE, route.service)
+        if not endpoints:
+            text = f"no endpoint of {route.service!r} is live"
+            raise RefusalError(Refused(ErrorCode.NO_ENDPOINT, text, retry_after_s=5.0))
+        endpoint = self._rng.choice(endpoints)
+        self._core.decisions.note(order.request_id, "call place", endpoint.vm)
+        return await self._back_ends.call(endpoint.address, order)
+
+    def _order(
+        self, request: web.Request, route: RouteConfig, workspace: str, body: bytes
+    ) -> CallOrder:
+        headers = tuple(
+            Header(name, value)
+            for name, value in request.headers.items()
+            if name.lower() in FORWARDED_HEADERS
+        )
+        return CallOrder(
+            request[REQUEST_ID],
+            1,
+            workspace,
+            route.service,
+            request.method,
+            request.path_qs,
+            headers,
+            base64.b64encode(body).decode(),
+            route.idempotent,
+            request.headers.get(IDEMPOTENCY_HEADER, ""),
+            route.route_class,
+            self._core.cfg.limits.request_timeout_s,
+            self._core.directory.revision,
+        )
+
+
+def _response(done: CallDone) -> web.Response:
+    response = web.Response(status=done.status, body=base64.b64decode(done.body_base64))
+    for header in done.headers:
+        response.headers[header.name] = header.value
+    response.headers[ENDPOINT_HEADER] = done.endpoint
+    if done.replayed:
+        response.headers[REPLAYED_HEADER] = "true"
+    return response
--- /dev/null
+++ b/packages/vanillashore-node/src/vanillashore_node/_completions.py
@@ -0,0 +1,146 @@
+"""Handlers of ``/v1/completions``, ``/v1/chat/completions`` and ``/v1/models``."""
+
+import time
+from collections.abc import Callable
+
+from aiohttp import web
+
+from vanillashore_node._admission import Admission, Admitted
+from vanillashore_node._callers import (
+    REQUEST_ID,
+    REQUEST_ID_HEADER,
+    authenticate,
+    read_body,
+)
+from vanillashore_node._core import NodeCore
+from vanillashore_node._faces import json_response
+from vanillashore_node._generation import Generation, GenerationRequest
+from vanillashore_node._openai import (
+    AnswerShape,
+    CompletionBody,
+    Usage,
+    estimate_tokens,
+    parse_body,
+)
+from vanillashore_schema import LimitSettings, ModelConfig, WorkspaceConfig
+from vanillashore_wire import ErrorCode, RefusalError, Refused
+
+GenerationFactory = Callable[[GenerationRequest], Generation]
+
+
+class Completions:
+    """Serves generated answers, streamed or whole."""
+
+    def __init__(
+        self, core: NodeCore, admission: Admission, new_generation: GenerationFactory
+    ) -> None:
+        self._core = core
+        self._admission = admission
+        self._new_generation = new_generation
+
+    async def completions(self, request: web.Request) -> web.StreamResponse:
+        """Handle ``POST /v1/completions``."""
+        return await self._serve(request, is_chat=False)
+
+    async def chat_completions(self, request: web.Request) -> web.StreamResponse:
+        """Handle ``POST /v1/chat/completions``."""
+        return await self._serve(request, is_chat=True)
+
+    async def models(self, request: web.Request) -> web.Response:
+        """Handle ``GET /v1/models``."""
+        authenticate(self._core, request)
+        models = [
+            {"id": model.name, "object": "model", "created": 0, "owned_by": "vanillashore"}
+            for model in self._core.directory.models()
+        ]
+        return json_response({"object": "list", "data": models})
+
+    async def _serve(self, request: web.Request, is_chat: bool) -> web.StreamResponse:
+        limits = self._core.cfg.limits
+        workspace = authenticate(self._core, request)
+        body = parse_body(await read_body(request, limits.body_timeout_s), is_chat)
+        model = self._core.directory.model(body.model)
+        workspace = authenticate(self._core, request)
+        req = _generation_request(request[REQUEST_ID], workspace, model, body, limits)
+        admitted = await self._admission.admit(workspace, req.prompt_tokens + req.max_tokens)
+        shape = AnswerShape(req.request_id, model.name, is_chat)
+        generation = self._new_generation(req)
+        try:
+            if body.stream:
+                return await self._stream(request, generation, shape, req, body.include_usage)
+            return await self._whole(generation, shape, req)
+        finally:
+            self._refund(admitted, req, generation)
+
+    async def _whole(
+        self, generation: Generation, shape: AnswerShape, req: GenerationRequest
+    ) -> web.Response:
+        async for _ in generation.run():
+            pass
+        answer = generation.assembly
+        usage = Usage(req.prompt_tokens, answer.next_sequence)
+        return json_response(shape.whole(answer.text, answer.finish_reason, usage))
+
+    async def _stream(
+        self,
+        request: web.Request,
+        generation: Generation,
+        shape: AnswerShape,
+        req: GenerationRequest,
+        include_usage: bool,
+    ) -> web.StreamResponse:
+        texts = generation.run()
+        first = await anext(texts, "")
+        response = web.StreamResponse(
+            headers={
+                "Content-Type": "text/event-stream",
+                "Cache-Control": "no-cache",
+                REQUEST_ID_HEADER: req.request_id,
+            }
+        )
+        await response.prepare(request)
+        await response.write(shape.opening() + shape.chunk(first))
+        try:
+            async for text in texts:
+                await response.write(shape.chunk(text))
+        except RefusalError as exc:
+            await response.write(shape.error(exc.refused))
+            return response
+        answer = generation.assembly
+        usage = Usage(req.prompt_tokens, answer.next_sequence) if include_usage else None
+        await response.write(shape.closing(answer.finish_reason, usage))
+        await response.write_eof()
+        return response
+
+    def _refund(self, admitted: Admitted, req: GenerationRequest, generation: Generation) -> None:
+        unused = req.max_tokens - generation.assembly.next_sequence
+        self._admission.refund(admitted, unused)
+
+
+def _generation_request(
+    request_id: str,
+    workspace: WorkspaceConfig,
+    model: ModelConfig,
+    body: CompletionBody,
+    limits: LimitSettings,
+) -> GenerationRequest:
+    prompt_tokens = estimate_tokens(body.prompt)
+    max_tokens = body.max_tokens or limits.default_max_tokens
+    if prompt_tokens > limits.prompt_tokens or max_tokens > limits.max_tokens:
+        raise _too_long(f"at most {limits.prompt_tokens} prompt and {limits.max_tokens} new tokens")
+    if prompt_tokens + max_tokens > model.context_tokens:
+        raise _too_long(f"the model's context is {model.context_tokens} tokens")
+    return GenerationRequest(
+        request_id,
+        workspace.name,
+        model,
+        body.prompt,
+        prompt_tokens,
+        max_tokens,
+        body.sampling,
+        time.monotonic() + limits.request_timeout_s,
+    )
+
+
+def _too_long(text: str) -> RefusalError:
+    return RefusalError(Refused(ErrorCode.CONTEXT_TOO_LONG, text))
--- /dev/null
+++ b/packages/vanillashore-node/src/vanillashore_node/_core.py
@@ -0,0 +1,149 @@
+"""What entry and side processes have in common, wired together."""
+
+import asyncio
+import time
+from collections.abc import Awaitable, Callable
+
+import aiohttp
+import attrs
+from aiohttp import web
+
+from vanillashore_node._decisions import DecisionLog
+from vanillashore_node._directory import Directory
+from vanillashore_node._faces import json_response, require_fleet_secret
+from vanillashore_node._lifecycle import Lifecycle, LifecycleEvent
+from vanillashore_node._link import LINK_PATH, LinkHub
+from vanillashore_node._tasks import TaskGroup
+from vanillashore_platform import (
+    ConfigFollower,
+    EtcdStore,
+    HttpVmList,
+    KeyValueStore,
+    VmListFollower,
+)
+from vanillashore_schema import NodeSettings
+from vanillashore_wire import unstructure
+
+DRAIN_POLL_S = 0.05
+WebHandler = Callable[[web.Request], Awaitable[web.StreamResponse]]
+
+
+@attrs.define
+class NodeState:
+    """Where a process is in its life, and how many requests it serves."""
+
+    ready: bool = False
+    refusing: bool = False
+    active: int = 0
+    stop_signals: int = 0
+    closed: bool = False
+
+
+class NodeCore:
+    """Session, store, directory, links and life of one process."""
+
+    def __init__(self, cfg: NodeSettings) -> None:
+        self.cfg = cfg
+        self.state = NodeState()
+        self.lifecycle = Lifecycle()
+        self.directory = Directory()
+        self.tasks = TaskGroup()
+        self.decisions = DecisionLog(cfg.node.name)
+        self.session: aiohttp.ClientSession
+        self.store: KeyValueStore
+        self.hub: LinkHub
+        self._runner: web.AppRunner
+
+    async def open(self) -> None:
+        """Open what the rest is built on; needs a running loop."""
+        connector = aiohttp.TCPConnector(limit=0, keepalive_timeout=self.cfg.timing.link_idle_s)
+        self.session = aiohttp.ClientSession(connector=connector, auto_decompress=False)
+        platform = self.cfg.platform
+        self.store = EtcdStore(self.session, platform.store_address, platform.store_timeout_s)
+        self.hub = LinkHub(self.session, self.cfg, lambda: self.directory.revision)
+
+    async def start(self, app: web.Application, fallback: WebHandler | None = None) -> None:
+        """Listen and follow the platform; ``fallback`` serves every path that ``app`` lacks."""
+        app.router.add_get("/healthz", self._healthz)
+        app.router.add_get("/readyz", self._readyz)
+        app.router.add_get(LINK_PATH, self._link)
+        app.router.add_get("/internal/explain/{request_id}", self._explain)
+        if fallback is not None:
+            app.router.add_route("*", "/{path:.*}", fallback)
+        self._runner = web.AppRunner(
+            app,
+            access_log=None,
+            handler_cancellation=True,
+            shutdown_timeout=1.0,
+            max_field_size=self.cfg.limits.header_bytes,
+            max_line_size=self.cfg.limits.header_bytes,
+        )
+        await self._runner.setup()
+        await web.TCPSite(self._runner, self.cfg.node.host, self.cfg.node.port).start()
+        follower = ConfigFollower(self.store, self.directory.take_snapshot)
+        self.tasks.start(follower.run(), "configuration follower")
+        platform = self.cfg.platform
+        vm_list = HttpVmList(self.session, platform.vm_list_address, platform.store_timeout_s)
+        vms = VmListFollower(vm_list, platform.vm_list_poll_s, self.directory.take_vms)
+        self.tasks.start(vms.run(), "VM list follower")
+        await self.lifecycle.fire(LifecycleEvent.START)
+        self.state.ready = True
+
+    @property
+    def address(self) -> str:
+        """Address that this process listens on; with port 0, the port it was given."""
+        host, port = self._runner.addresses[0][:2]
+        return f"http://{host}:{port}"
+
+    @property
+    def is_closed(self) -> bool:
+        """Whether the process has stopped."""
+        return self.state.closed
+
+    def note_stop_signal(self) -> None:
+        """Count a stop signal; a second one shortens the shutdown."""
+        self.state.stop_signals += 1
+
+    async def shut_down(self) -> None:
+        """Fail readiness, wait for the balancer, refuse new work, finish what runs, and leave."""
+        await self.lifecycle.fire(LifecycleEvent.STOP_ASKED)
+        self.state.ready = False
+        await self._wait(self.cfg.timing.balancer_delay_s, lambda: False)
+        self.state.refusing = True
+        await self.lifecycle.fire(LifecycleEvent.REFUSE_NEW)
+        await self._wait(self.cfg.timing.shutdown_wait_s, lambda: self.state.active == 0)
+        await self.lifecycle.fire(LifecycleEvent.DRAINED)
+        await self.close()
+
+    async def close(self) -> None:
+        """Stop at once."""
+        self.state.closed = True
+        await self.lifecycle.fire(LifecycleEvent.STOP)
+        await self.tasks.close()
+        await self.hub.close()
+        await self._runner.cleanup()
+        await self.session.close()
+
+    async def _wait(self, seconds: float, is_over: Callable[[], bool]) -> None:
+        signals = self.state.stop_signals
+        ends = time.monotonic() + seconds
+        while time.monotonic() < ends and not is_over():
+            if self.state.stop_signals > signals:
+                return
+            await asyncio.sleep(DRAIN_POLL_S)
+
+    async def _healthz(self, request: web.Request) -> web.Response:
+        return json_response({"status": "ok"})
+
+    async def _readyz(self, request: web.Request) -> web.Response:
+        ready = self.state.ready and self.directory.revision > 0
+        return json_response({"ready": ready}, 200 if ready else 503)
+
+    async def _link(self, request: web.Request) -> web.StreamResponse:
+        require_fleet_secret(request, self.cfg.node.fleet_secret)
+        return await self.hub.accept(request)
+
+    async def _explain(self, request: web.Request) -> web.Response:
+        require_fleet_secret(request, self.cfg.node.fleet_secret)
+        decisions = self.decisions.explain(request.match_info["request_id"])
+        return json_response({"decisions": unstructure(decisions)})
--- /dev/null
+++ b/packages/vanillashore-node/src/vanillashore_node/_directory.py
@@ -0,0 +1,131 @@
+"""What a process knows of the fleet: the configuration joined with the VM list."""
+
+from collections import defaultdict
+from collections.abc import Callable
+
+import attrs
+
+from vanillashore_platform import ConfigSnapshot, VmEntry, VmState
+from vanillashore_schema import (
+    Configuration,
+    EndpointConfig,
+    EndpointRole,
+    ModelConfig,
+    RouteConfig,
+    WorkspaceConfig,
+)
+from vanillashore_wire import ErrorCode, RefusalError, Refused
+
+
+@attrs.frozen
+class Endpoint:
+    """An endpoint that can be asked for work, and the address of its side process."""
+
+    vm: str
+    address: str
+    data_centre: str
+
+
+class Directory:
+    """Holds the newest configuration and VM list; its revision only rises."""
+
+    def __init__(self) -> None:
+        self._snapshot = ConfigSnapshot(0, Configuration())
+        self._vms: dict[str, VmEntry] = {}
+        self._workspaces: dict[str, WorkspaceConfig] = {}
+        self._workspace_of_key: dict[str, str] = {}
+        self._models: dict[str, ModelConfig] = {}
+        self._routes: dict[str, list[RouteConfig]] = {}
+        self._endpoints: dict[tuple[EndpointRole, str], list[EndpointConfig]] = {}
+        self._endpoint_of_vm: dict[str, EndpointConfig] = {}
+        self._listeners: list[Callable[[ConfigSnapshot], None]] = []
+
+    @property
+    def revision(self) -> int:
+        """Revision in force here; 0 before the first."""
+        return self._snapshot.revision
+
+    @property
+    def snapshot(self) -> ConfigSnapshot:
+        """The configuration in force here."""
+        return self._snapshot
+
+    @property
+    def vms(self) -> tuple[VmEntry, ...]:
+        """The VM list as it was last seen."""
+        return tuple(self._vms.values())
+
+    def on_change(self, listener: Callable[[ConfigSnapshot], None]) -> None:
+        """Call ``listener`` after each change of the configuration."""
+        self._listeners.append(listener)
+
+    def take_snapshot(self, snapshot: ConfigSnapshot) -> None:
+        """Put a configuration into force, unless it is not newer than the current one."""
+        if snapshot.revision <= self._snapshot.revision:
+            return
+        self._snapshot = snapshot
+        self._index(snapshot.configuration)
+        for listener in self._listeners:
+            listener(snapshot)
+
+    def take_vms(self, vms: tuple[VmEntry, ...]) -> None:
+        """Replace the VM list."""
+        self._vms = {vm.name: vm for vm in vms}
+
+    def workspace_of_key(self, key_hash: str) -> WorkspaceConfig | None:
+        """Return the workspace that a key belongs to."""
+        name = self._workspace_of_key.get(key_hash)
+        return self._workspaces.get(name) if name else None
+
+    def workspace(self, name: str) -> WorkspaceConfig | None:
+        """Return a workspace by name."""
+        return self._workspaces.get(name)
+
+    def models(self) -> list[ModelConfig]:
+        """Return all models."""
+        return list(self._models.values())
+
+    def model(self, name: str) -> ModelConfig:
+        """Return a model; raise RefusalError if it is not declared."""
+        model = self._models.get(name)
+        if model is None:
+            raise RefusalError(Refused(ErrorCode.MODEL_UNKNOWN, f"no model {name!r} here"))
+        return model
+
+    def route(self, method: str, path: str) -> RouteConfig:
+        """Return the route of a call; raise RefusalError if there is none."""
+        routes = self._routes.get(path)
+        if routes is None:
+            raise RefusalError(Refused(ErrorCode.ROUTE_UNKNOWN, f"no route {path!r} here"))
+        for route in routes:
+            if method in route.methods:
+                return route
+        raise RefusalError(Refused(ErrorCode.METHOD_NOT_ALLOWED, f"{method} is not allowed here"))
+
+    def endpoints(self, role: EndpointRole, subject: str) -> list[Endpoint]:
+        """Return the live endpoints of a model or service in ``role``."""
+        found = []
+        for config in self._endpoints.get((role, subject), ()):
+            vm = self._vms.get(config.vm)
+            if vm is not None and vm.state is VmState.LIVE:
+                found.append(Endpoint(vm.name, vm.address, vm.data_centre))
+        return found
+
+    def endpoint_config(self, vm: str) -> EndpointConfig | None:
+        """Return what the endpoint on ``vm`` is declared as."""
+        return self._endpoint_of_vm.get(vm)
+
+    def _index(self, config: Configuration) -> None:
+        self._workspaces = {w.name: w for w in config.workspace}
+        self._workspace_of_key = {k.sha256: w.name for w in config.workspace for k in w.key}
+        self._models = {m.name: m for m in config.model}
+        self._endpoint_of_vm = {e.vm: e for e in config.endpoint}
+        routes: dict[str, list[RouteConfig]] = defaultdict(list)
+        for route in config.route:
+            routes[route.path].append(route)
+        self._routes = dict(routes)
+        endpoints: dict[tuple[EndpointRole, str], list[EndpointConfig]] = defaultdict(list)
+        for endpoint in config.endpoint:
+            subject = endpoint.service or endpoint.model
+            endpoints[endpoint.role, subject].append(endpoint)
+        self._endpoints = dict(endpoints)
--- /dev/null
+++ b/packages/vanillashore-node/src/vanillashore_node/_entry.py
@@ -0,0 +1,68 @@
+"""The entry process: it faces callers."""
+
+import random
+
+from aiohttp import web
+
+from vanillashore_node._admission import LocalAdmission
+from vanillashore_node._back_ends import BackEnds
+from vanillashore_node._callers import CallerGuard
+from vanillashore_node._calls import Calls
+from vanillashore_node._completions import Completions
+from vanillashore_node._core import NodeCore
+from vanillashore_node._faces import json_response, require_fleet_secret
+from vanillashore_node._generation import Generation, GenerationRequest, Placer
+from vanillashore_placement import Chooser, SeenLoads
+from vanillashore_schema import NodeSettings
+from vanillashore_wire import unstructure
+
+
+class EntryNode:
+    """One entry process.
+
+    Example::
+
+        node = EntryNode(cfg)
+        await node.start()
+        await node.core.shut_down()
+    """
+
+    def __init__(self, cfg: NodeSettings) -> None:
+        self.core = NodeCore(cfg)
+        self._cfg = cfg
+
+    async def start(self) -> None:
+        """Listen and serve."""
+        core = self.core
+        await core.open()
+        rng = random.Random()
+        loads = SeenLoads()
+        self._back_ends = BackEnds(core.session, self._cfg)
+        self._placer = Placer(core, Chooser(loads, rng), loads)
+        admission = LocalAdmission()
+        completions = Completions(core, admission, self._new_generation)
+        calls = Calls(core, admission, self._back_ends, rng)
+        app = web.Application(
+            client_max_size=self._cfg.limits.body_bytes, middlewares=[CallerGuard(core).guard]
+        )
+        app.router.add_post("/v1/completions", completions.completions)
+        app.router.add_post("/v1/chat/completions", completions.chat_completions)
+        app.router.add_get("/v1/models", completions.models)
+        app.router.add_get("/internal/status", self._status)
+        await core.start(app, calls.call)
+
+    def _new_generation(self, req: GenerationRequest) -> Generation:
+        return Generation(self.core, self._placer, self._back_ends, req)
+
+    async def _status(self, request: web.Request) -> web.Response:
+        require_fleet_secret(request, self._cfg.node.fleet_secret)
+        return json_response(
+            {
+                "node": self._cfg.node.name,
+                "role": self._cfg.node.role.value,
+                "data_centre": self._cfg.node.data_centre,
+                "revision": self.core.directory.revision,
+                "active": self.core.state.active,
+                "links": unstructure(self.core.hub.stats),
+            }
+        )
--- /dev/null
+++ b/packages/vanillashore-node/src/vanillashore_node/_side.py
@@ -0,0 +1,99 @@
+"""The side process: the only process that talks to its endpoint."""
+
+from typing import Any
+
+from aiohttp import web
+
+from vanillashore_node._core import NodeCore
+from vanillashore_node._engine import HttpEngine
+from vanillashore_node._faces import json_response, refusal_response, require_fleet_secret
+from vanillashore_node._lifecycle import LifecycleEvent
+from vanillashore_node._reservations import Reservations
+from vanillashore_node._side_engine import EngineWork
+from vanillashore_node._side_service import ServiceWork
+from vanillashore_placement import Keeper
+from vanillashore_schema import BackEndKind, NodeSettings
+from vanillashore_wire import (
+    ErrorCode,
+    RefusalError,
+    Refused,
+    ReserveAsk,
+    ReserveWithdraw,
+    unstructure,
+)
+
+ORDER_BODY_BYTES = 16_777_216
+WORK_PATHS = frozenset({"/internal/prefill", "/internal/decode", "/internal/call"})
+
+
+class SideNode:
+    """One side process.
+
+    Example::
+
+        node = SideNode(cfg)
+        await node.start()
+        await node.core.shut_down()
+    """
+
+    def __init__(self, cfg: NodeSettings) -> None:
+        self.core = NodeCore(cfg)
+        self._cfg = cfg
+
+    async def start(self) -> None:
+        """Listen and serve."""
+        await self.core.open()
+        endpoint = self._cfg.endpoint
+        valid_s = self._cfg.timing.reservation_valid_s
+        keeper = Keeper(self._cfg.node.name, endpoint.slots, valid_s)
+        self.reservations = Reservations(keeper)
+        self.core.hub.on(ReserveAsk, self.reservations.ask)
+        self.core.hub.on(ReserveWithdraw, self.reservations.withdraw)
+        self.core.tasks.start(self.reservations.run(), "reservations")
+        self.core.lifecycle.on(LifecycleEvent.REFUSE_NEW, self.reservations.leave)
+        app = web.Application(client_max_size=ORDER_BODY_BYTES, middlewares=[self._guard])
+        if endpoint.kind is BackEndKind.ENGINE:
+            engine = HttpEngine(self.core.session, endpoint.address)
+            work = EngineWork(self.core, engine, self.reservations)
+            app.router.add_post("/internal/prefill", work.prefill)
+            app.router.add_post("/internal/decode", work.decode)
+        else:
+            service = ServiceWork(self.core, endpoint.address)
+            app.router.add_post("/internal/call", service.call)
+        app.router.add_get("/internal/status", self._status)
+        await self.core.start(app)
+
+    @web.middleware
+    async def _guard(self, request: web.Request, handler: Any) -> web.StreamResponse:
+        try:
+            if not request.path.startswith("/internal/"):
+                return await handler(request)
+            require_fleet_secret(request, self._cfg.node.fleet_secret)
+            if request.path not in WORK_PATHS:
+                return await handler(request)
+            if self.core.state.refusing:
+                text = "the endpoint is leaving"
+                raise RefusalError(Refused(ErrorCode.SHUTTING_DOWN, text))
+            return await self._run_work(request, handler)
+        except RefusalError as exc:
+            return refusal_response(exc.refused)
+
+    async def _run_work(self, request: web.Request, handler: Any) -> web.StreamResponse:
+        self.core.state.active += 1
+        try:
+            return await handler(request)
+        finally:
+            self.core.state.active -= 1
+
+    async def _status(self, request: web.Request) -> web.Response:
+        return json_response(
+            {
+                "node": self._cfg.node.name,
+                "role": self._cfg.node.role.value,
+                "data_centre": self._cfg.node.data_centre,
+                "revision": self.core.directory.revision,
+                "active": self.core.state.active,
+                "load": unstructure(self.reservations.load),
+                "links": unstructure(self.core.hub.stats),
+            }
+        )
--- /dev/null
+++ b/packages/vanillashore-node/src/vanillashore_node/_side_service.py
@@ -0,0 +1,70 @@
+"""Calls at a side process whose endpoint is a plain service."""
+
+import base64
+
+import aiohttp
+from aiohttp import web
+
+from vanillashore_node._core import NodeCore
+from vanillashore_node._faces import message_response
+from vanillashore_node._side_engine import read_order
+from vanillashore_wire import (
+    CallDone,
+    CallOrder,
+    ErrorCode,
+    Header,
+    Ran,
+    RefusalError,
+    Refused,
+)
+
+CONNECT_TIMEOUT_S = 2.0
+ANSWER_HEADERS = frozenset({"content-type", "content-language", "location"})
+
+
+class ServiceWork:
+    """Runs calls on the service."""
+
+    def __init__(self, core: NodeCore, address: str) -> None:
+        self._core = core
+        self._address = address.rstrip("/")
+
+    async def call(self, request: web.Request) -> web.Response:
+        """Handle ``POST /internal/call``."""
+        order = await read_order(request, CallOrder)
+        self._core.decisions.note(order.request_id, "call", f"attempt {order.attempt}")
+        return message_response(await self._run(order))
+
+    async def _run(self, order: CallOrder) -> CallDone:
+        timeout = aiohttp.ClientTimeout(total=order.deadline_s, sock_connect=CONNECT_TIMEOUT_S)
+        headers = [(header.name, header.value) for header in order.headers]
+        try:
+            async with self._core.session.request(
+                order.method,
+                self._address + order.path,
+                headers=headers,
+                data=base64.b64decode(order.body_base64),
+                timeout=timeout,
+                allow_redirects=False,
+            ) as response:
+                body = await response.read()
+                return CallDone(
+                    response.status,
+                    _answer_headers(response),
+                    base64.b64encode(body).decode(),
+                    self._core.cfg.node.name,
+                )
+        except aiohttp.ClientConnectorError as exc:
+            text = f"the service cannot be reached: {exc!r}"
+            raise RefusalError(Refused(ErrorCode.ENDPOINT_FAILED, text, Ran.NO)) from exc
+        except (aiohttp.ClientError, TimeoutError, OSError) as exc:
+            text = f"the service did not answer: {exc!r}"
+            raise RefusalError(Refused(ErrorCode.OUTCOME_UNKNOWN, text, Ran.UNKNOWN)) from exc
+
+
+def _answer_headers(response: aiohttp.ClientResponse) -> tuple[Header, ...]:
+    return tuple(
+        Header(name, value)
+        for name, value in response.headers.items()
+        if name.lower() in ANSWER_HEADERS
+    )
--- /dev/null
+++ b/packages/vanillashore-node/src/vanillashore_node/_tasks.py
@@ -0,0 +1,33 @@
+"""Background tasks whose failure is logged, and which end with their owner."""
+
+import asyncio
+from collections.abc import Coroutine
+from typing import Any
+
+from loguru import logger as log
+
+
+class TaskGroup:
+    """Owns background tasks; `close` cancels all that still run."""
+
+    def __init__(self) -> None:
+        self._tasks: set[asyncio.Task[Any]] = set()
+
+    def start(self, coroutine: Coroutine[Any, Any, Any], name: str) -> asyncio.Task[Any]:
+        """Run ``coroutine`` in the background."""
+        task = asyncio.get_running_loop().create_task(coroutine, name=name)
+        self._tasks.add(task)
+        task.add_done_callback(self._finished)
+        return task
+
+    async def close(self) -> None:
+        """Cancel every task and wait for it to end."""
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def _finished(self, task: asyncio.Task[Any]) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            error = repr(task.exception())
+            log.bind(task=task.get_name(), error=error).error("a background task failed")
--- /dev/null
+++ b/packages/vanillashore-outcome/src/vanillashore_outcome/__init__.py
@@ -0,0 +1,5 @@
+"""Attempts, claims, stream assembly and poison handling."""
+
+from vanillashore_outcome._assembly import Assembly, AssemblyCounts
+
+__all__ = ["Assembly", "AssemblyCounts"]
--- /dev/null
+++ b/packages/vanillashore-schema/src/vanillashore_schema/__init__.py
@@ -0,0 +1,57 @@
+"""Node settings and the operators' declarative configuration, checked with findings."""
+
+from vanillashore_schema._configuration import (
+    Configuration,
+    EndpointConfig,
+    EndpointRole,
+    KeyConfig,
+    ModelConfig,
+    RouteConfig,
+    ServiceConfig,
+    WorkspaceConfig,
+    check_configuration,
+    hash_key,
+    load_configuration,
+)
+from vanillashore_schema._findings import Finding, FindingsError, Severity
+from vanillashore_schema._settings import (
+    BackEndKind,
+    EndpointSettings,
+    LimitSettings,
+    NodeRole,
+    NodeSection,
+    NodeSettings,
+    OperatorSettings,
+    PlatformSettings,
+    TimingSettings,
+    load_node_settings,
+    load_operator_settings,
+)
+
+__all__ = [
+    "BackEndKind",
+    "Configuration",
+    "EndpointConfig",
+    "EndpointRole",
+    "EndpointSettings",
+    "Finding",
+    "FindingsError",
+    "KeyConfig",
+    "LimitSettings",
+    "ModelConfig",
+    "NodeRole",
+    "NodeSection",
+    "NodeSettings",
+    "OperatorSettings",
+    "PlatformSettings",
+    "RouteConfig",
+    "ServiceConfig",
+    "Severity",
+    "TimingSettings",
+    "WorkspaceConfig",
+    "check_configuration",
+    "hash_key",
+    "load_configuration",
+    "load_node_settings",
+    "load_operator_settings",
+]
--- /dev/null
+++ b/packages/vanillashore-schema/src/vanillashore_schema/_configuration.py
@@ -0,0 +1,194 @@
+"""The operators' declarative configuration: what a fleet serves, to whom, and how much."""
+
+import hashlib
+from enum import StrEnum
+from pathlib import Path
+
+import attrs
+
+from vanillashore_schema._findings import Finding, FindingsError
+from vanillashore_schema._table import (
+    TableReader,
+    at_least_zero,
+    nearest_match,
+    not_empty,
+    option,
+    positive,
+)
+from vanillashore_wire import ErrorCode, RouteClass, VanillashoreError
+
+SHA256_HEX_CHARS = 64
+
+
+class EndpointRole(StrEnum):
+    """What an endpoint is used for."""
+
+    PREFILL = "prefill"
+    DECODE = "decode"
+    SERVICE = "service"
+
+
+def hash_key(key: str) -> str:
+    """Return the hash under which the configuration knows a key."""
+    return hashlib.sha256(key.encode()).hexdigest()
+
+
+def _sha256(value: str) -> str | None:
+    if len(value) == SHA256_HEX_CHARS and all(c in "0123456789abcdef" for c in value):
+        return None
+    return "must be a SHA-256 in lower-case hex; `vanillashore key new` prints one"
+
+
+def _path(value: str) -> str | None:
+    return None if value.startswith("/") else 'must start with "/"'
+
+
+@attrs.frozen
+class KeyConfig:
+    """One key of a workspace: only its hash, with an id to speak of it."""
+
+    id: str = option(not_empty)
+    sha256: str = option(_sha256)
+    granted: str = option(default="")
+
+
+@attrs.frozen
+class WorkspaceConfig:
+    """A caller's workspace with its share of the fleet."""
+
+    name: str = option(not_empty)
+    rate_tokens_per_s: float = option(positive)
+    burst_tokens: float = option(positive)
+    weight: float = option(positive, default=1.0)
+    key: tuple[KeyConfig, ...] = option(default=())
+
+
+@attrs.frozen
+class ModelConfig:
+    """A model that callers may name, with the adapters and version its endpoints load."""
+
+    name: str = option(not_empty)
+    version: str = option(default="1")
+    adapters: tuple[str, ...] = option(default=())
+    route_class: RouteClass = option(default=RouteClass.INTERACTIVE)
+    context_tokens: int = option(positive, default=131_072)
+    first_token_target_ms: float = option(positive, default=1_600.0)
+    token_gap_target_ms: float = option(positive, default=32.0)
+
+
+@attrs.frozen
+class ServiceConfig:
+    """A plain service."""
+
+    name: str = option(not_empty)
+
+
+@attrs.frozen
+class RouteConfig:
+    """A path of callers that leads to a plain service."""
+
+    path: str = option(_path)
+    methods: tuple[str, ...] = option()
+    service: str = option(not_empty)
+    idempotent: bool = option()
+    route_class: RouteClass = option(default=RouteClass.INTERACTIVE)
+    open: bool = option(default=False)
+    cost_tokens: float = option(at_least_zero, default=1.0)
+    target_ms: float = option(positive, default=250.0)
+
+
+@attrs.frozen
+class EndpointConfig:
+    """What the endpoint on a VM is used for; its address comes from the platform's VM list."""
+
+    vm: str = option(not_empty)
+    role: EndpointRole = option()
+    model: str = option(default="")
+    service: str = option(default="")
+
+
+@attrs.frozen
+class Configuration:
+    """Everything that operators declare, applied as a whole."""
+
+    workspace: tuple[WorkspaceConfig, ...] = option(default=())
+    model: tuple[ModelConfig, ...] = option(default=())
+    service: tuple[ServiceConfig, ...] = option(default=())
+    route: tuple[RouteConfig, ...] = option(default=())
+    endpoint: tuple[EndpointConfig, ...] = option(default=())
+
+
+def load_configuration(path: Path) -> tuple[Configuration, tuple[Finding, ...]]:
+    """Read and check a configuration file; return it with any warnings.
+
+    Raises FindingsError with everything that is wrong, or VanillashoreError if the file cannot be
+    read.
+    """
+    try:
+        text = path.read_text()
+    except (OSError, UnicodeDecodeError) as exc:
+        raise VanillashoreError(ErrorCode.FILE_UNREADABLE, f"{path}: {exc}") from exc
+    return check_configuration(str(path), text)
+
+
+def check_configuration(file: str, text: str) -> tuple[Configuration, tuple[Finding, ...]]:
+    """Check the text of a configuration file; ``file`` names it in findings.
+
+    Raises FindingsError.
+    """
+    reader = TableReader(file, text)
+    config = None if reader.failed else reader.read(Configuration)
+    if config is not None:
+        _check_names(reader, config)
+        _check_references(reader, config)
+    if config is None or reader.failed:
+        raise FindingsError(ErrorCode.CONFIG_INVALID, reader.findings)
+    return config, tuple(reader.findings)
+
+
+def _check_names(reader: TableReader, config: Configuration) -> None:
+    _check_unique(reader, "workspace", [w.name for w in config.workspace], "name")
+    _check_unique(reader, "model", [m.name for m in config.model], "name")
+    _check_unique(reader, "service", [s.name for s in config.service], "name")
+    _check_unique(reader, "endpoint", [e.vm for e in config.endpoint], "vm")
+    hashes = [
+        (f"workspace[{i}].key[{j}].sha256", key.sha256)
+        for i, workspace in enumerate(config.workspace)
+        for j, key in enumerate(workspace.key)
+    ]
+    _report_repeated(reader, hashes)
+    routes = [
+        (f"route[{i}].path", f"{method} {route.path}")
+        for i, route in enumerate(config.route)
+        for method in route.methods
+    ]
+    _report_repeated(reader, routes)
+
+
+def _check_unique(reader: TableReader, table: str, values: list[str], field: str) -> None:
+    _report_repeated(reader, [(f"{table}[{i}].{field}", v) for i, v in enumerate(values)])
+
+
+def _report_repeated(reader: TableReader, places: list[tuple[str, str]]) -> None:
+    first: dict[str, str] = {}
+    for key, value in places:
+        earlier = first.setdefault(value, key)
+        if earlier != key:
+            reader.report(key, f"repeats {value!r} of {earlier}")
+
+
+def _check_references(reader: TableReader, config: Configuration) -> None:
+    models = [m.name for m in config.model]
+    services = [s.name for s in config.service]
+    for i, route in enumerate(config.route):
+        _check_known(reader, f"route[{i}].service", route.service, services)
+    for i, endpoint in enumerate(config.endpoint):
+        if endpoint.role is EndpointRole.SERVICE:
+            _check_known(reader, f"endpoint[{i}].service", endpoint.service, services)
+        else:
+            _check_known(reader, f"endpoint[{i}].model", endpoint.model, models)
+
+
+def _check_known(reader: TableReader, key: str, name: str, names: list[str]) -> None:
+    if name not in names:
+        reader.report(key, f"names {name!r}, which is not declared{nearest_match(name, names)}")
--- /dev/null
+++ b/packages/vanillashore-standins/src/vanillashore_standins/_kv_app.py
@@ -0,0 +1,169 @@
+"""HTTP face of the key-value stand-in: the etcd v3 JSON protocol, and fault controls."""
+
+import asyncio
+import base64
+from typing import Any
+
+import attrs
+import orjson
+from aiohttp import web
+
+from vanillashore_standins._kv_state import KvItem, KvState
+
+STATE = web.AppKey("state", KvState)
+FAULTS: web.AppKey["KvFaults"] = web.AppKey("faults")
+OUTAGE_POLL_S = 0.05
+
+
+@attrs.define
+class KvFaults:
+    """Faults to inject; set the fields in a test or ``POST /control`` them.
+
+    ``down`` closes every call and watch, ``delay_s`` slows calls, ``lose_answers`` is the number
+    of writes whose answer is lost after the write took effect.
+    """
+
+    down: bool = False
+    delay_s: float = 0.0
+    lose_answers: int = 0
+
+
+def kv_app(state: KvState, faults: KvFaults | None = None) -> web.Application:
+    """Build the application."""
+    app = web.Application(client_max_size=4_000_000, middlewares=[_inject_faults])
+    app[STATE] = state
+    app[FAULTS] = faults or KvFaults()
+    app.router.add_post("/v3/kv/range", _range)
+    app.router.add_post("/v3/kv/txn", _txn)
+    app.router.add_post("/v3/lease/grant", _lease_grant)
+    app.router.add_post("/v3/lease/keepalive", _lease_keepalive)
+    app.router.add_post("/v3/watch", _watch)
+    app.router.add_get("/stats", _stats)
+    app.router.add_post("/control", _control)
+    return app
+
+
+@web.middleware
+async def _inject_faults(request: web.Request, handler: Any) -> web.StreamResponse:
+    if request.path in ("/stats", "/control"):
+        return await handler(request)
+    faults = request.app[FAULTS]
+    request.app[STATE].calls[request.path] += 1
+    if faults.delay_s:
+        await asyncio.sleep(faults.delay_s)
+    if faults.down:
+        raise _disconnected(request)
+    response = await handler(request)
+    if request.path == "/v3/kv/txn" and faults.lose_answers > 0:
+        faults.lose_answers -= 1
+        raise _disconnected(request)
+    return response
+
+
+def _disconnected(request: web.Request) -> Exception:
+    if request.transport is not None:
+        request.transport.abort()
+    return ConnectionResetError("fault injected")
+
+
+def _unb64(text: str) -> bytes:
+    return base64.b64decode(text)
+
+
+def _b64(data: bytes) -> str:
+    return base64.b64encode(data).decode()
+
+
+def _kv(key: str, item: KvItem) -> dict[str, str]:
+    return {
+        "key": _b64(key.encode()),
+        "value": _b64(item.value),
+        "mod_revision": str(item.version),
+        "lease": str(item.lease),
+    }
+
+
+def _kvs(key: str, item: KvItem | None) -> list[dict[str, str]]:
+    return [_kv(key, item)] if item else []
+
+
+def _json(body: dict[str, Any]) -> web.Response:
+    return web.Response(body=orjson.dumps(body), content_type="application/json")
+
+
+async def _range(request: web.Request) -> web.Response:
+    state = request.app[STATE]
+    body = orjson.loads(await request.read())
+    key = _unb64(body["key"]).decode()
+    return _json({"header": _header(state), "kvs": _kvs(key, state.get(key))})
+
+
+async def _txn(request: web.Request) -> web.Response:
+    state = request.app[STATE]
+    body = orjson.loads(await request.read())
+    compare = body["compare"][0]
+    put = body["success"][0]["request_put"]
+    key = _unb64(put["key"]).decode()
+    expected = int(compare["mod_revision"])
+    try:
+        applied = state.compare_and_swap(key, expected, _unb64(put["value"]), int(put["lease"]))
+    except ValueError as exc:
+        return web.json_response({"error": str(exc)}, status=400)
+    found = {"response_range": {"kvs": _kvs(key, state.get(key))}}
+    responses = [{"response_put": {}}] if applied else [found]
+    return _json({"header": _header(state), "succeeded": applied, "responses": responses})
+
+
+async def _lease_grant(request: web.Request) -> web.Response:
+    body = orjson.loads(await request.read())
+    lease = request.app[STATE].grant_lease(float(body["TTL"]))
+    return _json({"ID": str(lease), "TTL": body["TTL"]})
+
+
+async def _lease_keepalive(request: web.Request) -> web.Response:
+    body = orjson.loads(await request.read())
+    ttl_s = request.app[STATE].renew_lease(int(body["ID"]))
+    return _json({"result": {"ID": body["ID"], "TTL": str(int(ttl_s))}})
+
+
+async def _watch(request: web.Request) -> web.StreamResponse:
+    state = request.app[STATE]
+    create = orjson.loads(await request.read())["create_request"]
+    key = _unb64(create["key"]).decode()
+    queue = state.subscribe(key)
+    response = web.StreamResponse()
+    try:
+        await response.prepare(request)
+        await response.write(orjson.dumps({"result": {"created": True}}) + b"\n")
+        current = state.get(key)
+        if current and current.version >= int(create.get("start_revision", "0")):
+            queue.put_nowait(current)
+        while not request.app[FAULTS].down:
+            await _write_next(response, key, queue)
+    finally:
+        state.unsubscribe(key, queue)
+    raise _disconnected(request)
+
+
+async def _write_next(response: web.StreamResponse, key: str, queue: asyncio.Queue[KvItem]) -> None:
+    try:
+        async with asyncio.timeout(OUTAGE_POLL_S):
+            item = await queue.get()
+    except TimeoutError:
+        return
+    events = [{"type": "PUT", "kv": _kv(key, item)}]
+    await response.write(orjson.dumps({"result": {"events": events}}) + b"\n")
+
+
+async def _stats(request: web.Request) -> web.Response:
+    return web.json_response(dict(request.app[STATE].calls))
+
+
+async def _control(request: web.Request) -> web.Response:
+    for name, value in (await request.json()).items():
+        setattr(request.app[FAULTS], name, value)
+    return web.json_response({})
+
+
+def _header(state: KvState) -> dict[str, str]:
+    return {"revision": str(state.revision)}
--- /dev/null
+++ b/packages/vanillashore-standins/src/vanillashore_standins/_service_app.py
@@ -0,0 +1,86 @@
+"""Stand-in for a plain service: it counts what it ran and answers with an echo."""
+
+import asyncio
+import base64
+from typing import Any
+
+import attrs
+from aiohttp import web
+
+STATE: web.AppKey["ServiceState"] = web.AppKey("state")
+
+
+@attrs.define
+class ServiceOptions:
+    """Behaviour of the service; the fault fields count down as they are used."""
+
+    name: str = "service"
+    delay_s: float = 0.0
+    lose_answers: int = 0
+    fail_before_run: int = 0
+
+
+@attrs.define
+class ServiceRun:
+    """One call that was run, with everything that was received."""
+
+    method: str
+    path: str
+    headers: dict[str, str]
+    body: bytes
+
+
+class ServiceState:
+    """What the service ran."""
+
+    def __init__(self, options: ServiceOptions | None = None) -> None:
+        self.options = options or ServiceOptions()
+        self.runs: list[ServiceRun] = []
+
+    def runs_of(self, path: str, body: bytes) -> int:
+        """Return how often this call was run."""
+        return sum(run.path == path and run.body == body for run in self.runs)
+
+
+def service_app(state: ServiceState) -> web.Application:
+    """Build the application: any path runs, ``GET /ledger`` lists the runs."""
+    app = web.Application(client_max_size=16_000_000)
+    app[STATE] = state
+    app.router.add_get("/ledger", _ledger)
+    app.router.add_post("/control", _control)
+    app.router.add_route("*", "/{path:.*}", _run)
+    return app
+
+
+async def _run(request: web.Request) -> web.Response:
+    state = request.app[STATE]
+    options = state.options
+    body = await request.read()
+    if options.fail_before_run > 0:
+        options.fail_before_run -= 1
+        return web.json_response({"error": "not now"}, status=503)
+    run = ServiceRun(request.method, request.path, dict(request.headers), body)
+    state.runs.append(run)
+    number = len(state.runs)
+    if options.delay_s:
+        await asyncio.sleep(options.delay_s)
+    if options.lose_answers > 0:
+        options.lose_answers -= 1
+        request.transport.abort()
+        raise ConnectionResetError("fault injected")
+    echo = body.decode(errors="replace")
+    return web.json_response({"service": options.name, "run": number, "echo": echo})
+
+
+async def _ledger(request: web.Request) -> web.Response:
+    return web.json_response({"runs": [_plain(run) for run in request.app[STATE].runs]})
+
+
+def _plain(run: ServiceRun) -> dict[str, Any]:
+    return attrs.asdict(run) | {"body": base64.b64encode(run.body).decode()}
+
+
+async def _control(request: web.Request) -> web.Response:
+    for name, value in (await request.json()).items():
+        setattr(request.app[STATE].options, name, value)
+    return web.json_response({})
--- /dev/null
+++ b/packages/vanillashore-standins/src/vanillashore_standins/demo/__init__.py
@@ -0,0 +1,1 @@
+"""The demo: a small fleet of separate processes, and requests through it."""
--- /dev/null
+++ b/packages/vanillashore-wire/src/vanillashore_wire/__init__.py
@@ -0,0 +1,80 @@
+"""Typed messages between processes, their codec, and errors with codes.
+
+Import from this module only; the modules with a leading underscore are private.
+"""
+
+from vanillashore_wire._codec import (
+    Batch,
+    Envelope,
+    decode,
+    decode_batch,
+    encode,
+    encode_batch,
+    message,
+    structure,
+    unstructure,
+)
+from vanillashore_wire._errors import (
+    ErrorCode,
+    Ran,
+    RefusalError,
+    Refused,
+    VanillashoreError,
+)
+from vanillashore_wire._frames import FrameSplitter, decode_frame, encode_frame
+from vanillashore_wire._messages import (
+    Ack,
+    CallDone,
+    CallOrder,
+    DecodeOrder,
+    Frame,
+    FrameKind,
+    Header,
+    KvHandle,
+    Load,
+    PrefillDone,
+    PrefillOrder,
+    ReservationKind,
+    ReserveAsk,
+    ReserveGrant,
+    ReserveWithdraw,
+    RouteClass,
+    Sampling,
+)
+
+__all__ = [
+    "Ack",
+    "Batch",
+    "CallDone",
+    "CallOrder",
+    "DecodeOrder",
+    "Envelope",
+    "ErrorCode",
+    "Frame",
+    "FrameKind",
+    "FrameSplitter",
+    "Header",
+    "KvHandle",
+    "Load",
+    "PrefillDone",
+    "PrefillOrder",
+    "Ran",
+    "RefusalError",
+    "Refused",
+    "ReservationKind",
+    "ReserveAsk",
+    "ReserveGrant",
+    "ReserveWithdraw",
+    "RouteClass",
+    "Sampling",
+    "VanillashoreError",
+    "decode",
+    "decode_batch",
+    "decode_frame",
+    "encode",
+    "encode_batch",
+    "encode_frame",
+    "message",
+    "structure",
+    "unstructure",
+]
