Add a scenario runner and a fleet of separate processes for tests

A scenario is a TOML file of steps (call, complete, cancel, signal, set_fault, expect, ...) run against SmallFleet, or with processes = true against ProcessFleet, whose nodes can be killed and frozen by id while the stand-ins stay in the test's process and tell what really ran.

--- /dev/null
+++ b/packages/vanillashore-standins/src/vanillashore_standins/_process_fleet.py
@@ -0,0 +1,143 @@
+"""A fleet whose nodes are processes of their own; stand-ins stay in this process."""
+
+import asyncio
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+from pathlib import Path
+
+import aiohttp
+import attrs
+import orjson
+
+from vanillashore_schema import EndpointSettings, NodeRole, NodeSettings
+from vanillashore_standins._fleet_base import KEY, MODEL, POLL_S, WAIT_S, FleetBase
+from vanillashore_standins._ports import free_port
+
+STOP_WAIT_S = 10.0
+
+
+@attrs.define
+class NodeProcess:
+    """One node's process; signals go to it by its id."""
+
+    cfg: NodeSettings
+    address: str
+    process: subprocess.Popen[bytes]
+    log_path: Path
+
+    def kill(self) -> None:
+        """End the process at once, without any cleaning up."""
+        self.process.kill()
+        self.process.wait()
+
+    def freeze(self) -> None:
+        """Pause the process, as when its VM is paused."""
+        self.process.send_signal(signal.SIGSTOP)
+
+    def thaw(self) -> None:
+        """Let a frozen process go on."""
+        self.process.send_signal(signal.SIGCONT)
+
+    def terminate(self) -> None:
+        """Send the stop signal."""
+        self.process.send_signal(signal.SIGTERM)
+
+    def end(self) -> None:
+        """Make sure that the process has ended."""
+        if self.process.poll() is not None:
+            return
+        self.thaw()
+        self.kill()
+
+
+class ProcessFleet(FleetBase):
+    """Nodes as processes, keyed by VM name; as an async context manager.
+
+    Example::
+
+        async with ProcessFleet(FleetPlan(entries=2)) as fleet:
+            fleet.nodes["entry-0"].kill()
+    """
+
+    def __init__(self, *args: object) -> None:
+        super().__init__(*args)
+        self.nodes: dict[str, NodeProcess] = {}
+        folder = tempfile.TemporaryDirectory(prefix="vanillashore-test-")
+        self._stack.callback(folder.cleanup)
+        self._folder = Path(folder.name)
+
+    async def start_side(self, vm: str, endpoint: EndpointSettings) -> None:
+        """Start a side process and list its VM."""
+        self._spawn(self._settings(vm, NodeRole.SIDE, endpoint, free_port()))
+
+    async def start_entry(self, vm: str) -> None:
+        """Start an entry and list its VM."""
+        self._spawn(self._settings(vm, NodeRole.ENTRY, None, free_port()))
+
+    def restart(self, vm: str) -> None:
+        """Start a node that was killed again, with the same settings."""
+        self._spawn(self.nodes[vm].cfg)
+
+    async def wait_until_serving(self, revision: int) -> None:
+        """Wait until every live node is ready, and each entry has served a probe."""
+        for node in self.nodes.values():
+            if node.process.poll() is None:
+                await self._wait_for(node.address + "/readyz")
+        if self.plan.prefills and self.plan.decodes:
+            for index in range(self.plan.entries):
+                await self._wait_for_probe(index)
+
+    def entry_address(self, entry: int) -> str:
+        """Return the address of an entry."""
+        return self.nodes[f"entry-{entry}"].address
+
+    def _spawn(self, cfg: NodeSettings) -> None:
+        name = cfg.node.name
+        path = self._folder / f"{name}.toml"
+        path.write_text(settings_text(cfg))
+        log_path = self._folder / f"{name}.log"
+        line = [sys.executable, "-m", "vanillashore_node", "--settings", str(path)]
+        with log_path.open("ab") as log_file:
+            process = subprocess.Popen(line, stderr=log_file, stdin=subprocess.DEVNULL)
+        node = NodeProcess(cfg, f"http://{cfg.node.host}:{cfg.node.port}", process, log_path)
+        self.nodes[name] = node
+        self._stack.callback(node.end)
+        self._list(cfg, node.address)
+
+    async def _wait_for(self, url: str) -> None:
+        ends = time.monotonic() + WAIT_S
+        while time.monotonic() < ends:
+            try:
+                async with self.session.get(url) as response:
+                    if response.status == 200:
+                        return
+            except aiohttp.ClientError:
+                pass
+            await asyncio.sleep(POLL_S)
+        raise TimeoutError(f"{url} was not ready in {WAIT_S:g} s")
+
+    async def _wait_for_probe(self, entry: int) -> None:
+        body = {"model": MODEL, "prompt": "probe", "max_tokens": 1}
+        ends = time.monotonic() + WAIT_S
+        while time.monotonic() < ends:
+            async with self.post(entry, "/v1/completions", body, key=KEY) as response:
+                if response.status == 200:
+                    return
+            await asyncio.sleep(POLL_S)
+        raise TimeoutError(f"entry {entry} served no probe in {WAIT_S:g} s")
+
+
+def settings_text(cfg: NodeSettings) -> str:
+    """Return settings as the text of a TOML file."""
+    lines: list[str] = []
+    for section, values in attrs.asdict(cfg, filter=_is_set).items():
+        lines.append(f"[{section}]")
+        lines += [f"{name} = {orjson.dumps(value).decode()}" for name, value in values.items()]
+    return "\n".join(lines)
+
+
+def _is_set(attribute: object, value: object) -> bool:
+    return value is not None
--- a/packages/vanillashore-standins/src/vanillashore_standins/demo/_fleet.py
+++ b/packages/vanillashore-standins/src/vanillashore_standins/demo/_fleet.py
@@ -4,7 +4,6 @@
 import os
 import secrets
 import signal
-import socket
 import subprocess
 import sys
 import time
@@ -14,6 +13,7 @@
 import aiohttp
 import attrs
 
+from vanillashore_standins._ports import free_ports
 from vanillashore_standins.demo._files import (
     DATA_CENTRES,
     DECODE_COUNT,
@@ -60,7 +60,7 @@
         self.configuration = folder / "fleet.toml"
         self._nodes: list[subprocess.Popen[bytes]] = []
         self._stand_ins: list[subprocess.Popen[bytes]] = []
-        self._ports = _free_ports(
+        self._ports = free_ports(
             3 + ENTRY_COUNT + 2 * (PREFILL_COUNT + DECODE_COUNT + SERVICE_COUNT)
         )
         self.store_address = self._next_address()
@@ -250,13 +250,3 @@
     except ProcessLookupError:
         return False
     return True
-
-
-def _free_ports(count: int) -> list[int]:
-    sockets = [socket.socket() for _ in range(count)]
-    for sock in sockets:
-        sock.bind(("127.0.0.1", 0))
-    ports = [sock.getsockname()[1] for sock in sockets]
-    for sock in sockets:
-        sock.close()
-    return ports
--- a/packages/vanillashore-standins/src/vanillashore_standins/testing.py
+++ b/packages/vanillashore-standins/src/vanillashore_standins/testing.py
@@ -1,235 +1,85 @@
-"""A small fleet inside one process, for tests: real nodes and stand-ins on loopback ports.
+"""Small fleets for tests: real nodes with stand-ins on loopback ports.
 
-Example::
+`SmallFleet` runs everything inside one process; `ProcessFleet` runs each node as a process of its
+own, which can be killed and frozen. Example::
 
     async with SmallFleet(FleetPlan(entries=2)) as fleet:
         async with fleet.post(0, "/v1/completions", {"model": MODEL, "prompt": "hi"}) as response:
             assert response.status == 200
 """
 
-import asyncio
-from collections.abc import Callable
-from contextlib import AsyncExitStack
-from types import TracebackType
-from typing import Any
-
-import aiohttp
-import attrs
-
 from vanillashore_node import EntryNode, SideNode
-from vanillashore_platform import ConfigStore, EtcdStore
-from vanillashore_schema import (
-    BackEndKind,
-    Configuration,
-    EndpointConfig,
-    EndpointRole,
-    EndpointSettings,
-    KeyConfig,
-    LimitSettings,
-    ModelConfig,
-    NodeRole,
-    NodeSection,
-    NodeSettings,
-    PlatformSettings,
-    RouteConfig,
-    ServiceConfig,
-    TimingSettings,
-    WorkspaceConfig,
-    hash_key,
+from vanillashore_schema import EndpointSettings, NodeRole
+from vanillashore_standins._fleet_base import (
+    FLEET_SECRET,
+    KEY,
+    MODEL,
+    OTHER_KEY,
+    OTHER_WORKSPACE,
+    SERVICE,
+    WORKSPACE,
+    FleetBase,
+    FleetPlan,
+    small_configuration,
 )
-from vanillashore_standins._engine_app import engine_app
-from vanillashore_standins._engine_state import EngineOptions, EngineState
-from vanillashore_standins._kv_app import KvFaults, kv_app
-from vanillashore_standins._kv_state import KvState
-from vanillashore_standins._service_app import ServiceOptions, ServiceState, service_app
-from vanillashore_standins._serving import ServedApp
-from vanillashore_standins._vm_list_app import VmListState, vm_list_app
-
-MODEL = "model-a"
-SERVICE = "service-a"
-WORKSPACE = "workspace-a"
-KEY = "key-of-workspace-a"
-OTHER_WORKSPACE = "workspace-b"
-OTHER_KEY = "key-of-workspace-b"
-FLEET_SECRET = "0123456789abcdef0123"
-DATA_CENTRES = ("dc-1", "dc-2", "dc-3")
-WAIT_S = 10.0
-POLL_S = 0.01
-
-
-@attrs.frozen
-class FleetPlan:
-    """What a small fleet consists of."""
-
-    entries: int = 1
-    prefills: int = 1
-    decodes: int = 2
-    services: int = 1
-    engine: EngineOptions = EngineOptions(step_s=0.002, prefill_s_per_token=0.00001)
-    service: ServiceOptions = ServiceOptions()
-    limits: LimitSettings = LimitSettings()
-    timing: TimingSettings = TimingSettings(balancer_delay_s=0.0, shutdown_wait_s=5.0)
-    store_timeout_s: float = 0.5
-
-
-def small_configuration(plan: FleetPlan) -> Configuration:
-    """Return the configuration of a small fleet: two workspaces, one model, one service."""
-    return Configuration(
-        workspace=(_workspace(WORKSPACE, KEY), _workspace(OTHER_WORKSPACE, OTHER_KEY)),
-        model=(ModelConfig(MODEL),),
-        service=(ServiceConfig(SERVICE),),
-        route=(
-            RouteConfig("/pay", ("POST",), SERVICE, idempotent=False),
-            RouteConfig("/stock", ("GET",), SERVICE, idempotent=True),
-            RouteConfig("/hours", ("GET",), SERVICE, idempotent=True, open=True),
-        ),
-        endpoint=(
-            *_endpoints("prefill", EndpointRole.PREFILL, plan.prefills),
-            *_endpoints("decode", EndpointRole.DECODE, plan.decodes),
-            *_endpoints("service", EndpointRole.SERVICE, plan.services),
-        ),
-    )
-
-
-class SmallFleet:
-    """Entries, side processes and stand-ins in this process, as an async context manager.
-
-    ``engines`` and ``service_states`` are keyed by VM name and tell what really ran.
-    """
+from vanillashore_standins._process_fleet import ProcessFleet
+from vanillashore_standins._scenario import Scenario, load_scenario, run_scenario
+
+__all__ = [
+    "FLEET_SECRET",
+    "KEY",
+    "MODEL",
+    "OTHER_KEY",
+    "OTHER_WORKSPACE",
+    "SERVICE",
+    "WORKSPACE",
+    "FleetBase",
+    "FleetPlan",
+    "ProcessFleet",
+    "Scenario",
+    "SmallFleet",
+    "load_scenario",
+    "run_scenario",
+    "small_configuration",
+]
+
+
+class SmallFleet(FleetBase):
+    """Entries, side processes and stand-ins in this process, as an async context manager."""
 
     def __init__(self, plan: FleetPlan | None = None) -> None:
-        self.plan = plan or FleetPlan()
-        self.kv = KvState()
-        self.kv_faults = KvFaults()
-        self.vm_list = VmListState()
-        self.engines: dict[str, EngineState] = {}
-        self.service_states: dict[str, ServiceState] = {}
+        super().__init__(plan)
         self.entries: list[EntryNode] = []
         self.sides: dict[str, SideNode] = {}
-        self.session: aiohttp.ClientSession
-        self._stack = AsyncExitStack()
-        self._platform: PlatformSettings
-
-    async def __aenter__(self) -> "SmallFleet":
-        try:
-            await self._start()
-        except BaseException:
-            await self._stack.aclose()
-            raise
-        return self
-
-    async def __aexit__(
-        self,
-        exc_type: type[BaseException] | None,
-        exc: BaseException | None,
-        trace: TracebackType | None,
-    ) -> None:
-        await self._stack.aclose()
-
-    @property
-    def config_store(self) -> ConfigStore:
-        """The configuration in the store stand-in, as an operator reaches it."""
-        return ConfigStore(EtcdStore(self.session, self._platform.store_address, 2.0))
-
-    async def apply(self, config: Configuration, base: int) -> None:
-        """Apply a configuration and wait until all nodes have it in force."""
-        head = await self.config_store.apply(config, base)
-        nodes = [*self.entries, *self.sides.values()]
-        await self.until(lambda: all(n.core.directory.revision >= head.revision for n in nodes))
-
-    async def until(self, condition: Callable[[], bool], wait_s: float = WAIT_S) -> None:
-        """Wait for a condition; raise TimeoutError if it does not come true."""
-        async with asyncio.timeout(wait_s):
-            while not condition():
-                await asyncio.sleep(POLL_S)
-
-    def post(self, entry: int, path: str, body: Any, key: str = KEY, **kwargs: Any) -> Any:
-        """Send a JSON request to an entry, as a context manager that gives the response."""
-        headers = {"Authorization": f"Bearer {key}"} | kwargs.pop("headers", {})
-        url = self.entries[entry].core.address + path
-        return self.session.post(url, json=body, headers=headers, **kwargs)
-
-    def get(self, entry: int, path: str, key: str = KEY, **kwargs: Any) -> Any:
-        """Send a GET request to an entry, as a context manager that gives the response."""
-        headers = {"Authorization": f"Bearer {key}"} | kwargs.pop("headers", {})
-        return self.session.get(self.entries[entry].core.address + path, headers=headers, **kwargs)
-
-    def held_pieces(self) -> int:
-        """Return the KV pieces that all engines hold now."""
-        return sum(sum(engine.holdings().values()) for engine in self.engines.values())
-
-    async def _start(self) -> None:
-        self.session = await self._stack.enter_async_context(aiohttp.ClientSession())
-        store = await self._serve(kv_app(self.kv, self.kv_faults))
-        vm_list = await self._serve(vm_list_app(self.vm_list))
-        timeout_s = self.plan.store_timeout_s
-        self._platform = PlatformSettings(store, vm_list, timeout_s, vm_list_poll_s=0.05)
-        for i in range(self.plan.prefills):
-            await self.start_engine(f"prefill-{i}")
-        for i in range(self.plan.decodes):
-            await self.start_engine(f"decode-{i}")
-        for i in range(self.plan.services):
-            await self.start_service(f"service-{i}")
-        for i in range(self.plan.entries):
-            await self.start_entry(f"entry-{i}")
-        await self.apply(small_configuration(self.plan), 0)
-        count = len(self.entries) + len(self.sides)
-        await self.until(lambda: all(len(e.core.directory.vms) == count for e in self.entries))
-
-    async def start_engine(self, vm: str) -> None:
-        """Start an engine and its side process on a VM."""
-        options = attrs.evolve(self.plan.engine, name=vm, model=MODEL)
-        self.engines[vm] = EngineState(options)
-        address = await self._serve(engine_app(self.engines[vm]))
-        await self.start_side(vm, EndpointSettings(address, BackEndKind.ENGINE, options.slots))
-
-    async def start_service(self, vm: str) -> None:
-        """Start a plain service and its side process on a VM."""
-        self.service_states[vm] = ServiceState(attrs.evolve(self.plan.service, name=vm))
-        address = await self._serve(service_app(self.service_states[vm]))
-        await self.start_side(vm, EndpointSettings(address, BackEndKind.SERVICE))
 
     async def start_side(self, vm: str, endpoint: EndpointSettings) -> None:
         """Start a side process and list its VM."""
         node = SideNode(self._settings(vm, NodeRole.SIDE, endpoint))
-        await node.start()
-        self._stack.push_async_callback(_close, node)
         self.sides[vm] = node
-        self._list(vm, node, "endpoint")
+        await self._run(node)
 
     async def start_entry(self, vm: str) -> None:
         """Start an entry and list its VM."""
         node = EntryNode(self._settings(vm, NodeRole.ENTRY, None))
-        await node.start()
-        self._stack.push_async_callback(_close, node)
         self.entries.append(node)
-        self._list(vm, node, "entry")
+        await self._run(node)
 
-    def _list(self, vm: str, node: EntryNode | SideNode, kind: str) -> None:
-        entry = {"name": vm, "address": node.core.address, "kind": kind, "state": "live"}
-        self.vm_list.put(entry | {"data_centre": node.core.cfg.node.data_centre})
+    async def wait_until_serving(self, revision: int) -> None:
+        """Wait until every node has a configuration and the VM list."""
+        nodes = [n for n in [*self.entries, *self.sides.values()] if not n.core.is_closed]
+        await self.until(lambda: all(n.core.directory.revision >= revision for n in nodes))
+        await self.until(lambda: all(len(e.core.directory.vms) >= len(nodes) for e in nodes))
 
-    async def _serve(self, app: Any) -> str:
-        served = await self._stack.enter_async_context(ServedApp(app))
-        return served.address
+    def entry_address(self, entry: int) -> str:
+        """Return the address of an entry."""
+        return self.entries[entry].core.address
 
-    def _settings(self, vm: str, role: NodeRole, endpoint: EndpointSettings | None) -> NodeSettings:
-        index = len(self.entries) + len(self.sides)
-        data_centre = DATA_CENTRES[index % len(DATA_CENTRES)]
-        section = NodeSection(vm, role, data_centre, "127.0.0.1", 0, FLEET_SECRET)
-        return NodeSettings(section, self._platform, endpoint, self.plan.limits, self.plan.timing)
+    async def _run(self, node: EntryNode | SideNode) -> None:
+        await node.start()
+        self._stack.push_async_callback(_close, node)
+        self._list(node.core.cfg, node.core.address)
 
 
 async def _close(node: EntryNode | SideNode) -> None:
     if not node.core.is_closed:
         await node.core.close()
-
-
-def _workspace(name: str, key: str) -> WorkspaceConfig:
-    return WorkspaceConfig(name, 1e6, 1e6, key=(KeyConfig("main", hash_key(key)),))
-
-
-def _endpoints(prefix: str, role: EndpointRole, count: int) -> list[EndpointConfig]:
-    if role is EndpointRole.SERVICE:
-        return [EndpointConfig(f"{prefix}-{i}", role, service=SERVICE) for i in range(count)]
-    return [EndpointConfig(f"{prefix}-{i}", role, model=MODEL) for i in range(count)]
