--- /dev/null
+++ b/tests/test_layers.py
@@ -0,0 +1,50 @@
+"""Packages may import only those below them, and the product never imports the stand-ins."""
+
+import ast
+from pathlib import Path
+
+import pytest
+
+ROOT = Path(__file__).parent.parent / "packages"
+DEPENDENCIES = {
+    "wire": set(),
+    "schema": {"wire"},
+    "platform": {"wire", "schema"},
+    "share": {"wire"},
+    "placement": {"wire"},
+    "outcome": {"wire"},
+    "node": {"wire", "schema", "platform", "share", "placement", "outcome"},
+    "cli": {"wire", "schema", "platform"},
+}
+
+
+def _imports(path: Path) -> set[str]:
+    names = set()
+    for node in ast.walk(ast.parse(path.read_text())):
+        if isinstance(node, ast.ImportFrom) and node.module:
+            names.add(node.module)
+        elif isinstance(node, ast.Import):
+            names.update(alias.name for alias in node.names)
+    return {name for name in names if name.startswith("vanillashore_")}
+
+
+def _modules(package: str) -> list[Path]:
+    found = sorted((ROOT / f"vanillashore-{package}" / "src").rglob("*.py"))
+    assert found
+    return found
+
+
+@pytest.mark.parametrize("package", DEPENDENCIES)
+def test_package_imports_only_what_is_below(package: str) -> None:
+    allowed = {f"vanillashore_{name}" for name in DEPENDENCIES[package] | {package}}
+    for path in _modules(package):
+        for name in _imports(path):
+            assert name.partition(".")[0] in allowed, f"{path.name} imports {name}"
+
+
+@pytest.mark.parametrize("package", DEPENDENCIES)
+def test_private_modules_of_other_packages_are_not_imported(package: str) -> None:
+    for path in _modules(package):
+        for name in _imports(path):
+            top, _, rest = name.partition(".")
+            assert top == f"vanillashore_{package}" or not rest, f"{path.name} imports {name}"
