Claim non-idempotent calls before they run

A resent or failed-over payment could run twice: an entry simply sent each copy to any side process.

The side process now wins a claim in the store by compare-and-swap immediately before it calls the service, and keeps the answer in it. Whoever loses reports what it found. An entry bars its run before it says that an unclear dispatch did not run. The decisions are pure; a property test drives them through lost, silent and late writes, deaths and copies.

Seen failing first (guard taken out, tests/outcome/test_claims.py): barred runs ignored, record overwritten while RUNNING, bar over a RUNNING record and own token not read back each fail the property test; dropping the barred list on a new start fails a unit test only.

Ruled out: telling the owner's death by wall clock (clocks of VMs differ freely); the owner is asked over a link instead.

--- /dev/null
+++ b/packages/vanillashore-node/src/vanillashore_node/_call_dispatch.py
@@ -0,0 +1,134 @@
+"""Dispatch of calls to plain services: failover, and what can truly be said after a failure."""
+
+import random
+import time
+from collections.abc import Callable
+
+import attrs
+
+from vanillashore_node._back_ends import BackEnds
+from vanillashore_node._claim_desk import ClaimDesk, ClaimResult
+from vanillashore_node._claims import answer_of
+from vanillashore_node._core import NodeCore
+from vanillashore_node._directory import Endpoint
+from vanillashore_outcome import Bar, ClaimVerdict, RetryBudget, call_fingerprint, claim_name
+from vanillashore_platform import StoreUnavailableError
+from vanillashore_schema import EndpointRole
+from vanillashore_wire import CallDone, CallOrder, ErrorCode, Ran, RefusalError, Refused
+
+MAX_ATTEMPTS = 3
+BAR_PATIENCE_S = 1.0
+SETTLE_RESERVE_S = 2.0
+STATEMENT_VALID_S = 1.0
+RETRY_AFTER_S = 1.0
+NO_ENDPOINT_RETRY_S = 5.0
+FAILOVER_CODES = frozenset(
+    {
+        ErrorCode.ENDPOINT_FAILED,
+        ErrorCode.PEER_UNREACHABLE,
+        ErrorCode.ROLE_MISMATCH,
+        ErrorCode.SHUTTING_DOWN,
+        ErrorCode.STORE_UNAVAILABLE,
+        ErrorCode.REVISION_STALE,
+    }
+)
+_SETTLED_VERDICTS = frozenset({ClaimVerdict.FINISHED, ClaimVerdict.MISMATCH})
+
+
+class SettledRefusalError(RefusalError):
+    """A refusal whose ``ran`` was checked against the call's claim."""
+
+
+class CallDispatch:
+    """Sends calls to side processes until one has answered for good."""
+
+    def __init__(
+        self, core: NodeCore, back_ends: BackEnds, desk: ClaimDesk, rng: random.Random
+    ) -> None:
+        self._core = core
+        self._back_ends = back_ends
+        self._desk = desk
+        self._rng = rng
+        self._budget = RetryBudget()
+
+    async def run(self, order: CallOrder, check: Callable[[], None]) -> CallDone:
+        """Run a call; ``check`` raises RefusalError if the caller may no longer have it."""
+        deadline = time.monotonic() + order.deadline_s
+        self._budget.earn()
+        endpoints = self._endpoints(order)
+        ran = Ran.NO
+        for attempt, endpoint in enumerate(endpoints, start=1):
+            check()
+            try:
+                return await self._attempt(order, attempt, endpoint, deadline)
+            except RefusalError as exc:
+                self._core.decisions.note(order.request_id, "call failed", str(exc))
+                ran = Ran.UNKNOWN if exc.refused.ran is Ran.UNKNOWN else ran
+                is_last = attempt == len(endpoints) or not self._may_go_on(order, exc)
+                if is_last or time.monotonic() >= deadline or not self._budget.spend():
+                    refused = attrs.evolve(exc.refused, ran=ran)
+                    return await self._end(order, refused)
+        raise AssertionError("unreachable")
+
+    async def _attempt(
+        self, order: CallOrder, attempt: int, endpoint: Endpoint, deadline: float
+    ) -> CallDone:
+        left_s = deadline - time.monotonic()
+        if left_s <= 0:
+            text = "the deadline passed before the call was sent"
+            raise RefusalError(Refused(ErrorCode.DEADLINE_EXCEEDED, text))
+        self._core.decisions.note(order.request_id, "call place", endpoint.vm)
+        order = attrs.evolve(
+            order,
+            attempt=attempt,
+            deadline_s=max(left_s / 2, left_s - SETTLE_RESERVE_S),
+            revision=self._core.directory.revision,
+        )
+        return await self._back_ends.call(endpoint.address, order)
+
+    def _endpoints(self, order: CallOrder) -> list[Endpoint]:
+        endpoints = self._core.directory.endpoints(EndpointRole.SERVICE, order.service)
+        if not endpoints:
+            text = f"no endpoint of {order.service!r} is live"
+            refused = Refused(ErrorCode.NO_ENDPOINT, text, retry_after_s=NO_ENDPOINT_RETRY_S)
+            raise RefusalError(refused)
+        return self._rng.sample(endpoints, min(MAX_ATTEMPTS, len(endpoints)))
+
+    def _may_go_on(self, order: CallOrder, exc: RefusalError) -> bool:
+        if order.idempotent and exc.code is ErrorCode.OUTCOME_UNKNOWN:
+            return True
+        return exc.code in FAILOVER_CODES
+
+    async def _end(self, order: CallOrder, refused: Refused) -> CallDone:
+        """Give the final answer of a call that no endpoint answered."""
+        is_certain = refused.ran is Ran.NO and not order.idempotency_key
+        if order.idempotent or is_certain:
+            raise RefusalError(refused)
+        if refused.code is ErrorCode.IDEMPOTENCY_MISMATCH:
+            raise SettledRefusalError(refused)
+        try:
+            result = await self._bar(order)
+        except StoreUnavailableError:
+            raise RefusalError(_unknown(refused)) from None
+        self._core.decisions.note(order.request_id, "claim barred", result.verdict.value)
+        if result.verdict is ClaimVerdict.BARRED:
+            raise SettledRefusalError(attrs.evolve(refused, ran=Ran.NO))
+        if result.verdict in _SETTLED_VERDICTS:
+            return answer_of(result.stored.claim, result.verdict)
+        raise RefusalError(_unknown(refused))
+
+    async def _bar(self, order: CallOrder) -> ClaimResult:
+        """Bar this run; look again if this process was paused before it could say so."""
+        bar = Bar(call_fingerprint(order), order.run_id)
+        while True:
+            asked_at = time.monotonic()
+            result = await self._desk.settle(claim_name(order), bar, BAR_PATIENCE_S)
+            if time.monotonic() - asked_at <= BAR_PATIENCE_S + STATEMENT_VALID_S:
+                return result
+
+
+def _unknown(refused: Refused) -> Refused:
+    if refused.code is ErrorCode.IN_PROGRESS:
+        return attrs.evolve(refused, ran=Ran.UNKNOWN)
+    text = f"it is not known whether the call ran: {refused.code.value}: {refused.text}"
+    return Refused(ErrorCode.OUTCOME_UNKNOWN, text, Ran.UNKNOWN, RETRY_AFTER_S)
--- a/packages/vanillashore-node/src/vanillashore_node/_callers.py
+++ b/packages/vanillashore-node/src/vanillashore_node/_callers.py
@@ -8,9 +8,11 @@
 import traceback
 from typing import Any
 
+import attrs
 from aiohttp import web
 from loguru import logger as log
 
+from vanillashore_node._call_dispatch import SettledRefusalError
 from vanillashore_node._core import NodeCore
 from vanillashore_node._faces import json_response
 from vanillashore_node._openai import error_body
@@ -19,6 +21,7 @@
 
 REQUEST_ID = web.RequestKey("request_id", str)
 REQUEST_ID_HEADER = "X-Request-Id"
+IDEMPOTENCY_HEADER = "Idempotency-Key"
 SHED_RETRY_S = 1.0
 _REQUEST_ID_SHAPE = re.compile(r"[A-Za-z0-9._:-]{1,64}")
 _INTERNAL_PATHS = ("/internal/", "/healthz", "/readyz")
@@ -41,7 +44,7 @@
         try:
             response = await self._run(request, handler)
         except RefusalError as exc:
-            response = self._refuse(request, exc.refused)
+            response = self._refuse(request, self._true_refusal(request, exc))
         except web.HTTPException as exc:
             response = self._refuse(request, _of_http_exception(exc))
         except Exception:
@@ -83,6 +86,18 @@
         text = f"the body has more than {self._limits.body_bytes} bytes"
         return RefusalError(Refused(ErrorCode.BODY_TOO_LARGE, text))
 
+    def _true_refusal(self, request: web.Request, exc: RefusalError) -> Refused:
+        """Withdraw "not run" where an earlier request with the same key may have run the call.
+
+        It stands if the call's claim was asked: that is certain of every request with the key.
+        """
+        refused = exc.refused
+        if isinstance(exc, SettledRefusalError) or IDEMPOTENCY_HEADER not in request.headers:
+            return refused
+        if self._core.directory.is_idempotent(request.method, request.path):
+            return refused
+        return attrs.evolve(refused, ran=Ran.UNKNOWN)
+
     def _refuse(self, request: web.Request, refused: Refused) -> web.Response:
         response = json_response(error_body(refused, request[REQUEST_ID]), refused.code.status)
         if refused.retry_after_s is not None:
--- a/packages/vanillashore-node/src/vanillashore_node/_calls.py
+++ b/packages/vanillashore-node/src/vanillashore_node/_calls.py
@@ -1,18 +1,18 @@
 """Handler of service routes: calls to plain services."""
 
 import base64
-import random
+import secrets
+from functools import partial
 
 from aiohttp import web
 
 from vanillashore_node._admission import Admission
-from vanillashore_node._back_ends import BackEnds
-from vanillashore_node._callers import REQUEST_ID, authenticate, read_body
+from vanillashore_node._call_dispatch import CallDispatch
+from vanillashore_node._callers import IDEMPOTENCY_HEADER, REQUEST_ID, authenticate, read_body
 from vanillashore_node._core import NodeCore
-from vanillashore_schema import EndpointRole, RouteConfig
-from vanillashore_wire import CallDone, CallOrder, ErrorCode, Header, RefusalError, Refused
+from vanillashore_schema import RouteConfig
+from vanillashore_wire import CallDone, CallOrder, Header
 
-IDEMPOTENCY_HEADER = "Idempotency-Key"
 ENDPOINT_HEADER = "X-Endpoint"
 REPLAYED_HEADER = "Idempotency-Replayed"
 OPEN_WORKSPACE = ""
@@ -22,19 +22,15 @@
 class Calls:
     """Serves the routes that lead to plain services."""
 
-    def __init__(
-        self, core: NodeCore, admission: Admission, back_ends: BackEnds, rng: random.Random
-    ) -> None:
+    def __init__(self, core: NodeCore, admission: Admission, dispatch: CallDispatch) -> None:
         self._core = core
         self._admission = admission
-        self._back_ends = back_ends
-        self._rng = rng
+        self._dispatch = dispatch
 
     async def call(self, request: web.Request) -> web.Response:
         """Handle any path that a route declares."""
         route = self._core.directory.route(request.method, request.path)
-        if not route.open:
-            authenticate(self._core, request)
+        self._check(request, route)
         body = await read_body(request, self._core.cfg.limits.body_timeout_s)
         workspace = OPEN_WORKSPACE
         if not route.open:
@@ -42,16 +38,11 @@
             await self._admission.admit(caller, route.cost_tokens)
             workspace = caller.name
         order = self._order(request, route, workspace, body)
-        return _response(await self._dispatch(route, order))
+        return _response(await self._dispatch.run(order, partial(self._check, request, route)))
 
-    async def _dispatch(self, route: RouteConfig, order: CallOrder) -> CallDone:
-        endpoints = self._core.directory.endpoints(EndpointRole.SERVICE, route.service)
-        if not endpoints:
-            text = f"no endpoint of {route.service!r} is live"
-            raise RefusalError(Refused(ErrorCode.NO_ENDPOINT, text, retry_after_s=5.0))
-        endpoint = self._rng.choice(endpoints)
-        self._core.decisions.note(order.request_id, "call place", endpoint.vm)
-        return await self._back_ends.call(endpoint.address, order)
+    def _check(self, request: web.Request, route: RouteConfig) -> None:
+        if not route.open:
+            authenticate(self._core, request)
 
     def _order(
         self, request: web.Request, route: RouteConfig, workspace: str, body: bytes
@@ -75,6 +66,7 @@
             route.route_class,
             self._core.cfg.limits.request_timeout_s,
             self._core.directory.revision,
+            secrets.token_hex(12),
         )
 
 
--- a/packages/vanillashore-node/src/vanillashore_node/_directory.py
+++ b/packages/vanillashore-node/src/vanillashore_node/_directory.py
@@ -102,6 +102,11 @@
                 return route
         raise RefusalError(Refused(ErrorCode.METHOD_NOT_ALLOWED, f"{method} is not allowed here"))
 
+    def is_idempotent(self, method: str, path: str) -> bool:
+        """Whether a call may be repeated; so may any that has no route."""
+        routes = self._routes.get(path, ())
+        return all(route.idempotent for route in routes if method in route.methods)
+
     def endpoints(self, role: EndpointRole, subject: str) -> list[Endpoint]:
         """Return the live endpoints of a model or service in ``role``."""
         found = []
@@ -111,6 +116,11 @@
                 found.append(Endpoint(vm.name, vm.address, vm.data_centre))
         return found
 
+    def address_of(self, vm: str) -> str | None:
+        """Return the address of the process on ``vm``, if the VM is listed."""
+        entry = self._vms.get(vm)
+        return entry.address if entry else None
+
     def endpoint_config(self, vm: str) -> EndpointConfig | None:
         """Return what the endpoint on ``vm`` is declared as."""
         return self._endpoint_of_vm.get(vm)
--- a/packages/vanillashore-node/src/vanillashore_node/_entry.py
+++ b/packages/vanillashore-node/src/vanillashore_node/_entry.py
@@ -6,13 +6,16 @@
 
 from vanillashore_node._admission import LocalAdmission
 from vanillashore_node._back_ends import BackEnds
+from vanillashore_node._call_dispatch import CallDispatch
 from vanillashore_node._callers import CallerGuard
 from vanillashore_node._calls import Calls
+from vanillashore_node._claim_desk import ClaimDesk
 from vanillashore_node._completions import Completions
 from vanillashore_node._core import NodeCore
 from vanillashore_node._faces import json_response, require_fleet_secret
 from vanillashore_node._generation import Generation, GenerationRequest, Placer
 from vanillashore_placement import Chooser, SeenLoads
+from vanillashore_platform import ClaimStore
 from vanillashore_schema import NodeSettings
 from vanillashore_wire import unstructure
 
@@ -41,7 +44,8 @@
         self._placer = Placer(core, Chooser(loads, rng), loads)
         admission = LocalAdmission()
         completions = Completions(core, admission, self._new_generation)
-        calls = Calls(core, admission, self._back_ends, rng)
+        desk = ClaimDesk(ClaimStore(core.store))
+        calls = Calls(core, admission, CallDispatch(core, self._back_ends, desk, rng))
         app = web.Application(
             client_max_size=self._cfg.limits.body_bytes, middlewares=[CallerGuard(core).guard]
         )
--- a/packages/vanillashore-node/src/vanillashore_node/_side_service.py
+++ b/packages/vanillashore-node/src/vanillashore_node/_side_service.py
@@ -5,12 +5,16 @@
 import aiohttp
 from aiohttp import web
 
+from vanillashore_node._claim_desk import ClaimDesk
+from vanillashore_node._claims import ClaimedCalls
 from vanillashore_node._core import NodeCore
 from vanillashore_node._faces import message_response
 from vanillashore_node._side_engine import read_order
+from vanillashore_platform import ClaimStore
 from vanillashore_wire import (
     CallDone,
     CallOrder,
+    ClaimAsk,
     ErrorCode,
     Header,
     Ran,
@@ -28,12 +32,15 @@
     def __init__(self, core: NodeCore, address: str) -> None:
         self._core = core
         self._address = address.rstrip("/")
+        self._claimed = ClaimedCalls(core, ClaimDesk(ClaimStore(core.store)), self._run)
+        core.hub.on(ClaimAsk, self._claimed.status)
 
     async def call(self, request: web.Request) -> web.Response:
         """Handle ``POST /internal/call``."""
         order = await read_order(request, CallOrder)
         self._core.decisions.note(order.request_id, "call", f"attempt {order.attempt}")
-        return message_response(await self._run(order))
+        serve = self._run if order.idempotent else self._claimed.run
+        return message_response(await serve(order))
 
     async def _run(self, order: CallOrder) -> CallDone:
         timeout = aiohttp.ClientTimeout(total=order.deadline_s, sock_connect=CONNECT_TIMEOUT_S)
--- a/packages/vanillashore-platform/src/vanillashore_platform/__init__.py
+++ b/packages/vanillashore-platform/src/vanillashore_platform/__init__.py
@@ -1,5 +1,6 @@
 """Clients of the platform's key-value service and VM list, and followers of what they hold."""
 
+from vanillashore_platform._claim_store import ClaimStore, RetentionLease, StoredClaim
 from vanillashore_platform._config_store import (
     HEAD_KEY,
     ConfigHead,
@@ -19,6 +20,7 @@
 __all__ = [
     "HEAD_KEY",
     "CasResult",
+    "ClaimStore",
     "ConfigFollower",
     "ConfigHead",
     "ConfigSnapshot",
@@ -26,7 +28,9 @@
     "EtcdStore",
     "HttpVmList",
     "KeyValueStore",
+    "RetentionLease",
     "StoreUnavailableError",
+    "StoredClaim",
     "StoredValue",
     "VmEntry",
     "VmList",
--- a/packages/vanillashore-wire/src/vanillashore_wire/__init__.py
+++ b/packages/vanillashore-wire/src/vanillashore_wire/__init__.py
@@ -41,12 +41,17 @@
     RouteClass,
     Sampling,
 )
+from vanillashore_wire._outcome_messages import Claim, ClaimAsk, ClaimState, ClaimStatus
 
 __all__ = [
     "Ack",
     "Batch",
     "CallDone",
     "CallOrder",
+    "Claim",
+    "ClaimAsk",
+    "ClaimState",
+    "ClaimStatus",
     "DecodeOrder",
     "Envelope",
     "ErrorCode",
--- a/packages/vanillashore-wire/src/vanillashore_wire/_messages.py
+++ b/packages/vanillashore-wire/src/vanillashore_wire/_messages.py
@@ -186,6 +186,7 @@
     """Body of ``POST /internal/call``: one call to a plain service.
 
     ``body_base64`` keeps any bytes intact. ``idempotency_key`` is empty where the caller gave none.
+    ``run_id`` names one request of a caller; all orders for that request carry the same.
     """
 
     request_id: str
@@ -201,6 +202,7 @@
     route_class: RouteClass
     deadline_s: float
     revision: int
+    run_id: str = ""
 
 
 @attrs.frozen
