Prove payments under deaths, pauses, races and store faults

A refusal of a request with an idempotency key says 'not run' only if the call's claim was asked: an earlier request with the key may have run. So an entry that wakes late, or refuses the resend because it shuts down, says 'unknown'.

--- a/packages/vanillashore-node/src/vanillashore_node/_call_dispatch.py
+++ b/packages/vanillashore-node/src/vanillashore_node/_call_dispatch.py
@@ -128,7 +128,7 @@
 
 
 def _unknown(refused: Refused) -> Refused:
-    if refused.code is ErrorCode.IN_PROGRESS:
+    if refused.retry_after_s is not None:
         return attrs.evolve(refused, ran=Ran.UNKNOWN)
     text = f"it is not known whether the call ran: {refused.code.value}: {refused.text}"
     return Refused(ErrorCode.OUTCOME_UNKNOWN, text, Ran.UNKNOWN, RETRY_AFTER_S)
--- a/packages/vanillashore-node/src/vanillashore_node/_side.py
+++ b/packages/vanillashore-node/src/vanillashore_node/_side.py
@@ -58,8 +58,8 @@
             app.router.add_post("/internal/prefill", work.prefill)
             app.router.add_post("/internal/decode", work.decode)
         else:
-            service = ServiceWork(self.core, endpoint.address)
-            app.router.add_post("/internal/call", service.call)
+            self.service = ServiceWork(self.core, endpoint.address)
+            app.router.add_post("/internal/call", self.service.call)
         app.router.add_get("/internal/status", self._status)
         await self.core.start(app)
 
--- a/packages/vanillashore-node/src/vanillashore_node/_side_service.py
+++ b/packages/vanillashore-node/src/vanillashore_node/_side_service.py
@@ -31,15 +31,15 @@
 
     def __init__(self, core: NodeCore, address: str) -> None:
         self._core = core
-        self._address = address.rstrip("/")
-        self._claimed = ClaimedCalls(core, ClaimDesk(ClaimStore(core.store)), self._run)
-        core.hub.on(ClaimAsk, self._claimed.status)
+        self.address = address.rstrip("/")
+        self.claimed = ClaimedCalls(core, ClaimDesk(ClaimStore(core.store)), self._run)
+        core.hub.on(ClaimAsk, self.claimed.status)
 
     async def call(self, request: web.Request) -> web.Response:
         """Handle ``POST /internal/call``."""
         order = await read_order(request, CallOrder)
         self._core.decisions.note(order.request_id, "call", f"attempt {order.attempt}")
-        serve = self._run if order.idempotent else self._claimed.run
+        serve = self._run if order.idempotent else self.claimed.run
         return message_response(await serve(order))
 
     async def _run(self, order: CallOrder) -> CallDone:
@@ -48,7 +48,7 @@
         try:
             async with self._core.session.request(
                 order.method,
-                self._address + order.path,
+                self.address + order.path,
                 headers=headers,
                 data=base64.b64decode(order.body_base64),
                 timeout=timeout,
--- a/packages/vanillashore-standins/src/vanillashore_standins/_kv_state.py
+++ b/packages/vanillashore-standins/src/vanillashore_standins/_kv_state.py
@@ -32,7 +32,8 @@
     """Values with compare-and-swap, leases and watches; ``clock`` gives seconds."""
 
     def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
-        self._clock = clock
+        self._base_clock = clock
+        self._ahead_s = 0.0
         self._items: dict[str, KvItem] = {}
         self._leases: dict[int, KvLease] = {}
         self._lease_ids = itertools.count(1)
@@ -40,6 +41,10 @@
         self.revision = 0
         self.calls: Counter[str] = Counter()
 
+    def advance(self, seconds: float) -> None:
+        """Let time pass for leases without waiting."""
+        self._ahead_s += seconds
+
     def get(self, key: str) -> KvItem | None:
         """Return the live item of ``key``."""
         self._drop_lapsed()
@@ -84,6 +89,9 @@
         """Stop feeding ``queue``."""
         self._watchers[key].remove(queue)
 
+    def _clock(self) -> float:
+        return self._base_clock() + self._ahead_s
+
     def _drop_lapsed(self) -> None:
         now = self._clock()
         lapsed = {lease for lease, found in self._leases.items() if found.lapses_at <= now}
--- /dev/null
+++ b/tests/node/test_claims_processes.py
@@ -0,0 +1,168 @@
+"""Payments while processes die, freeze and wake, judged by what the service really ran."""
+
+import asyncio
+
+import pytest
+
+from vanillashore_schema import LimitSettings
+from vanillashore_standins.payments import (
+    DAY_S,
+    Paid,
+    pay,
+    runs,
+    service_plan,
+    set_service,
+)
+from vanillashore_standins.testing import FleetBase, ProcessFleet
+
+FREEZE_S = 0.5
+
+
+def _begin(fleet: FleetBase, entry: int = 0) -> "asyncio.Task[Paid]":
+    return asyncio.get_running_loop().create_task(pay(fleet, entry))
+
+
+async def _resend_until_settled(fleet: FleetBase, entry: int) -> Paid:
+    got = await pay(fleet, entry)
+    while got.code == "in_progress":
+        await asyncio.sleep(0.2)
+        got = await pay(fleet, entry)
+    return got
+
+
+@pytest.mark.parametrize("resend_at", ["at once", "later", "a day later"])
+async def test_entry_killed_during_the_run(resend_at: str) -> None:
+    async with ProcessFleet(service_plan()) as fleet:
+        set_service(fleet, delay_s=0.5)
+        first = _begin(fleet)
+        await fleet.until(lambda: runs(fleet) == 1)
+        fleet.nodes["entry-0"].kill()
+        assert (await first).status == 0
+        if resend_at == "at once":
+            copy = await pay(fleet, 1)
+            assert (copy.code, copy.ran) == ("in_progress", "unknown")
+        if resend_at == "a day later":
+            await asyncio.sleep(1.0)
+            fleet.kv.advance(DAY_S)
+        again = await _resend_until_settled(fleet, 1)
+        assert (again.status, again.replayed) == (200, True), again
+        assert runs(fleet) == 1
+
+
+async def test_entry_killed_before_dispatch() -> None:
+    async with ProcessFleet(service_plan()) as fleet:
+        sides = [fleet.nodes[f"service-{i}"] for i in range(2)]
+        for side in sides:
+            side.freeze()
+        first = _begin(fleet)
+        await asyncio.sleep(FREEZE_S)
+        fleet.nodes["entry-0"].kill()
+        assert (await first).status == 0
+        for side in sides:
+            side.thaw()
+        again = await _resend_until_settled(fleet, 1)
+        assert again.status == 200, again
+        assert runs(fleet) == 1
+
+
+async def test_entry_killed_after_the_answer() -> None:
+    async with ProcessFleet(service_plan()) as fleet:
+        first = await pay(fleet, 0)
+        fleet.nodes["entry-0"].kill()
+        again = await pay(fleet, 1)
+        assert (again.text, again.replayed) == (first.text, True)
+        assert runs(fleet) == 1
+
+
+async def test_entry_that_wakes_after_the_resend_ran_does_not_say_not_run() -> None:
+    async with ProcessFleet(service_plan()) as fleet:
+        fleet.nodes["entry-0"].freeze()
+        first = _begin(fleet)
+        await asyncio.sleep(FREEZE_S)
+        again = await pay(fleet, 1)
+        fleet.nodes["entry-0"].thaw()
+        woken = await first
+        assert again.status == 200
+        assert (woken.text, woken.replayed) == (again.text, True), woken
+        assert runs(fleet) == 1
+
+
+async def test_stopped_entry_that_wakes_does_not_say_not_run() -> None:
+    async with ProcessFleet(service_plan()) as fleet:
+        fleet.nodes["entry-0"].freeze()
+        first = _begin(fleet)
+        await asyncio.sleep(FREEZE_S)
+        again = await pay(fleet, 1)
+        fleet.nodes["entry-0"].terminate()
+        fleet.nodes["entry-0"].thaw()
+        woken = await first
+        assert again.status == 200
+        assert woken.ran != "no", woken
+        assert runs(fleet) == 1
+
+
+async def test_side_frozen_between_winning_and_calling() -> None:
+    async with ProcessFleet(service_plan(store_timeout_s=2.0)) as fleet:
+        fleet.kv_faults.delay_s = 0.4
+        first = _begin(fleet)
+        claims = fleet.kv.calls["/v3/kv/txn"]
+        await fleet.until(lambda: fleet.kv.calls["/v3/kv/txn"] > claims)
+        sides = [fleet.nodes[f"service-{i}"] for i in range(2)]
+        for side in sides:
+            side.freeze()
+        await asyncio.sleep(0.8)
+        fleet.kv_faults.delay_s = 0.0
+        assert runs(fleet) == 0
+        copy = _begin(fleet, 1)
+        await asyncio.sleep(FREEZE_S)
+        for side in sides:
+            side.thaw()
+        got = [await first, await copy, await _resend_until_settled(fleet, 1)]
+        assert runs(fleet) == 1
+        assert got[2].status == 200, got
+        assert not [p for p in got if p.ran == "no"], got
+
+
+async def test_side_frozen_past_the_deadline_does_not_start_the_call() -> None:
+    async with ProcessFleet(service_plan(services=1, store_timeout_s=2.0)) as fleet:
+        fleet.kv_faults.delay_s = 0.4
+        first = _begin(fleet)
+        claims = fleet.kv.calls["/v3/kv/txn"]
+        await fleet.until(lambda: fleet.kv.calls["/v3/kv/txn"] > claims)
+        fleet.nodes["service-0"].freeze()
+        await asyncio.sleep(0.8)
+        fleet.kv_faults.delay_s = 0.0
+        given_up = await first
+        assert given_up.ran == "unknown", given_up
+        fleet.nodes["service-0"].thaw()
+        await asyncio.sleep(FREEZE_S)
+        assert runs(fleet) == 0
+        again = await _resend_until_settled(fleet, 1)
+        assert again.status == 200, again
+        assert runs(fleet) == 1
+
+
+async def test_side_killed_during_the_run_leaves_the_call_unknown() -> None:
+    async with ProcessFleet(service_plan()) as fleet:
+        set_service(fleet, delay_s=0.5)
+        first = _begin(fleet)
+        await fleet.until(lambda: runs(fleet) == 1)
+        ran_on = next(vm for vm, s in fleet.service_states.items() if s.runs)
+        fleet.nodes[ran_on].kill()
+        got = [await first, await pay(fleet, 1), await pay(fleet, 0)]
+        assert {(p.code, p.ran) for p in got} == {("outcome_unknown", "unknown")}, got
+        assert runs(fleet) == 1
+
+
+@pytest.mark.parametrize("key", ["", "k-17"])
+async def test_call_that_was_said_not_to_run_never_runs(key: str) -> None:
+    limits = LimitSettings(request_timeout_s=2.0)
+    async with ProcessFleet(service_plan(services=1, limits=limits)) as fleet:
+        fleet.nodes["service-0"].freeze()
+        given_up = await pay(fleet, 0, key)
+        assert given_up.ran == "no", given_up
+        fleet.nodes["service-0"].thaw()
+        await asyncio.sleep(2 * FREEZE_S)
+        assert runs(fleet) == 0
+        assert (await pay(fleet, 1, key)).status == 200
+        assert runs(fleet) == 1
