--- a/packages/vanillashore-node/src/vanillashore_node/_completions.py
+++ b/packages/vanillashore-node/src/vanillashore_node/_completions.py
@@ -14,7 +14,8 @@
 )
 from vanillashore_node._core import NodeCore
 from vanillashore_node._faces import json_response
-from vanillashore_node._generation import Generation, GenerationRequest
+from vanillashore_node._generation import Generation
+from vanillashore_node._generation_request import GenerationRequest
 from vanillashore_node._openai import (
     AnswerShape,
     CompletionBody,
--- a/packages/vanillashore-node/src/vanillashore_node/_entry.py
+++ b/packages/vanillashore-node/src/vanillashore_node/_entry.py
@@ -11,7 +11,9 @@
 from vanillashore_node._completions import Completions
 from vanillashore_node._core import NodeCore
 from vanillashore_node._faces import json_response, require_fleet_secret
-from vanillashore_node._generation import Generation, GenerationRequest, Placer
+from vanillashore_node._generation import Generation
+from vanillashore_node._generation_request import GenerationRequest
+from vanillashore_node._placer import Placer
 from vanillashore_placement import Chooser, SeenLoads
 from vanillashore_schema import NodeSettings
 from vanillashore_wire import unstructure
--- /dev/null
+++ b/packages/vanillashore-node/src/vanillashore_node/_generation_request.py
@@ -0,0 +1,27 @@
+"""A checked request for a generated answer, as the parts of an entry hand it on."""
+
+import time
+
+import attrs
+
+from vanillashore_schema import ModelConfig
+from vanillashore_wire import Sampling
+
+
+@attrs.frozen
+class GenerationRequest:
+    """What a caller asked for, checked; ``deadline`` is in seconds of the monotonic clock."""
+
+    request_id: str
+    workspace: str
+    model: ModelConfig
+    prompt: str
+    prompt_tokens: int
+    max_tokens: int
+    sampling: Sampling
+    deadline: float
+
+    @property
+    def time_left_s(self) -> float:
+        """Seconds until the deadline."""
+        return max(0.0, self.deadline - time.monotonic())
