--- a/packages/vanillashore-node/src/vanillashore_node/_entry.py
+++ b/packages/vanillashore-node/src/vanillashore_node/_entry.py
@@ -13,7 +13,9 @@
 from vanillashore_node._completions import Completions
 from vanillashore_node._core import NodeCore
 from vanillashore_node._faces import json_response, require_fleet_secret
-from vanillashore_node._generation import Generation, GenerationRequest, Placer
+from vanillashore_node._generation import Generation
+from vanillashore_node._generation_request import GenerationRequest
+from vanillashore_node._placer import Placer
 from vanillashore_placement import Chooser, SeenLoads
 from vanillashore_platform import ClaimStore
 from vanillashore_schema import NodeSettings
