Continue generated answers through deaths, stalls and lost ends

An answer gave up after three attempts without a pause, so that it failed while a crashed engine restarted; a stream that went silent held its caller up to the deadline; an answer whose last frame was lost got one token too many.

Attempts now follow a policy (up to six, growing pauses, a retry budget per node, an answer that has begun also waits out overload); a stream without a frame for frame_wait_s, or a prefill without an answer for prefill_wait_s, is closed and continued elsewhere; streams are closed explicitly; an answer with all its tokens is complete.

--- a/packages/vanillashore-node/src/vanillashore_node/_call_dispatch.py
+++ b/packages/vanillashore-node/src/vanillashore_node/_call_dispatch.py
@@ -43,13 +43,18 @@
     """Sends calls to side processes until one has answered for good."""
 
     def __init__(
-        self, core: NodeCore, back_ends: BackEnds, desk: ClaimDesk, rng: random.Random
+        self,
+        core: NodeCore,
+        back_ends: BackEnds,
+        desk: ClaimDesk,
+        budget: RetryBudget,
+        rng: random.Random,
     ) -> None:
         self._core = core
         self._back_ends = back_ends
         self._desk = desk
         self._rng = rng
-        self._budget = RetryBudget()
+        self._budget = budget
 
     async def run(self, order: CallOrder, check: Callable[[], None]) -> CallDone:
         """Run a call; ``check`` raises RefusalError if the caller may no longer have it."""
--- a/packages/vanillashore-node/src/vanillashore_node/_entry.py
+++ b/packages/vanillashore-node/src/vanillashore_node/_entry.py
@@ -16,6 +16,7 @@
 from vanillashore_node._generation import Generation
 from vanillashore_node._generation_request import GenerationRequest
 from vanillashore_node._placer import Placer
+from vanillashore_outcome import RetryBudget
 from vanillashore_placement import Chooser, SeenLoads
 from vanillashore_platform import ClaimStore
 from vanillashore_schema import NodeSettings
@@ -42,12 +43,14 @@
         await core.open()
         rng = random.Random()
         loads = SeenLoads()
+        self._budget = RetryBudget()
         self._back_ends = BackEnds(core.session, self._cfg)
         self._placer = Placer(core, Chooser(loads, rng), loads)
         admission = LocalAdmission()
         completions = Completions(core, admission, self._new_generation)
         desk = ClaimDesk(ClaimStore(core.store))
-        calls = Calls(core, admission, CallDispatch(core, self._back_ends, desk, rng))
+        dispatch = CallDispatch(core, self._back_ends, desk, self._budget, rng)
+        calls = Calls(core, admission, dispatch)
         app = web.Application(
             client_max_size=self._cfg.limits.body_bytes, middlewares=[CallerGuard(core).guard]
         )
@@ -58,7 +61,7 @@
         await core.start(app, calls.call)
 
     def _new_generation(self, req: GenerationRequest) -> Generation:
-        return Generation(self.core, self._placer, self._back_ends, req)
+        return Generation(self.core, self._placer, self._back_ends, self._budget, req)
 
     async def _status(self, request: web.Request) -> web.Response:
         require_fleet_secret(request, self._cfg.node.fleet_secret)
--- a/packages/vanillashore-node/src/vanillashore_node/_generation.py
+++ b/packages/vanillashore-node/src/vanillashore_node/_generation.py
@@ -1,12 +1,21 @@
 """One generated answer: reserve, prefill, decode, and go on elsewhere after a failure."""
 
+import asyncio
 from collections.abc import AsyncIterator
+from contextlib import aclosing
 
 from vanillashore_node._back_ends import BackEnds
 from vanillashore_node._core import NodeCore
 from vanillashore_node._generation_request import GenerationRequest
 from vanillashore_node._placer import Place, Placer
-from vanillashore_outcome import Assembly
+from vanillashore_outcome import (
+    MAX_ATTEMPTS,
+    Assembly,
+    Failure,
+    RetryBudget,
+    RetryPolicy,
+    given_up,
+)
 from vanillashore_wire import (
     DecodeOrder,
     ErrorCode,
@@ -19,44 +28,53 @@
     Refused,
 )
 
-MAX_ATTEMPTS = 3
-RETRIED_CODES = frozenset(
-    {
-        ErrorCode.ENDPOINT_FAILED,
-        ErrorCode.PEER_UNREACHABLE,
-        ErrorCode.RESERVATION_UNKNOWN,
-        ErrorCode.ROLE_MISMATCH,
-        ErrorCode.SHUTTING_DOWN,
-    }
-)
-
 
 class Generation:
     """Produces one answer; `run` yields texts in order, each token exactly once."""
 
     def __init__(
-        self, core: NodeCore, placer: Placer, back_ends: BackEnds, req: GenerationRequest
+        self,
+        core: NodeCore,
+        placer: Placer,
+        back_ends: BackEnds,
+        budget: RetryBudget,
+        req: GenerationRequest,
     ) -> None:
         self._core = core
         self._placer = placer
         self._back_ends = back_ends
+        self._budget = budget
+        self._policy = RetryPolicy(budget)
         self._req = req
+        self._was_dispatched = False
         self.assembly = Assembly(req.request_id)
 
     async def run(self) -> AsyncIterator[str]:
         """Yield the answer's tokens; raise RefusalError if it cannot be finished."""
+        self._budget.earn()
         for attempt in range(1, MAX_ATTEMPTS + 1):
             self.assembly.begin_attempt(attempt)
             try:
-                async for text in self._attempt(attempt):
-                    yield text
+                async with aclosing(self._attempt(attempt)) as texts:
+                    async for text in texts:
+                        yield text
                 return
             except RefusalError as exc:
-                self._note(attempt, "failed", str(exc))
-                if exc.code not in RETRIED_CODES or attempt == MAX_ATTEMPTS:
-                    raise
+                refused = exc.refused
+            self._note(attempt, "failed", f"{refused.code.value}: {refused.text}")
+            if self.assembly.complete_at(self._req.max_tokens):
+                return
+            await self._pause_or_give_up(attempt, refused)
         raise AssertionError("unreachable")
 
+    async def _pause_or_give_up(self, attempt: int, refused: Refused) -> None:
+        emitted = self.assembly.next_sequence
+        failure = Failure(attempt, refused, emitted, self._req.time_left_s)
+        pause_s = self._policy.pause_s(failure)
+        if pause_s is None:
+            raise RefusalError(given_up(refused, self._was_dispatched))
+        await asyncio.sleep(pause_s)
+
     async def _attempt(self, attempt: int) -> AsyncIterator[str]:
         place = await self._placer.decode_place(self._req, attempt)
         self._note(attempt, "decode place", place.endpoint.vm)
@@ -66,16 +84,30 @@
             self._placer.give_up(place, self._req, attempt)
             raise
         order = self._decode_order(attempt, place, done)
-        async for frames in self._back_ends.decode(place.endpoint.address, order):
-            for frame in frames:
+        async with aclosing(self._frames(place, order)) as frames:
+            async for frame in frames:
                 if frame.kind is FrameKind.FAILED and frame.refused is not None:
                     raise RefusalError(frame.refused)
                 text = self._accept(frame)
                 if text:
                     yield text
-            if self.assembly.is_complete:
-                return
-        raise _broken("the decode stream ended early")
+        if not self.assembly.is_complete:
+            raise _broken("the decode stream ended early")
+
+    async def _frames(self, place: Place, order: DecodeOrder) -> AsyncIterator[Frame]:
+        """Yield the frames of a stream that must not pause for long."""
+        wait_s = self._core.cfg.timing.frame_wait_s
+        async with aclosing(self._back_ends.decode(place.endpoint.address, order)) as batches:
+            while True:
+                try:
+                    async with asyncio.timeout(wait_s):
+                        batch = await anext(batches, None)
+                except TimeoutError as exc:
+                    raise _broken(f"no frame within {wait_s:g} s") from exc
+                if batch is None:
+                    return
+                for frame in batch:
+                    yield frame
 
     async def _prefill(self, attempt: int) -> PrefillDone:
         place = await self._placer.prefill_place(self._req, attempt)
@@ -88,9 +120,10 @@
             self._req.model.name,
             self._req.prompt + self.assembly.text,
             self._req.model.route_class,
-            self._req.time_left_s,
+            min(self._req.time_left_s, self._core.cfg.timing.prefill_wait_s),
             self._core.directory.revision,
         )
+        self._was_dispatched = True
         return await self._back_ends.prefill(place.endpoint.address, order)
 
     def _decode_order(self, attempt: int, place: Place, done: PrefillDone) -> DecodeOrder:
--- a/packages/vanillashore-outcome/src/vanillashore_outcome/__init__.py
+++ b/packages/vanillashore-outcome/src/vanillashore_outcome/__init__.py
@@ -13,8 +13,10 @@
     call_fingerprint,
     claim_name,
 )
+from vanillashore_outcome._retries import MAX_ATTEMPTS, Failure, RetryPolicy, given_up
 
 __all__ = [
+    "MAX_ATTEMPTS",
     "MAX_BARRED_RUNS",
     "Assembly",
     "AssemblyCounts",
@@ -23,8 +25,11 @@
     "ClaimVerdict",
     "Decision",
     "End",
+    "Failure",
     "RetryBudget",
+    "RetryPolicy",
     "Start",
     "call_fingerprint",
     "claim_name",
+    "given_up",
 ]
--- a/packages/vanillashore-outcome/src/vanillashore_outcome/_assembly.py
+++ b/packages/vanillashore-outcome/src/vanillashore_outcome/_assembly.py
@@ -4,6 +4,8 @@
 
 from vanillashore_wire import Frame, FrameKind
 
+LENGTH_REASON = "length"
+
 
 @attrs.define
 class AssemblyCounts:
@@ -55,6 +57,12 @@
         """Make ``attempt`` the current one; frames of earlier ones are dropped from now on."""
         self._attempt = attempt
 
+    def complete_at(self, max_tokens: int) -> bool:
+        """Note the end if all tokens are here and only the end was lost; return whether it was."""
+        if not self.is_complete and self.next_sequence >= max_tokens:
+            self.finish_reason = LENGTH_REASON
+        return self.is_complete
+
     def accept(self, frame: Frame) -> str:
         """Take a frame and return the text to forward, which may be empty.
 
--- /dev/null
+++ b/packages/vanillashore-outcome/src/vanillashore_outcome/_retries.py
@@ -0,0 +1,59 @@
+"""When an answer goes on with another attempt after a failure, and how soon."""
+
+import attrs
+
+from vanillashore_outcome._budget import RetryBudget
+from vanillashore_wire import ErrorCode, Ran, Refused
+
+MAX_ATTEMPTS = 6
+FIRST_PAUSE_S = 0.05
+PAUSE_GROWTH = 3.0
+MAX_PAUSE_S = 1.0
+RETRY_AFTER_S = 1.0
+RETRIED_CODES = frozenset(
+    {
+        ErrorCode.ENDPOINT_FAILED,
+        ErrorCode.PEER_UNREACHABLE,
+        ErrorCode.RESERVATION_UNKNOWN,
+        ErrorCode.REVISION_STALE,
+        ErrorCode.ROLE_MISMATCH,
+        ErrorCode.SHUTTING_DOWN,
+    }
+)
+RETRIED_ONCE_BEGUN_CODES = RETRIED_CODES | {ErrorCode.OVERLOADED, ErrorCode.NO_ENDPOINT}
+
+
+@attrs.frozen
+class Failure:
+    """A failed attempt of an answer of which ``emitted`` tokens have been forwarded."""
+
+    attempt: int
+    refused: Refused
+    emitted: int
+    time_left_s: float
+
+
+class RetryPolicy:
+    """Decides on the next attempt; an answer that has begun tries harder to go on."""
+
+    def __init__(self, budget: RetryBudget) -> None:
+        self._budget = budget
+
+    def pause_s(self, failure: Failure) -> float | None:
+        """Return the pause before the next attempt; None if the request is given up on."""
+        codes = RETRIED_ONCE_BEGUN_CODES if failure.emitted else RETRIED_CODES
+        pause_s = min(MAX_PAUSE_S, FIRST_PAUSE_S * PAUSE_GROWTH ** (failure.attempt - 1))
+        if failure.refused.code not in codes or failure.attempt >= MAX_ATTEMPTS:
+            return None
+        if pause_s >= failure.time_left_s or not self._budget.spend():
+            return None
+        return pause_s
+
+
+def given_up(refused: Refused, was_dispatched: bool) -> Refused:
+    """Return the caller's refusal: truthful on whether it ran, with a time to come back."""
+    ran = Ran.UNKNOWN if was_dispatched else refused.ran
+    retry_after_s = refused.retry_after_s
+    if retry_after_s is None and refused.code in RETRIED_CODES:
+        retry_after_s = RETRY_AFTER_S
+    return attrs.evolve(refused, ran=ran, retry_after_s=retry_after_s)
--- a/packages/vanillashore-schema/src/vanillashore_schema/_settings.py
+++ b/packages/vanillashore-schema/src/vanillashore_schema/_settings.py
@@ -100,6 +100,8 @@
     reservation_valid_s: float = option(positive, default=3.0)
     hold_valid_s: float = option(positive, default=4.0)
     hold_renewal_s: float = option(positive, default=2.0)
+    prefill_wait_s: float = option(positive, default=30.0)
+    frame_wait_s: float = option(positive, default=10.0)
     link_idle_s: float = option(positive, default=60.0)
     ask_timeout_s: float = option(positive, default=2.0)
     link_coalesce_ms: float = option(at_least_zero, default=2.0)
--- a/packages/vanillashore-standins/src/vanillashore_standins/_engine_app.py
+++ b/packages/vanillashore-standins/src/vanillashore_standins/_engine_app.py
@@ -1,5 +1,6 @@
 """HTTP face of the stand-in engine: OpenAI-style completions with KV transfer parameters."""
 
+import asyncio
 from collections.abc import AsyncIterator
 from typing import Any
 
@@ -13,6 +14,7 @@
 
 STATE: web.AppKey[EngineState] = web.AppKey("state")
 SESSION: web.AppKey[aiohttp.ClientSession] = web.AppKey("session")
+STALL_POLL_S = 0.05
 TEST_PATHS = frozenset({"/ledger", "/control"})
 
 
@@ -117,8 +119,15 @@
 async def _stream(request: web.Request, sequence: Sequence, start: int) -> web.StreamResponse:
     response = web.StreamResponse(headers={"Content-Type": "text/event-stream"})
     await response.prepare(request)
-    async for run in request.app[STATE].stream(sequence, start):
+    state = request.app[STATE]
+    async for run in state.stream(sequence, start):
+        while state.options.stall_streams:
+            await asyncio.sleep(STALL_POLL_S)
         await response.write(b"".join(_event(text, None) for text in run))
+    if state.options.lose_ends > 0:
+        state.options.lose_ends -= 1
+        request.transport.abort()
+        raise ConnectionResetError("fault injected")
     await response.write(_event("", "length") + b"data: [DONE]\n\n")
     await response.write_eof()
     return response
--- a/packages/vanillashore-standins/src/vanillashore_standins/_engine_state.py
+++ b/packages/vanillashore-standins/src/vanillashore_standins/_engine_state.py
@@ -43,6 +43,8 @@
     restart_s: float = 0.5
     honours_fencing: bool = True
     stall_transfers: bool = False
+    stall_streams: bool = False
+    lose_ends: int = 0
 
 
 @attrs.define(eq=False)
@@ -145,7 +147,8 @@
         while self.options.stall_transfers:
             await asyncio.sleep(0.05)
         await asyncio.sleep(self.options.transfer_s_per_piece * export.pieces)
-        self.memory.exports.pop(handle, None)
+        if self.memory.exports.pop(handle, None) is None and self.is_down:
+            raise EngineError(410, "engine crashed")
         return export
 
     def decode(
