Measure the path with a bench, and write one event run at a time

The entry woke its caller's stream once a token even where several frames came in one read. Generation.run now yields the tokens that came in together, and they go out in one write. A damaged frame in the middle of a run still forwards the tokens before it: the assembly keeps them, so the next attempt would not send them again.

--- /dev/null
+++ b/benches/path.py
@@ -0,0 +1,204 @@
+"""What the path through an entry adds to the stand-in engines, and what one entry carries.
+
+Every part is a process of its own; this process generates the load.
+"""
+
+import argparse
+import asyncio
+import os
+import tempfile
+import time
+from pathlib import Path
+
+import attrs
+import orjson
+import uvloop
+
+from vanillashore_standins import LoadPlan, LoadReport, run_load
+from vanillashore_standins.demo import MODEL, DemoFleet, FleetShape
+
+TARGET_REQUESTS_PER_S = 14.0
+TOKENS_PER_REQUEST = 293
+ROUNDS = 3
+QUICK_ROUNDS = 1
+SECONDS = 12.0
+QUICK_SECONDS = 7.0
+DRAIN_S = 1.0
+TOKEN_STREAMS = 500
+REQUEST_STREAMS = 48
+CLOCK_TICKS_PER_S = os.sysconf("SC_CLK_TCK")
+SHAPE = FleetShape(
+    entries=1,
+    prefills=2,
+    decodes=4,
+    services=0,
+    slots=160,
+    engine_options={
+        "step_s": 0.01,
+        "prefill_s_per_token": 0.000002,
+        "transfer_s_per_piece": 0.0,
+        "total_pieces": 4_000,
+    },
+    rate_tokens_per_s=1e9,
+    burst_tokens=1e9,
+)
+
+
+@attrs.frozen
+class Measured:
+    """One phase of load, and the share of a core that each process used meanwhile."""
+
+    report: LoadReport
+    cores: dict[str, float]
+
+
+class PathBench:
+    """Runs the phases against a started fleet."""
+
+    def __init__(self, fleet: DemoFleet, seed: int, seconds: float, rounds: int) -> None:
+        self._rounds = rounds
+        self._fleet = fleet
+        self._entry = fleet.entries[0].address
+        self._engines = tuple(fleet.endpoint_addresses[node.name] for node in fleet.decodes)
+        self._plan = LoadPlan((self._entry,), MODEL, fleet.key, seconds=seconds, seed=seed)
+
+    async def target_load(self) -> tuple[Measured, Measured]:
+        """Offer the target's load directly and through the entry, in turns."""
+        direct = []
+        path = []
+        plan = attrs.evolve(self._plan, requests_per_s=TARGET_REQUESTS_PER_S)
+        for turn in range(self._rounds):
+            plan = attrs.evolve(plan, seed=self._plan.seed + turn)
+            direct.append(await self._measure(attrs.evolve(plan, addresses=self._engines)))
+            path.append(await self._measure(plan))
+        return _merge(direct), _merge(path)
+
+    async def most_tokens(self) -> Measured:
+        """Keep more streams running than the entry can feed."""
+        return await self._measure(attrs.evolve(self._plan, concurrency=TOKEN_STREAMS))
+
+    async def most_requests(self) -> Measured:
+        """Keep more requests of one token running than the entry can serve."""
+        plan = attrs.evolve(self._plan, concurrency=REQUEST_STREAMS, max_tokens=1)
+        return await self._measure(plan)
+
+    async def _measure(self, plan: LoadPlan) -> Measured:
+        started = time.monotonic()
+        before = self._cpu_s()
+        load = asyncio.create_task(run_load(plan))
+        await asyncio.sleep(plan.seconds)
+        elapsed = time.monotonic() - started
+        cores = {name: (s - before[name]) / elapsed for name, s in self._cpu_s().items()}
+        report = await load
+        await asyncio.sleep(DRAIN_S)
+        return Measured(report, cores)
+
+    def _cpu_s(self) -> dict[str, float]:
+        spent = {name: _cpu_s(pid) for name, pid in self._fleet.pids.items()}
+        return spent | {"load generator": time.process_time()}
+
+
+def _cpu_s(pid: int) -> float:
+    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / CLOCK_TICKS_PER_S
+
+
+def _merge(parts: list[Measured]) -> Measured:
+    merged = LoadReport()
+    for part in parts:
+        for name, value in attrs.asdict(part.report).items():
+            setattr(merged, name, getattr(merged, name) + value)
+    cores = {name: sum(p.cores[name] for p in parts) / len(parts) for name in parts[0].cores}
+    return Measured(merged, cores)
+
+
+def _print_latency(name: str, measured: Measured) -> None:
+    report = measured.report
+    first, gap = report.first_token_ms, report.token_gap_ms
+    print(
+        f"{name:<14}{report.finished:>9}{report.failed:>7}{report.tokens_per_s:>11,.0f}"
+        f"{first.at(50):>10.2f}{first.at(95):>9.2f}{gap.at(50):>9.2f}{gap.at(95):>9.2f}"
+        f"{measured.cores['entry-1']:>10.2f}"
+    )
+
+
+def _print_capacity(name: str, measured: Measured) -> None:
+    report = measured.report
+    others = {n: c for n, c in measured.cores.items() if n != "entry-1"}
+    busiest = max(others, key=lambda n: others[n])
+    print(
+        f"{name:<14}{report.finished:>9}{report.failed:>7}{report.tokens_per_s:>11,.0f}"
+        f"{report.requests_per_s:>12.1f}{report.token_gap_ms.at(95):>9.2f}"
+        f"{measured.cores['entry-1']:>10.2f}   {busiest} {others[busiest]:.2f}"
+    )
+
+
+def _result(direct: Measured, path: Measured, tokens: Measured, requests: Measured) -> dict:
+    first, base_first = path.report.first_token_ms, direct.report.first_token_ms
+    gap, base_gap = path.report.token_gap_ms, direct.report.token_gap_ms
+    return {
+        "scheme": "vanillashore",
+        "case": "path",
+        "entry_tokens_per_s": round(tokens.report.tokens_per_s),
+        "entry_requests_per_s": round(requests.report.requests_per_s, 1),
+        "added_first_token_ms_p50": round(first.at(50) - base_first.at(50), 2),
+        "added_first_token_ms_p95": round(first.at(95) - base_first.at(95), 2),
+        "first_token_ratio_p50": round(first.at(50) / max(base_first.at(50), 0.01), 2),
+        "added_per_token_ms_p50": round(gap.at(50) - base_gap.at(50), 2),
+        "added_per_token_ms_p95": round(gap.at(95) - base_gap.at(95), 2),
+        "per_token_ratio_p95": round(gap.at(95) / max(base_gap.at(95), 0.01), 2),
+        "entry_cores_at_target": round(path.cores["entry-1"], 3),
+        "entry_cores_at_most_tokens": round(tokens.cores["entry-1"], 2),
+        "entry_cores_at_most_requests": round(requests.cores["entry-1"], 2),
+        "failed": sum(m.report.failed for m in (direct, path, tokens, requests)),
+    }
+
+
+async def _run(folder: Path, seed: int, seconds: float, rounds: int) -> dict:
+    with DemoFleet(folder, SHAPE) as fleet:
+        await fleet.start()
+        bench = PathBench(fleet, seed, seconds, rounds)
+        direct, path = await bench.target_load()
+        tokens = await bench.most_tokens()
+        requests = await bench.most_requests()
+    print(f"\nAt {TARGET_REQUESTS_PER_S:g} requests/s of {TOKENS_PER_REQUEST} tokens:")
+    print(
+        "               finished failed   tokens/s  first p50      p95  gap p50      p95     cores"
+    )
+    _print_latency("direct", direct)
+    _print_latency("vanillashore", path)
+    print("\nAs much as one entry carries:")
+    print(
+        "               finished failed   tokens/s  requests/s  gap p95     cores   busiest other"
+    )
+    _print_capacity("tokens", tokens)
+    _print_capacity("requests", requests)
+    for failure in {f for m in (direct, path, tokens, requests) for f in m.report.failures[:3]}:
+        print(f"failed: {failure}")
+    return _result(direct, path, tokens, requests)
+
+
+def main() -> None:
+    """Run the bench and print a table and one line of JSON."""
+    parser = argparse.ArgumentParser(prog="path.py", description=__doc__)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--quick", action="store_true")
+    args = parser.parse_args()
+    seconds = QUICK_SECONDS if args.quick else SECONDS
+    rounds = QUICK_ROUNDS if args.quick else ROUNDS
+    with tempfile.TemporaryDirectory(prefix="vanillashore-bench-") as folder:
+        result = uvloop.run(_run(Path(folder), args.seed, seconds, rounds))
+    scale = {
+        "entries": SHAPE.entries,
+        "prefills": SHAPE.prefills,
+        "decodes": SHAPE.decodes,
+        "requests_per_s": TARGET_REQUESTS_PER_S,
+        "tokens_per_request": TOKENS_PER_REQUEST,
+        "seconds": seconds,
+        "rounds": rounds,
+    }
+    print(orjson.dumps({"bench": "path", "results": [result], "scale": scale}).decode())
+
+
+if __name__ == "__main__":
+    main()
--- a/packages/vanillashore-node/src/vanillashore_node/_completions.py
+++ b/packages/vanillashore-node/src/vanillashore_node/_completions.py
@@ -89,8 +89,8 @@
         req: GenerationRequest,
         include_usage: bool,
     ) -> web.StreamResponse:
-        texts = generation.run()
-        first = await anext(texts, "")
+        runs = generation.run()
+        first = await anext(runs, [])
         response = web.StreamResponse(
             headers={
                 "Content-Type": "text/event-stream",
@@ -99,10 +99,10 @@
             }
         )
         await response.prepare(request)
-        await response.write(shape.opening() + shape.chunk(first))
+        await response.write(shape.opening() + shape.chunks(first))
         try:
-            async for text in texts:
-                await response.write(shape.chunk(text))
+            async for texts in runs:
+                await response.write(shape.chunks(texts))
         except RefusalError as exc:
             await response.write(shape.error(exc.refused))
             return response
--- a/packages/vanillashore-node/src/vanillashore_node/_generation.py
+++ b/packages/vanillashore-node/src/vanillashore_node/_generation.py
@@ -152,7 +152,7 @@
 
 
 class Generation:
-    """Produces one answer; `run` yields texts in order, each token exactly once."""
+    """Produces one answer; `run` yields runs of tokens in order, each token exactly once."""
 
     def __init__(
         self, core: NodeCore, placer: Placer, back_ends: BackEnds, req: GenerationRequest
@@ -163,13 +163,13 @@
         self._req = req
         self.assembly = Assembly(req.request_id)
 
-    async def run(self) -> AsyncIterator[str]:
-        """Yield the answer's tokens; raise RefusalError if it cannot be finished."""
+    async def run(self) -> AsyncIterator[list[str]]:
+        """Yield the tokens that came in together; raise RefusalError if the answer breaks off."""
         for attempt in range(1, MAX_ATTEMPTS + 1):
             self.assembly.begin_attempt(attempt)
             try:
-                async for text in self._attempt(attempt):
-                    yield text
+                async for texts in self._attempt(attempt):
+                    yield texts
                 return
             except RefusalError as exc:
                 self._note(attempt, "failed", str(exc))
@@ -177,7 +177,7 @@
                     raise
         raise AssertionError("unreachable")
 
-    async def _attempt(self, attempt: int) -> AsyncIterator[str]:
+    async def _attempt(self, attempt: int) -> AsyncIterator[list[str]]:
         place = await self._placer.decode_place(self._req, attempt)
         self._note(attempt, "decode place", place.endpoint.vm)
         try:
@@ -187,12 +187,13 @@
             raise
         order = self._decode_order(attempt, place, done)
         async for frames in self._back_ends.decode(place.endpoint.address, order):
-            for frame in frames:
-                if frame.kind is FrameKind.FAILED and frame.refused is not None:
-                    raise RefusalError(frame.refused)
-                text = self._accept(frame)
-                if text:
-                    yield text
+            position = self.assembly.next_sequence
+            failure = self._accept(frames)
+            texts = self.assembly.tokens_from(position)
+            if texts:
+                yield texts
+            if failure is not None:
+                raise failure
             if self.assembly.is_complete:
                 return
         raise _broken("the decode stream ended early")
@@ -231,11 +232,16 @@
             self._req.sampling,
         )
 
-    def _accept(self, frame: Frame) -> str:
+    def _accept(self, frames: list[Frame]) -> RefusalError | None:
+        """Take frames until one ends the attempt, and return why it did; ``None`` if none did."""
         try:
-            return self.assembly.accept(frame)
+            for frame in frames:
+                if frame.kind is FrameKind.FAILED and frame.refused is not None:
+                    return RefusalError(frame.refused)
+                self.assembly.accept(frame)
         except ValueError as exc:
-            raise _broken(str(exc)) from exc
+            return _broken(str(exc))
+        return None
 
     def _note(self, attempt: int, step: str, text: str) -> None:
         self._core.decisions.note(self._req.request_id, step, f"attempt {attempt}: {text}")
--- a/packages/vanillashore-node/src/vanillashore_node/_openai.py
+++ b/packages/vanillashore-node/src/vanillashore_node/_openai.py
@@ -120,9 +120,10 @@
             return b""
         return self._event({"delta": {"role": "assistant", "content": ""}}, None)
 
-    def chunk(self, text: str) -> bytes:
-        """Build the event of one token."""
-        return self._chunk_start + orjson.dumps(text) + self._chunk_end
+    def chunks(self, texts: list[str]) -> bytes:
+        """Build one event for each token."""
+        start, end = self._chunk_start, self._chunk_end
+        return b"".join([start + orjson.dumps(text) + end for text in texts])
 
     def closing(self, finish_reason: str, usage: Usage | None) -> bytes:
         """Build what a stream ends with, up to ``[DONE]``."""
--- a/packages/vanillashore-outcome/src/vanillashore_outcome/_assembly.py
+++ b/packages/vanillashore-outcome/src/vanillashore_outcome/_assembly.py
@@ -46,6 +46,10 @@
         """The answer so far."""
         return "".join(self._parts)
 
+    def tokens_from(self, sequence: int) -> list[str]:
+        """Return the accepted tokens from position ``sequence`` on."""
+        return self._parts[sequence:]
+
     @property
     def is_complete(self) -> bool:
         """Whether the whole answer is here."""
--- a/packages/vanillashore-standins/src/vanillashore_standins/__init__.py
+++ b/packages/vanillashore-standins/src/vanillashore_standins/__init__.py
@@ -10,6 +10,7 @@
 from vanillashore_standins._kv_app import KvFaults, kv_app
 from vanillashore_standins._kv_state import KvState
 from vanillashore_standins._language import continuation, generate
+from vanillashore_standins._load import LoadPlan, LoadReport, run_load
 from vanillashore_standins._service_app import ServiceOptions, ServiceState, service_app
 from vanillashore_standins._serving import ServedApp, serve
 from vanillashore_standins._vm_list_app import VmListState, vm_list_app
@@ -20,6 +21,8 @@
     "EngineState",
     "KvFaults",
     "KvState",
+    "LoadPlan",
+    "LoadReport",
     "ServedApp",
     "ServiceOptions",
     "ServiceState",
@@ -29,6 +32,7 @@
     "engine_app",
     "generate",
     "kv_app",
+    "run_load",
     "serve",
     "service_app",
     "vm_list_app",
--- a/packages/vanillashore-standins/src/vanillashore_standins/__main__.py
+++ b/packages/vanillashore-standins/src/vanillashore_standins/__main__.py
@@ -2,6 +2,7 @@
 
 import argparse
 
+import orjson
 import uvloop
 from aiohttp import web
 
@@ -29,7 +30,7 @@
     parser.add_argument("--port", type=int, required=True)
     parser.add_argument("--name", default="stand-in")
     parser.add_argument("--model", default="model")
-    parser.add_argument("--step-s", type=float, default=0.01)
+    parser.add_argument("--options", type=orjson.loads, default={}, metavar="JSON")
     parser.add_argument("--lag-s", type=float, default=0.2)
     args = parser.parse_args()
     uvloop.install()
@@ -38,7 +39,7 @@
 
 def _build(args: argparse.Namespace) -> web.Application:
     if args.kind == "engine":
-        options = EngineOptions(name=args.name, model=args.model, step_s=args.step_s)
+        options = EngineOptions(name=args.name, model=args.model, **args.options)
         return engine_app(EngineState(options))
     if args.kind == "service":
         return service_app(ServiceState(ServiceOptions(name=args.name)))
--- a/packages/vanillashore-standins/src/vanillashore_standins/demo/_files.py
+++ b/packages/vanillashore-standins/src/vanillashore_standins/demo/_files.py
@@ -1,21 +1,37 @@
 """Settings and configuration files of the demo."""
 
 import hashlib
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
+
+import attrs
 
 if TYPE_CHECKING:
     from vanillashore_standins.demo._fleet import DemoFleet, DemoNode
 
 DATA_CENTRES = ("dc-1", "dc-2", "dc-3")
-ENTRY_COUNT = 3
-PREFILL_COUNT = 4
-DECODE_COUNT = 6
-SERVICE_COUNT = 3
 MODEL = "baker-assistant"
 SERVICE = "order-desk"
 WORKSPACES = ("counter", "workshop", "wholesale", "stock-room", "accounts")
 
 
+@attrs.frozen
+class FleetShape:
+    """How many processes a fleet has, and how its engines and workspaces are set.
+
+    ``engine_options`` are fields of `EngineOptions`; ``slots`` holds for engines and side
+    processes alike.
+    """
+
+    entries: int = 3
+    prefills: int = 4
+    decodes: int = 6
+    services: int = 3
+    slots: int = 20
+    engine_options: dict[str, Any] = attrs.Factory(dict)
+    rate_tokens_per_s: float = 20_000.0
+    burst_tokens: float = 60_000.0
+
+
 def node_settings_text(fleet: "DemoFleet", node: "DemoNode") -> str:
     """Return the settings of one node, without its endpoint."""
     role = "entry" if node.kind == "entry" else "side"
@@ -50,7 +66,7 @@
 
 def configuration_text(fleet: "DemoFleet") -> str:
     """Return the fleet's configuration; the demo's key belongs to the first workspace."""
-    parts = [_workspace(name, i, fleet.key) for i, name in enumerate(WORKSPACES)]
+    parts = [_workspace(fleet, name, i) for i, name in enumerate(WORKSPACES)]
     parts.append(f'[[model]]\nname = "{MODEL}"\n\n[[service]]\nname = "{SERVICE}"\n')
     parts.append(_route("/orders/pay", "POST", idempotent=False, is_open=False))
     parts.append(_route("/stock", "GET", idempotent=True, is_open=False))
@@ -61,10 +77,14 @@
     return "\n".join(parts)
 
 
-def _workspace(name: str, index: int, key: str) -> str:
-    text = f'[[workspace]]\nname = "{name}"\nrate_tokens_per_s = 20000\nburst_tokens = 60000\n'
+def _workspace(fleet: "DemoFleet", name: str, index: int) -> str:
+    text = (
+        f'[[workspace]]\nname = "{name}"\n'
+        f"rate_tokens_per_s = {fleet.shape.rate_tokens_per_s}\n"
+        f"burst_tokens = {fleet.shape.burst_tokens}\n"
+    )
     if index == 0:
-        sha256 = hashlib.sha256(key.encode()).hexdigest()
+        sha256 = hashlib.sha256(fleet.key.encode()).hexdigest()
         text += f'key = [{{ id = "demo", sha256 = "{sha256}" }}]\n'
     return text
 
--- a/packages/vanillashore-standins/src/vanillashore_standins/demo/_fleet.py
+++ b/packages/vanillashore-standins/src/vanillashore_standins/demo/_fleet.py
@@ -13,14 +13,12 @@
 
 import aiohttp
 import attrs
+import orjson
 
 from vanillashore_standins.demo._files import (
     DATA_CENTRES,
-    DECODE_COUNT,
-    ENTRY_COUNT,
     MODEL,
-    PREFILL_COUNT,
-    SERVICE_COUNT,
+    FleetShape,
     configuration_text,
     node_settings_text,
     operator_settings_text,
@@ -31,6 +29,7 @@
 STOP_TIMEOUT_S = 10.0
 POLL_S = 0.1
 LOG_LINES_SHOWN = 12
+PLATFORM_PORTS = 3
 
 
 @attrs.frozen
@@ -51,27 +50,30 @@
 class DemoFleet:
     """All processes of the demo, as a context manager that stops them."""
 
-    def __init__(self, folder: Path) -> None:
+    def __init__(self, folder: Path, shape: FleetShape | None = None) -> None:
         self.folder = folder
+        self.shape = shape or FleetShape()
         self.fleet_secret = secrets.token_hex(16)
         self.key = f"vs-{secrets.token_urlsafe(24)}"
         self.left_running = 0
         self.operator_settings = folder / "operator.toml"
         self.configuration = folder / "fleet.toml"
+        self.endpoint_addresses: dict[str, str] = {}
+        self.pids: dict[str, int] = {}
         self._nodes: list[subprocess.Popen[bytes]] = []
         self._stand_ins: list[subprocess.Popen[bytes]] = []
-        self._ports = _free_ports(
-            3 + ENTRY_COUNT + 2 * (PREFILL_COUNT + DECODE_COUNT + SERVICE_COUNT)
-        )
+        endpoint_count = self.shape.prefills + self.shape.decodes + self.shape.services
+        self._ports = _free_ports(PLATFORM_PORTS + self.shape.entries + 2 * endpoint_count)
         self.store_address = self._next_address()
         self.vm_list_address = self._next_address()
         self.weights_address = self._next_address()
-        self.entries = [self._node("entry", i) for i in range(ENTRY_COUNT)]
-        self.prefills = [self._node("prefill", i) for i in range(PREFILL_COUNT)]
-        self.decodes = [self._node("decode", i) for i in range(DECODE_COUNT)]
-        self.services = [self._node("service", i) for i in range(SERVICE_COUNT)]
+        self.entries = [self._node("entry", i) for i in range(self.shape.entries)]
+        self.prefills = [self._node("prefill", i) for i in range(self.shape.prefills)]
+        self.decodes = [self._node("decode", i) for i in range(self.shape.decodes)]
+        self.services = [self._node("service", i) for i in range(self.shape.services)]
 
     def __enter__(self) -> "DemoFleet":
+        signal.signal(signal.SIGTERM, signal.default_int_handler)
         return self
 
     def __exit__(
@@ -131,7 +133,6 @@
             f"-H 'Authorization: Bearer {self.key}' -d '{body}'"
         )
         print("Ctrl-C stops everything", flush=True)
-        signal.signal(signal.SIGTERM, signal.default_int_handler)
         try:
             signal.pause()
         except KeyboardInterrupt:
@@ -151,8 +152,12 @@
 
     def _start_endpoint(self, node: DemoNode, kind: str) -> None:
         address = self._next_address()
-        self._start_stand_in(kind, address, "--name", node.name, "--model", MODEL)
+        options = orjson.dumps(self.shape.engine_options | {"slots": self.shape.slots}).decode()
+        args = ["--name", node.name, "--model", MODEL, "--options", options]
+        self._start_stand_in(kind, address, *args)
+        self.endpoint_addresses[node.name] = address
         section = f'\n[endpoint]\naddress = "{address}"\nkind = "{kind}"\n'
+        section += f"slots = {self.shape.slots}\n"
         self._start_node(node, section)
 
     def _start_stand_in(self, kind: str, address: str, *args: str) -> None:
@@ -168,9 +173,11 @@
 
     def _spawn(self, line: list[str], name: str) -> subprocess.Popen[bytes]:
         with (self.folder / f"{name}.log").open("wb") as log_file:
-            return subprocess.Popen(
+            process = subprocess.Popen(
                 line, stdout=log_file, stderr=log_file, stdin=subprocess.DEVNULL
             )
+        self.pids[name] = process.pid
+        return process
 
     def _write_operator_files(self) -> None:
         self.operator_settings.write_text(operator_settings_text(self))
