Send the first message of a pause at once, and read decode streams unchunked

A message on an idle link waited the whole coalescing pause, and a request asks three times over links. Now only what follows a frame within the pause waits. Frames that came in one read are decoded by one JSON call.

--- a/packages/vanillashore-node/src/vanillashore_node/_back_ends.py
+++ b/packages/vanillashore-node/src/vanillashore_node/_back_ends.py
@@ -29,10 +29,20 @@
 
 
 class BackEnds:
-    """Sends orders to side processes; every failure raises RefusalError."""
+    """Sends orders to side processes; every failure raises RefusalError.
+
+    Decode streams are asked for by HTTP/1.0, whose bodies end with their connection: a body in
+    chunks costs the reader more for each chunk than the frame in it does.
+    """
 
     def __init__(self, session: aiohttp.ClientSession, cfg: NodeSettings) -> None:
         self._session = session
+        self._streams = aiohttp.ClientSession(
+            connector=session.connector,
+            connector_owner=False,
+            version=aiohttp.HttpVersion10,
+            auto_decompress=False,
+        )
         self._headers = {FLEET_HEADER: cfg.node.fleet_secret}
 
     async def prefill(self, address: str, order: PrefillOrder) -> PrefillDone:
@@ -47,7 +57,7 @@
         """Stream the frames of an answer, as they come in."""
         url = address + "/internal/decode"
         try:
-            async with self._post(url, order, order.deadline_s) as response:
+            async with self._post(self._streams, url, order, order.deadline_s) as response:
                 if response.status != 200:
                     raise RefusalError(decode(await response.read(), Refused))
                 splitter = FrameSplitter()
@@ -60,7 +70,7 @@
 
     async def _ask(self, url: str, order: object, deadline_s: float, cls: type[T]) -> T:
         try:
-            async with self._post(url, order, deadline_s) as response:
+            async with self._post(self._session, url, order, deadline_s) as response:
                 data = await response.read()
                 if response.status != 200:
                     raise RefusalError(decode(data, Refused))
@@ -69,8 +79,8 @@
             raise unreachable(url, f"no answer: {exc!r}") from exc
 
     def _post(
-        self, url: str, order: object, deadline_s: float
+        self, session: aiohttp.ClientSession, url: str, order: object, deadline_s: float
     ) -> AbstractAsyncContextManager[aiohttp.ClientResponse]:
         timeout = aiohttp.ClientTimeout(total=deadline_s, sock_connect=CONNECT_TIMEOUT_S)
         data = encode(order)
-        return self._session.post(url, data=data, headers=self._headers, timeout=timeout)
+        return session.post(url, data=data, headers=self._headers, timeout=timeout)
--- a/packages/vanillashore-node/src/vanillashore_node/_link.py
+++ b/packages/vanillashore-node/src/vanillashore_node/_link.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+import time
 from collections.abc import Awaitable, Callable
 from typing import Any
 
@@ -42,7 +43,11 @@
 
 
 class _Outbox:
-    """Owns the sending side of one WebSocket and coalesces what is queued within a pause."""
+    """Owns the sending side of one WebSocket.
+
+    What is queued goes out at once, unless the last frame went out a moment ago: then it waits and
+    is coalesced with what else is queued meanwhile.
+    """
 
     def __init__(self, hub: "LinkHub", socket: Any) -> None:
         self._hub = hub
@@ -55,13 +60,16 @@
 
     async def run(self) -> None:
         """Send until cancelled or the socket is closed."""
+        next_frame_at = 0.0
         while True:
             envelopes = [await self._queue.get()]
-            if self._hub.coalesce_s:
-                await asyncio.sleep(self._hub.coalesce_s)
+            pause_s = next_frame_at - time.monotonic()
+            if pause_s > 0:
+                await asyncio.sleep(pause_s)
             while not self._queue.empty():
                 envelopes.append(self._queue.get_nowait())
             await self._send(tuple(envelopes))
+            next_frame_at = time.monotonic() + self._hub.coalesce_s
 
     async def _send(self, envelopes: tuple[Envelope, ...]) -> None:
         data = encode_batch(Batch(self._hub.name, self._hub.revision(), envelopes))
--- a/packages/vanillashore-wire/src/vanillashore_wire/_frames.py
+++ b/packages/vanillashore-wire/src/vanillashore_wire/_frames.py
@@ -1,11 +1,15 @@
 """Compact codec of decode stream frames, one JSON array a line."""
 
+from typing import Any
+
 import orjson
 
 from vanillashore_wire._codec import structure, unstructure
 from vanillashore_wire._errors import Refused
 from vanillashore_wire._messages import Frame, FrameKind
 
+_KIND_OF_VALUE = {kind.value: kind for kind in FrameKind}
+
 
 def encode_frame(frame: Frame) -> bytes:
     """Encode a frame as one line, its newline included."""
@@ -24,19 +28,10 @@
 
 def decode_frame(line: bytes) -> Frame:
     """Decode one line; raise ValueError if it is not a frame."""
-    try:
-        request_id, attempt, kind, sequence, text, finish_reason, refused = orjson.loads(line)
-    except (TypeError, ValueError) as exc:
-        raise ValueError(f"malformed frame: {exc}") from exc
-    return Frame(
-        request_id,
-        attempt,
-        FrameKind(kind),
-        sequence,
-        text,
-        finish_reason,
-        structure(refused, Refused) if refused else None,
-    )
+    frames = _decode_lines(line)
+    if len(frames) != 1:
+        raise ValueError(f"{len(frames)} frames where one was expected")
+    return frames[0]
 
 
 class FrameSplitter:
@@ -54,5 +49,27 @@
 
     def feed(self, data: bytes) -> list[Frame]:
         """Return the frames that ``data`` completes; raise ValueError on a damaged one."""
-        *lines, self._rest = (self._rest + data).split(b"\n")
-        return [decode_frame(line) for line in lines]
+        lines, newline, self._rest = (self._rest + data).rpartition(b"\n")
+        return _decode_lines(lines) if newline else []
+
+
+def _decode_lines(lines: bytes) -> list[Frame]:
+    """Decode lines in one go; a JSON text holds no bare newline, so each of them ends a frame."""
+    try:
+        rows = orjson.loads(b"[" + lines.replace(b"\n", b",") + b"]")
+        return [_frame(*row) for row in rows]
+    except (KeyError, TypeError, ValueError) as exc:
+        raise ValueError(f"malformed frame: {exc}") from exc
+
+
+def _frame(
+    request_id: str,
+    attempt: int,
+    kind: str,
+    sequence: int,
+    text: str,
+    finish_reason: str,
+    refused: Any,
+) -> Frame:
+    cause = structure(refused, Refused) if refused else None
+    return Frame(request_id, attempt, _KIND_OF_VALUE[kind], sequence, text, finish_reason, cause)
