--- a/packages/vanillashore-standins/src/vanillashore_standins/demo/_fleet.py
+++ b/packages/vanillashore-standins/src/vanillashore_standins/demo/_fleet.py
@@ -4,7 +4,6 @@
 import os
 import secrets
 import signal
-import socket
 import subprocess
 import sys
 import time
@@ -15,6 +14,7 @@
 import attrs
 import orjson
 
+from vanillashore_standins._ports import free_ports
 from vanillashore_standins.demo._files import (
     DATA_CENTRES,
     MODEL,
@@ -63,7 +63,7 @@
         self._nodes: list[subprocess.Popen[bytes]] = []
         self._stand_ins: list[subprocess.Popen[bytes]] = []
         endpoint_count = self.shape.prefills + self.shape.decodes + self.shape.services
-        self._ports = _free_ports(PLATFORM_PORTS + self.shape.entries + 2 * endpoint_count)
+        self._ports = free_ports(PLATFORM_PORTS + self.shape.entries + 2 * endpoint_count)
         self.store_address = self._next_address()
         self.vm_list_address = self._next_address()
         self.weights_address = self._next_address()
@@ -257,13 +257,3 @@
     except ProcessLookupError:
         return False
     return True
-
-
-def _free_ports(count: int) -> list[int]:
-    sockets = [socket.socket() for _ in range(count)]
-    for sock in sockets:
-        sock.bind(("127.0.0.1", 0))
-    ports = [sock.getsockname()[1] for sock in sockets]
-    for sock in sockets:
-        sock.close()
-    return ports
