Keep the configuration in chunks and follow it through relays

One chunk for the whole configuration made every change cost its full size, and every process watched the store. Workspaces now spread over chunks by name, an index chunk lists them, and the head only names the index.

A lost answer on the head is settled by repeating the same swap: once one is answered the version has passed, so no late copy can win; the head keeps the four heads before it, so an apply that was accepted and then replaced is not told as a conflict. Reading back alone was ruled out: a copy still under way could win after the tool had said no.

Side processes refuse orders of an older revision; the entry catches up from that endpoint, checks the caller's key again and sends once more. A process that reached neither the store nor a peer for 6 s refuses new work.

--- a/packages/vanillashore-node/src/vanillashore_node/_back_ends.py
+++ b/packages/vanillashore-node/src/vanillashore_node/_back_ends.py
@@ -2,7 +2,7 @@
 
 from collections.abc import AsyncIterator
 from contextlib import AbstractAsyncContextManager
-from typing import TypeVar
+from typing import Any, TypeVar
 
 import aiohttp
 
@@ -25,6 +25,7 @@
 T = TypeVar("T")
 
 CONNECT_TIMEOUT_S = 2.0
+REVISION_HEADER = "X-Config-Revision"
 _FAILURES = (aiohttp.ClientError, TimeoutError, OSError, ValueError)
 
 
@@ -69,8 +70,8 @@
             raise unreachable(url, f"no answer: {exc!r}") from exc
 
     def _post(
-        self, url: str, order: object, deadline_s: float
+        self, url: str, order: Any, deadline_s: float
     ) -> AbstractAsyncContextManager[aiohttp.ClientResponse]:
         timeout = aiohttp.ClientTimeout(total=deadline_s, sock_connect=CONNECT_TIMEOUT_S)
-        data = encode(order)
-        return self._session.post(url, data=data, headers=self._headers, timeout=timeout)
+        headers = self._headers | {REVISION_HEADER: str(order.revision)}
+        return self._session.post(url, data=encode(order), headers=headers, timeout=timeout)
--- a/packages/vanillashore-node/src/vanillashore_node/_callers.py
+++ b/packages/vanillashore-node/src/vanillashore_node/_callers.py
@@ -11,6 +11,7 @@
 from aiohttp import web
 from loguru import logger as log
 
+from vanillashore_node._config_revision import REQUEST_KEY_HASH
 from vanillashore_node._core import NodeCore
 from vanillashore_node._faces import json_response
 from vanillashore_node._openai import error_body
@@ -62,6 +63,7 @@
             raise _shed(ErrorCode.SHUTTING_DOWN, text)
         if self._core.directory.revision == 0:
             raise _shed(ErrorCode.NOT_CONFIGURED, "no configuration is in force here yet")
+        self._core.following.check_contact()
         if state.active >= self._limits.concurrent_requests:
             raise _shed(ErrorCode.TOO_MANY_REQUESTS, "too many requests at once")
         self._check_sizes(request)
@@ -116,7 +118,9 @@
     if scheme.lower() != "bearer" or not key.strip():
         text = "send a key as Authorization: Bearer"
         raise RefusalError(Refused(ErrorCode.KEY_MISSING, text))
-    workspace = core.directory.workspace_of_key(hash_key(key.strip()))
+    key_hash = hash_key(key.strip())
+    workspace = core.directory.workspace_of_key(key_hash)
+    REQUEST_KEY_HASH.set(key_hash)
     if workspace is None:
         raise RefusalError(Refused(ErrorCode.KEY_INVALID, "the key is not valid"))
     return workspace
--- /dev/null
+++ b/packages/vanillashore-node/src/vanillashore_node/_config_following.py
@@ -0,0 +1,245 @@
+"""The task that keeps a process's configuration current: from the store, a relay, or any peer."""
+
+import asyncio
+import random
+import time
+from collections.abc import Callable
+
+from loguru import logger as log
+
+from vanillashore_node._config_relays import ranked_for, relays_of
+from vanillashore_node._directory import Directory
+from vanillashore_node._link import LinkHub
+from vanillashore_node._tasks import TaskGroup
+from vanillashore_platform import (
+    HEAD_KEY,
+    ConfigReplica,
+    ConfigStore,
+    KeyValueStore,
+    StoreUnavailableError,
+    VmEntry,
+    VmState,
+)
+from vanillashore_schema import NodeSettings
+from vanillashore_wire import (
+    ConfigAsk,
+    ConfigChunkAsk,
+    ConfigChunks,
+    ConfigHead,
+    ConfigUpdate,
+    ErrorCode,
+    RefusalError,
+    Refused,
+    VanillashoreError,
+    decode,
+)
+
+RETRY_PAUSE_S = 0.2
+CATCH_UP_PAUSE_S = 0.1
+PEERS_TRIED = 3
+CHUNKS_PER_ASK = 48
+LONGEST_WAIT_S = 30.0
+CUT_OFF_RETRY_S = 2.0
+_FAILURES = (VanillashoreError, ValueError)
+
+
+class ConfigFollowing:
+    """Follows the configuration and hands each newer one to the directory.
+
+    A relay watches the head in the store. Any other process asks a relay of its data centre with a
+    waiting ask, then any peer, then the store. ``clock`` gives monotonic seconds.
+    """
+
+    def __init__(
+        self,
+        cfg: NodeSettings,
+        store: KeyValueStore,
+        hub: LinkHub,
+        directory: Directory,
+        tasks: TaskGroup,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self.replica = ConfigReplica()
+        self._cfg = cfg
+        self._store = store
+        self._config_store = ConfigStore(store)
+        self._hub = hub
+        self._directory = directory
+        self._tasks = tasks
+        self._clock = clock
+        self._contact_at = clock()
+        self._installing = asyncio.Lock()
+        self._changed = asyncio.Event()
+        self._catching_up = False
+        hub.on(ConfigAsk, self._answer_ask)
+        hub.on(ConfigChunkAsk, self._answer_chunk_ask)
+        hub.on_revision(self._note_revision)
+
+    @property
+    def is_relay(self) -> bool:
+        """Whether this process follows the store itself."""
+        relays = self._relays()
+        return not relays or any(vm.name == self._cfg.node.name for vm in relays)
+
+    def check_contact(self) -> None:
+        """Raise RefusalError if neither the store nor any peer was reached for too long.
+
+        Contact counts from when it was sought, so a process that was frozen has lost it.
+        """
+        silent_s = self._clock() - self._contact_at
+        if silent_s > self._cfg.timing.cut_off_s:
+            text = f"neither the store nor any peer was reached for {silent_s:.0f} s"
+            raise RefusalError(Refused(ErrorCode.CUT_OFF, text, retry_after_s=CUT_OFF_RETRY_S))
+
+    async def catch_up(self, address: str) -> None:
+        """Take whatever newer configuration the peer at ``address`` has.
+
+        Raises RefusalError if it cannot be reached.
+        """
+        await self._ask(address, 0.0)
+
+    async def run(self) -> None:
+        """Follow until cancelled."""
+        while True:
+            try:
+                if self.is_relay:
+                    await self._follow_store()
+                else:
+                    await self._follow_peers()
+            except _FAILURES as exc:
+                log.bind(error=str(exc)).warning("following the configuration was interrupted")
+                await asyncio.sleep(RETRY_PAUSE_S)
+
+    async def _follow_store(self) -> None:
+        """Watch the head, and read it now and then in case the watch is silently dead."""
+        version = await self._read_store()
+        watch = self._tasks.start(self._watch(version), "configuration watch")
+        try:
+            while self.is_relay and not watch.done():
+                await asyncio.wait([watch], timeout=self._cfg.timing.config_probe_s)
+                await self._read_store()
+        finally:
+            watch.cancel()
+
+    async def _watch(self, version: int) -> None:
+        try:
+            async for value in self._store.watch(HEAD_KEY, version):
+                await self._take_from_store(decode(value.value, ConfigHead))
+        except _FAILURES as exc:
+            log.bind(error=str(exc)).info("the watch on the configuration ended")
+
+    async def _read_store(self) -> int:
+        """Read the head; from a peer if the store is away. Return the head's store version."""
+        asked_at = self._clock()
+        try:
+            stored = await self._store.get(HEAD_KEY)
+        except StoreUnavailableError:
+            await self._ask_any_peer()
+            raise
+        self._note_contact(asked_at)
+        if stored is None:
+            return 0
+        await self._take_from_store(decode(stored.value, ConfigHead))
+        return stored.version
+
+    async def _take_from_store(self, head: ConfigHead) -> None:
+        async with self._installing:
+            while self.replica.is_news(head) and (missing := self.replica.missing(head)):
+                self.replica.stage(await self._config_store.read_chunks(missing))
+            self._install(head)
+
+    async def _follow_peers(self) -> None:
+        """Wait at one relay after the other; if none answers, try any peer, then the store."""
+        for relay in ranked_for(self._cfg.node.name, self._relays()):
+            try:
+                await self._ask(relay.address, self._cfg.timing.config_wait_s)
+            except _FAILURES as exc:
+                log.bind(relay=relay.name, error=str(exc)).info("a relay does not answer")
+            else:
+                return
+        await self._read_store()
+        await asyncio.sleep(RETRY_PAUSE_S)
+
+    async def _ask_any_peer(self) -> None:
+        peers = [vm for vm in self._live_vms() if vm.name != self._cfg.node.name]
+        for peer in random.sample(peers, min(PEERS_TRIED, len(peers))):
+            try:
+                await self._ask(peer.address, 0.0)
+            except _FAILURES as exc:
+                log.bind(peer=peer.name, error=str(exc)).info("a peer does not answer")
+            else:
+                return
+
+    async def _ask(self, address: str, wait_s: float) -> None:
+        asked_at = self._clock()
+        timeout_s = wait_s + self._cfg.timing.ask_timeout_s
+        ask = ConfigAsk(self.replica.revision, wait_s)
+        update = await self._hub.ask(address, ask, timeout_s)
+        self._note_contact(asked_at)
+        if update.head is not None:
+            await self._take_from_peer(address, update, update.head)
+
+    async def _take_from_peer(self, address: str, update: ConfigUpdate, head: ConfigHead) -> None:
+        async with self._installing:
+            if not self.replica.is_news(head):
+                return
+            missing = self.replica.take_update(update)
+            while missing:
+                ask = ConfigChunkAsk(missing[:CHUNKS_PER_ASK])
+                answer = await self._hub.ask(address, ask, self._cfg.timing.ask_timeout_s)
+                for chunk in answer.chunks:
+                    self.replica.take_chunk(chunk)
+                still_missing = self.replica.missing(head)
+                if still_missing == missing:
+                    raise VanillashoreError(ErrorCode.CONFIG_INVALID, "the peer lacks chunks")
+                missing = still_missing
+            self._install(head)
+
+    def _install(self, head: ConfigHead) -> None:
+        snapshot = self.replica.install(head)
+        if snapshot is None:
+            return
+        self._directory.take_snapshot(snapshot)
+        log.bind(revision=head.revision).info("a configuration is in force")
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def _answer_ask(self, ask: ConfigAsk, sender: str) -> ConfigUpdate:
+        wait_s = min(ask.wait_s, LONGEST_WAIT_S)
+        if wait_s and self.replica.revision <= ask.revision:
+            try:
+                async with asyncio.timeout(wait_s):
+                    await self._changed.wait()
+            except TimeoutError:
+                pass
+        return self.replica.update_since(ask.revision)
+
+    async def _answer_chunk_ask(self, ask: ConfigChunkAsk, sender: str) -> ConfigChunks:
+        return ConfigChunks(self.replica.chunks_for(ask.names))
+
+    def _note_revision(self, revision: int, sender: str) -> None:
+        if revision <= self.replica.revision or self._catching_up:
+            return
+        self._catching_up = True
+        self._tasks.start(self._catch_up_with(revision, sender), "configuration catch-up")
+
+    async def _catch_up_with(self, revision: int, sender: str) -> None:
+        """Fetch what a message of ``sender`` told of, unless it arrives by itself meanwhile."""
+        try:
+            await asyncio.sleep(CATCH_UP_PAUSE_S)
+            vm = next((vm for vm in self._live_vms() if vm.name == sender), None)
+            if vm is not None and revision > self.replica.revision:
+                await self._ask(vm.address, 0.0)
+        except _FAILURES as exc:
+            log.bind(peer=sender, error=str(exc)).info("catching up from a peer failed")
+        finally:
+            self._catching_up = False
+
+    def _note_contact(self, at: float) -> None:
+        self._contact_at = max(self._contact_at, at)
+
+    def _relays(self) -> list[VmEntry]:
+        return relays_of(self._directory.vms, self._cfg.node.data_centre)
+
+    def _live_vms(self) -> list[VmEntry]:
+        return [vm for vm in self._directory.vms if vm.state is VmState.LIVE]
--- /dev/null
+++ b/packages/vanillashore-node/src/vanillashore_node/_config_revision.py
@@ -0,0 +1,76 @@
+"""Revisions on orders: side processes refuse older ones, and entries catch up and try again."""
+
+from collections.abc import AsyncIterator
+from contextvars import ContextVar
+from typing import Any, TypeVar
+
+import attrs
+from aiohttp import web
+
+from vanillashore_node._back_ends import REVISION_HEADER, BackEnds
+from vanillashore_node._core import NodeCore
+from vanillashore_wire import DecodeOrder, ErrorCode, Frame, RefusalError, Refused
+
+T = TypeVar("T")
+
+REQUEST_KEY_HASH: ContextVar[str] = ContextVar("REQUEST_KEY_HASH", default="")
+
+
+def refuse_stale(request: web.Request, revision: int) -> None:
+    """Raise RefusalError if an order comes from a process behind ``revision``.
+
+    An order without a revision is refused too.
+    """
+    given = request.headers.get(REVISION_HEADER, "")
+    if not given.isdecimal() or int(given) < revision:
+        text = f"the order is of revision {given or 'none'}, and {revision} is in force here"
+        raise RefusalError(Refused(ErrorCode.REVISION_STALE, text))
+
+
+class CurrentBackEnds(BackEnds):
+    """Back ends whose orders are sent again, once, after the entry was behind and caught up.
+
+    The caller's key is checked against the newer configuration before a first attempt goes out
+    again; an answer that was already begun is finished.
+    """
+
+    def __init__(self, core: NodeCore) -> None:
+        super().__init__(core.session, core.cfg)
+        self._core = core
+
+    async def decode(self, address: str, order: DecodeOrder) -> AsyncIterator[list[Frame]]:
+        """Stream the frames of an answer, as they come in."""
+        try:
+            async for frames in super().decode(address, order):
+                yield frames
+            return
+        except RefusalError as exc:
+            if exc.code is not ErrorCode.REVISION_STALE:
+                raise
+        async for frames in super().decode(address, await self._renewed(address, order)):
+            yield frames
+
+    async def _ask(self, url: str, order: Any, deadline_s: float, cls: type[T]) -> T:
+        try:
+            return await super()._ask(url, order, deadline_s, cls)
+        except RefusalError as exc:
+            if exc.code is not ErrorCode.REVISION_STALE:
+                raise
+        address = url.partition("/internal/")[0]
+        return await super()._ask(url, await self._renewed(address, order), deadline_s, cls)
+
+    async def _renewed(self, address: str, order: Any) -> Any:
+        await self._core.following.catch_up(address)
+        self._core.decisions.note(order.request_id, "configuration", "caught up with an endpoint")
+        if order.attempt == 1:
+            self._check_key(order.workspace)
+        return attrs.evolve(order, revision=self._core.directory.revision)
+
+    def _check_key(self, workspace: str) -> None:
+        """Raise RefusalError if the key that the request came with was withdrawn."""
+        key_hash = REQUEST_KEY_HASH.get()
+        if not key_hash:
+            return
+        found = self._core.directory.workspace_of_key(key_hash)
+        if found is None or found.name != workspace:
+            raise RefusalError(Refused(ErrorCode.KEY_INVALID, "the key was withdrawn"))
--- a/packages/vanillashore-node/src/vanillashore_node/_core.py
+++ b/packages/vanillashore-node/src/vanillashore_node/_core.py
@@ -8,6 +8,7 @@
 import attrs
 from aiohttp import web
 
+from vanillashore_node._config_following import ConfigFollowing
 from vanillashore_node._decisions import DecisionLog
 from vanillashore_node._directory import Directory
 from vanillashore_node._faces import json_response, require_fleet_secret
@@ -15,7 +16,6 @@
 from vanillashore_node._link import LINK_PATH, LinkHub
 from vanillashore_node._tasks import TaskGroup
 from vanillashore_platform import (
-    ConfigFollower,
     EtcdStore,
     HttpVmList,
     KeyValueStore,
@@ -52,6 +52,7 @@
         self.session: aiohttp.ClientSession
         self.store: KeyValueStore
         self.hub: LinkHub
+        self.following: ConfigFollowing
         self._runner: web.AppRunner
 
     async def open(self) -> None:
@@ -61,6 +62,7 @@
         platform = self.cfg.platform
         self.store = EtcdStore(self.session, platform.store_address, platform.store_timeout_s)
         self.hub = LinkHub(self.session, self.cfg, lambda: self.directory.revision)
+        self.following = ConfigFollowing(self.cfg, self.store, self.hub, self.directory, self.tasks)
 
     async def start(self, app: web.Application, fallback: WebHandler | None = None) -> None:
         """Listen and follow the platform; ``fallback`` serves every path that ``app`` lacks."""
@@ -80,8 +82,7 @@
         )
         await self._runner.setup()
         await web.TCPSite(self._runner, self.cfg.node.host, self.cfg.node.port).start()
-        follower = ConfigFollower(self.store, self.directory.take_snapshot)
-        self.tasks.start(follower.run(), "configuration follower")
+        self.tasks.start(self.following.run(), "configuration following")
         platform = self.cfg.platform
         vm_list = HttpVmList(self.session, platform.vm_list_address, platform.store_timeout_s)
         vms = VmListFollower(vm_list, platform.vm_list_poll_s, self.directory.take_vms)
--- a/packages/vanillashore-node/src/vanillashore_node/_entry.py
+++ b/packages/vanillashore-node/src/vanillashore_node/_entry.py
@@ -5,10 +5,10 @@
 from aiohttp import web
 
 from vanillashore_node._admission import LocalAdmission
-from vanillashore_node._back_ends import BackEnds
 from vanillashore_node._callers import CallerGuard
 from vanillashore_node._calls import Calls
 from vanillashore_node._completions import Completions
+from vanillashore_node._config_revision import CurrentBackEnds
 from vanillashore_node._core import NodeCore
 from vanillashore_node._faces import json_response, require_fleet_secret
 from vanillashore_node._generation import Generation, GenerationRequest, Placer
@@ -37,7 +37,7 @@
         await core.open()
         rng = random.Random()
         loads = SeenLoads()
-        self._back_ends = BackEnds(core.session, self._cfg)
+        self._back_ends = CurrentBackEnds(core)
         self._placer = Placer(core, Chooser(loads, rng), loads)
         admission = LocalAdmission()
         completions = Completions(core, admission, self._new_generation)
--- a/packages/vanillashore-node/src/vanillashore_node/_side.py
+++ b/packages/vanillashore-node/src/vanillashore_node/_side.py
@@ -4,6 +4,7 @@
 
 from aiohttp import web
 
+from vanillashore_node._config_revision import refuse_stale
 from vanillashore_node._core import NodeCore
 from vanillashore_node._engine import HttpEngine
 from vanillashore_node._faces import json_response, refusal_response, require_fleet_secret
@@ -74,6 +75,8 @@
             if self.core.state.refusing:
                 text = "the endpoint is leaving"
                 raise RefusalError(Refused(ErrorCode.SHUTTING_DOWN, text))
+            self.core.following.check_contact()
+            refuse_stale(request, self.core.directory.revision)
             return await self._run_work(request, handler)
         except RefusalError as exc:
             return refusal_response(exc.refused)
--- a/packages/vanillashore-platform/src/vanillashore_platform/__init__.py
+++ b/packages/vanillashore-platform/src/vanillashore_platform/__init__.py
@@ -1,13 +1,15 @@
 """Clients of the platform's key-value service and VM list, and followers of what they hold."""
 
+from vanillashore_platform._config_replica import ConfigReplica
 from vanillashore_platform._config_store import (
+    CHUNK_PREFIX,
     HEAD_KEY,
-    ConfigHead,
     ConfigSnapshot,
     ConfigStore,
+    ConflictError,
 )
 from vanillashore_platform._etcd import EtcdStore
-from vanillashore_platform._follower import ConfigFollower, VmListFollower
+from vanillashore_platform._follower import VmListFollower
 from vanillashore_platform._store import (
     CasResult,
     KeyValueStore,
@@ -17,12 +19,13 @@
 from vanillashore_platform._vm_list import HttpVmList, VmEntry, VmList, VmState
 
 __all__ = [
+    "CHUNK_PREFIX",
     "HEAD_KEY",
     "CasResult",
-    "ConfigFollower",
-    "ConfigHead",
+    "ConfigReplica",
     "ConfigSnapshot",
     "ConfigStore",
+    "ConflictError",
     "EtcdStore",
     "HttpVmList",
     "KeyValueStore",
--- a/packages/vanillashore-platform/src/vanillashore_platform/_config_store.py
+++ b/packages/vanillashore-platform/src/vanillashore_platform/_config_store.py
@@ -1,28 +1,45 @@
 """The configuration in the platform's store: immutable chunks and one small head."""
 
-import hashlib
+import asyncio
 import secrets
+from collections.abc import Iterable
 
 import attrs
 
-from vanillashore_platform._store import KeyValueStore, StoreUnavailableError
+from vanillashore_platform._config_chunks import (
+    ChunkSet,
+    check_chunk,
+    current_chunk_count,
+    join,
+    names_of_index,
+    pack,
+    read_part,
+    split,
+    unpack,
+    workspace_chunk_count,
+)
+from vanillashore_platform._store import (
+    CasResult,
+    KeyValueStore,
+    StoredValue,
+    StoreUnavailableError,
+)
 from vanillashore_schema import Configuration
-from vanillashore_wire import ErrorCode, VanillashoreError, decode, encode
+from vanillashore_wire import (
+    ConfigHead,
+    EarlierHead,
+    ErrorCode,
+    VanillashoreError,
+    decode,
+    encode,
+)
 
 HEAD_KEY = "vanillashore/config/head"
 CHUNK_PREFIX = "vanillashore/config/chunk/"
-
-
-@attrs.frozen
-class ConfigHead:
-    """The small value that makes a configuration current.
-
-    ``apply_id`` lets a writer whose answer was lost find out whether its write won.
-    """
-
-    revision: int
-    chunks: tuple[str, ...]
-    apply_id: str
+EARLIER_HEADS = 4
+CHUNK_CALLS_AT_ONCE = 8
+SETTLE_TRIES = 20
+SETTLE_PAUSE_S = 0.5
 
 
 @attrs.frozen
@@ -33,58 +50,152 @@
     configuration: Configuration
 
 
+class ConflictError(VanillashoreError):
+    """Another apply was faster; ``base`` and ``current`` tell what it changed.
+
+    ``base`` is ``None`` if the base revision is too old to be known.
+    """
+
+    def __init__(self, text: str, base: Configuration | None, current: ConfigSnapshot) -> None:
+        super().__init__(ErrorCode.REVISION_CONFLICT, text)
+        self.base = base
+        self.current = current
+
+
 class ConfigStore:
-    """Reads and applies configurations, each as a whole."""
+    """Reads and applies configurations, each as a whole.
+
+    ``settle_pause_s`` lies between the tries to settle a write whose answer was lost.
+    """
 
-    def __init__(self, store: KeyValueStore) -> None:
+    def __init__(self, store: KeyValueStore, settle_pause_s: float = SETTLE_PAUSE_S) -> None:
         self._store = store
+        self._settle_pause_s = settle_pause_s
 
     async def read_head(self) -> ConfigHead | None:
         """Return the current head, or ``None`` before the first apply."""
-        stored = await self._store.get(HEAD_KEY)
-        return decode(stored.value, ConfigHead) if stored else None
+        return _head(await self._store.get(HEAD_KEY))
 
     async def read(self, head: ConfigHead) -> ConfigSnapshot:
-        """Fetch the chunks of ``head`` and check each against its name.
+        """Fetch the configuration of ``head``; raise VanillashoreError if a chunk is damaged."""
+        return ConfigSnapshot(head.revision, await self._read_index(head.index))
 
-        Raises VanillashoreError if a chunk is absent or damaged.
-        """
-        parts = []
-        for name in head.chunks:
-            stored = await self._store.get(CHUNK_PREFIX + name)
-            if stored is None or hashlib.sha256(stored.value).hexdigest() != name:
-                raise VanillashoreError(ErrorCode.CONFIG_INVALID, f"chunk {name} is damaged")
-            parts.append(stored.value)
-        return ConfigSnapshot(head.revision, decode(b"".join(parts), Configuration))
+    async def read_current(self) -> ConfigSnapshot:
+        """Fetch the current configuration; it is empty at revision 0 before the first apply."""
+        head = await self.read_head()
+        return await self.read(head) if head else ConfigSnapshot(0, Configuration())
+
+    async def read_chunks(self, names: Iterable[str]) -> dict[str, bytes]:
+        """Fetch chunks and check each against its name; raise VanillashoreError if one is bad."""
+        limit = asyncio.Semaphore(CHUNK_CALLS_AT_ONCE)
+
+        async def fetch(name: str) -> tuple[str, bytes]:
+            async with limit:
+                return name, await self._read_chunk(name)
+
+        return dict(await asyncio.gather(*(fetch(name) for name in names)))
 
     async def apply(self, config: Configuration, base_revision: int) -> ConfigHead:
         """Make ``config`` current if the current revision is still ``base_revision``.
 
-        Raises VanillashoreError (revision_conflict) if another operator was faster.
+        Raises ConflictError if another apply was faster, StoreUnavailableError if the store failed
+        before anything was changed, and VanillashoreError (outcome_unknown) if the store fails for
+        so long that it cannot be told whether the change was accepted.
         """
         stored = await self._store.get(HEAD_KEY)
-        current = decode(stored.value, ConfigHead) if stored else None
+        current = _head(stored)
         if (current.revision if current else 0) != base_revision:
-            raise _conflict(current, base_revision)
-        data = encode(config)
-        name = hashlib.sha256(data).hexdigest()
-        await self._store.compare_and_swap(CHUNK_PREFIX + name, 0, data)
-        head = ConfigHead(base_revision + 1, (name,), secrets.token_hex(16))
+            raise await self._conflict(current, base_revision)
+        names = await self._names(current.index) if current else ()
+        count = workspace_chunk_count(len(config.workspace), current_chunk_count(names))
+        chunk_set = split(config, count)
+        await self._write_chunks(chunk_set, names)
+        head = _next_head(current, chunk_set.index)
         version = stored.version if stored else 0
         if not await self._swap_head(version, head):
-            raise _conflict(await self.read_head(), base_revision)
+            raise await self._conflict(await self.read_head(), base_revision)
         return head
 
-    async def _swap_head(self, version: int, head: ConfigHead) -> bool:
+    async def _read_index(self, index: str) -> Configuration:
+        names = await self._names(index)
+        chunks = await self.read_chunks(names)
+        return join(read_part(chunks[name]) for name in names)
+
+    async def _names(self, index: str) -> tuple[str, ...]:
+        return names_of_index(await self._read_chunk(index))
+
+    async def _read_chunk(self, name: str) -> bytes:
+        stored = await self._store.get(CHUNK_PREFIX + name)
+        if stored is None:
+            raise VanillashoreError(ErrorCode.CONFIG_INVALID, f"chunk {name} is missing")
         try:
-            result = await self._store.compare_and_swap(HEAD_KEY, version, encode(head))
-        except StoreUnavailableError:
-            current = await self.read_head()
-            return current is not None and current.apply_id == head.apply_id
-        return result.applied
+            data = unpack(stored.value)
+        except ValueError as exc:
+            raise VanillashoreError(ErrorCode.CONFIG_INVALID, f"chunk {name}: {exc}") from exc
+        check_chunk(name, data)
+        return data
+
+    async def _write_chunks(self, chunk_set: ChunkSet, present: Iterable[str]) -> None:
+        """Write what is not there yet; a chunk is invisible until a head leads to it."""
+        limit = asyncio.Semaphore(CHUNK_CALLS_AT_ONCE)
+
+        async def write(name: str) -> None:
+            async with limit:
+                data = pack(chunk_set.chunks[name])
+                await self._store.compare_and_swap(CHUNK_PREFIX + name, 0, data)
 
+        await asyncio.gather(*(write(name) for name in set(chunk_set.chunks) - set(present)))
 
-def _conflict(current: ConfigHead | None, base_revision: int) -> VanillashoreError:
-    revision = current.revision if current else 0
-    text = f"planned from revision {base_revision}, but the current one is {revision}"
-    return VanillashoreError(ErrorCode.REVISION_CONFLICT, text)
+    async def _swap_head(self, version: int, head: ConfigHead) -> bool:
+        """Swap the head; after a lost answer repeat the same swap until one is answered.
+
+        An answered swap settles the lost ones too: the head's version has passed ``version``.
+        """
+        unclear = False
+        for _ in range(SETTLE_TRIES):
+            try:
+                result = await self._store.compare_and_swap(HEAD_KEY, version, encode(head))
+            except StoreUnavailableError:
+                unclear = True
+                await asyncio.sleep(self._settle_pause_s)
+                continue
+            return result.applied or (unclear and _was_accepted(result, head.apply_id))
+        text = (
+            f"the store did not answer: apply {head.apply_id} may or may not be accepted; "
+            "see `vanillashore show` when the store is back"
+        )
+        raise VanillashoreError(ErrorCode.OUTCOME_UNKNOWN, text)
+
+    async def _conflict(self, current: ConfigHead | None, base_revision: int) -> ConflictError:
+        revision = current.revision if current else 0
+        text = f"planned from revision {base_revision}, but the current one is {revision}"
+        if current is None:
+            return ConflictError(text, None, ConfigSnapshot(0, Configuration()))
+        base = None
+        age = current.revision - base_revision
+        if base_revision == 0:
+            base = Configuration()
+        elif 0 < age <= len(current.earlier):
+            base = await self._read_index(current.earlier[age - 1].index)
+        return ConflictError(text, base, await self.read(current))
+
+
+def _head(stored: StoredValue | None) -> ConfigHead | None:
+    return decode(stored.value, ConfigHead) if stored else None
+
+
+def _next_head(current: ConfigHead | None, index: str) -> ConfigHead:
+    apply_id = secrets.token_hex(8)
+    if current is None:
+        return ConfigHead(1, index, apply_id)
+    last = EarlierHead(current.index, current.apply_id)
+    return ConfigHead(
+        current.revision + 1, index, apply_id, (last, *current.earlier)[:EARLIER_HEADS]
+    )
+
+
+def _was_accepted(result: CasResult, apply_id: str) -> bool:
+    head = _head(result.current)
+    if head is None:
+        return False
+    return apply_id in (head.apply_id, *(earlier.apply_id for earlier in head.earlier))
--- a/packages/vanillashore-schema/src/vanillashore_schema/_configuration.py
+++ b/packages/vanillashore-schema/src/vanillashore_schema/_configuration.py
@@ -107,6 +107,14 @@
     service: str = option(default="")
 
 
+@attrs.frozen
+class QuarantineConfig:
+    """A request that is not run again, by the fingerprint that its refusal showed."""
+
+    fingerprint: str = option(not_empty)
+    reason: str = option(default="")
+
+
 @attrs.frozen
 class Configuration:
     """Everything that operators declare, applied as a whole."""
@@ -116,6 +124,7 @@
     service: tuple[ServiceConfig, ...] = option(default=())
     route: tuple[RouteConfig, ...] = option(default=())
     endpoint: tuple[EndpointConfig, ...] = option(default=())
+    quarantine: tuple[QuarantineConfig, ...] = option(default=())
 
 
 def load_configuration(path: Path) -> tuple[Configuration, tuple[Finding, ...]]:
@@ -151,6 +160,8 @@
     _check_unique(reader, "model", [m.name for m in config.model], "name")
     _check_unique(reader, "service", [s.name for s in config.service], "name")
     _check_unique(reader, "endpoint", [e.vm for e in config.endpoint], "vm")
+    fingerprints = [q.fingerprint for q in config.quarantine]
+    _check_unique(reader, "quarantine", fingerprints, "fingerprint")
     hashes = [
         (f"workspace[{i}].key[{j}].sha256", key.sha256)
         for i, workspace in enumerate(config.workspace)
--- a/packages/vanillashore-schema/src/vanillashore_schema/_settings.py
+++ b/packages/vanillashore-schema/src/vanillashore_schema/_settings.py
@@ -102,6 +102,9 @@
     hold_renewal_s: float = option(positive, default=2.0)
     link_idle_s: float = option(positive, default=60.0)
     ask_timeout_s: float = option(positive, default=2.0)
+    config_wait_s: float = option(positive, default=2.0)
+    config_probe_s: float = option(positive, default=2.0)
+    cut_off_s: float = option(positive, default=6.0)
     link_coalesce_ms: float = option(at_least_zero, default=2.0)
 
 
--- a/packages/vanillashore-wire/src/vanillashore_wire/__init__.py
+++ b/packages/vanillashore-wire/src/vanillashore_wire/__init__.py
@@ -14,6 +14,15 @@
     structure,
     unstructure,
 )
+from vanillashore_wire._config_messages import (
+    ChunkData,
+    ConfigAsk,
+    ConfigChunkAsk,
+    ConfigChunks,
+    ConfigHead,
+    ConfigUpdate,
+    EarlierHead,
+)
 from vanillashore_wire._errors import (
     ErrorCode,
     Ran,
@@ -47,7 +56,14 @@
     "Batch",
     "CallDone",
     "CallOrder",
+    "ChunkData",
+    "ConfigAsk",
+    "ConfigChunkAsk",
+    "ConfigChunks",
+    "ConfigHead",
+    "ConfigUpdate",
     "DecodeOrder",
+    "EarlierHead",
     "Envelope",
     "ErrorCode",
     "Frame",
--- a/packages/vanillashore-wire/src/vanillashore_wire/_errors.py
+++ b/packages/vanillashore-wire/src/vanillashore_wire/_errors.py
@@ -58,6 +58,7 @@
     OVERLOADED = ("overloaded", 503)
     NO_ENDPOINT = ("no_endpoint", 503)
     NOT_CONFIGURED = ("not_configured", 503)
+    CUT_OFF = ("cut_off", 503)
     REVISION_STALE = ("revision_stale", 503)
     SHUTTING_DOWN = ("shutting_down", 503)
     STORE_UNAVAILABLE = ("store_unavailable", 503)
