--- a/packages/vanillashore-node/src/vanillashore_node/_generation.py
+++ b/packages/vanillashore-node/src/vanillashore_node/_generation.py
@@ -30,7 +30,7 @@
 
 
 class Generation:
-    """Produces one answer; `run` yields texts in order, each token exactly once."""
+    """Produces one answer; `run` yields runs of tokens in order, each token exactly once."""
 
     def __init__(
         self,
@@ -49,15 +49,15 @@
         self._was_dispatched = False
         self.assembly = Assembly(req.request_id)
 
-    async def run(self) -> AsyncIterator[str]:
-        """Yield the answer's tokens; raise RefusalError if it cannot be finished."""
+    async def run(self) -> AsyncIterator[list[str]]:
+        """Yield the tokens that came in together; raise RefusalError if the answer breaks off."""
         self._budget.earn()
         for attempt in range(1, MAX_ATTEMPTS + 1):
             self.assembly.begin_attempt(attempt)
             try:
-                async with aclosing(self._attempt(attempt)) as texts:
-                    async for text in texts:
-                        yield text
+                async with aclosing(self._attempt(attempt)) as runs:
+                    async for texts in runs:
+                        yield texts
                 return
             except RefusalError as exc:
                 refused = exc.refused
@@ -75,7 +75,7 @@
             raise RefusalError(given_up(refused, self._was_dispatched))
         await asyncio.sleep(pause_s)
 
-    async def _attempt(self, attempt: int) -> AsyncIterator[str]:
+    async def _attempt(self, attempt: int) -> AsyncIterator[list[str]]:
         place = await self._placer.decode_place(self._req, attempt)
         self._note(attempt, "decode place", place.endpoint.vm)
         try:
@@ -84,30 +84,32 @@
             self._placer.give_up(place, self._req, attempt)
             raise
         order = self._decode_order(attempt, place, done)
-        async with aclosing(self._frames(place, order)) as frames:
-            async for frame in frames:
-                if frame.kind is FrameKind.FAILED and frame.refused is not None:
-                    raise RefusalError(frame.refused)
-                text = self._accept(frame)
-                if text:
-                    yield text
-        if not self.assembly.is_complete:
-            raise _broken("the decode stream ended early")
+        async with aclosing(self._batches(place, order)) as batches:
+            async for frames in batches:
+                position = self.assembly.next_sequence
+                failure = self._accept(frames)
+                texts = self.assembly.tokens_from(position)
+                if texts:
+                    yield texts
+                if failure is not None:
+                    raise failure
+                if self.assembly.is_complete:
+                    return
+        raise _broken("the decode stream ended early")
 
-    async def _frames(self, place: Place, order: DecodeOrder) -> AsyncIterator[Frame]:
-        """Yield the frames of a stream that must not pause for long."""
+    async def _batches(self, place: Place, order: DecodeOrder) -> AsyncIterator[list[Frame]]:
+        """Yield the frames of a stream, which must not pause for long."""
         wait_s = self._core.cfg.timing.frame_wait_s
         async with aclosing(self._back_ends.decode(place.endpoint.address, order)) as batches:
             while True:
                 try:
                     async with asyncio.timeout(wait_s):
-                        batch = await anext(batches, None)
+                        frames = await anext(batches, None)
                 except TimeoutError as exc:
                     raise _broken(f"no frame within {wait_s:g} s") from exc
-                if batch is None:
+                if frames is None:
                     return
-                for frame in batch:
-                    yield frame
+                yield frames
 
     async def _prefill(self, attempt: int) -> PrefillDone:
         place = await self._placer.prefill_place(self._req, attempt)
@@ -144,11 +146,16 @@
             self._req.sampling,
         )
 
-    def _accept(self, frame: Frame) -> str:
+    def _accept(self, frames: list[Frame]) -> RefusalError | None:
+        """Take frames until one ends the attempt, and return why it did; ``None`` if none did."""
         try:
-            return self.assembly.accept(frame)
+            for frame in frames:
+                if frame.kind is FrameKind.FAILED and frame.refused is not None:
+                    return RefusalError(frame.refused)
+                self.assembly.accept(frame)
         except ValueError as exc:
-            raise _broken(str(exc)) from exc
+            return _broken(str(exc))
+        return None
 
     def _note(self, attempt: int, step: str, text: str) -> None:
         self._core.decisions.note(self._req.request_id, step, f"attempt {attempt}: {text}")
--- a/packages/vanillashore-platform/src/vanillashore_platform/__init__.py
+++ b/packages/vanillashore-platform/src/vanillashore_platform/__init__.py
@@ -1,14 +1,16 @@
 """Clients of the platform's key-value service and VM list, and followers of what they hold."""
 
 from vanillashore_platform._claim_store import ClaimStore, RetentionLease, StoredClaim
+from vanillashore_platform._config_replica import ConfigReplica
 from vanillashore_platform._config_store import (
+    CHUNK_PREFIX,
     HEAD_KEY,
-    ConfigHead,
     ConfigSnapshot,
     ConfigStore,
+    ConflictError,
 )
 from vanillashore_platform._etcd import EtcdStore
-from vanillashore_platform._follower import ConfigFollower, VmListFollower
+from vanillashore_platform._follower import VmListFollower
 from vanillashore_platform._store import (
     CasResult,
     KeyValueStore,
@@ -18,13 +20,14 @@
 from vanillashore_platform._vm_list import HttpVmList, VmEntry, VmList, VmState
 
 __all__ = [
+    "CHUNK_PREFIX",
     "HEAD_KEY",
     "CasResult",
     "ClaimStore",
-    "ConfigFollower",
-    "ConfigHead",
+    "ConfigReplica",
     "ConfigSnapshot",
     "ConfigStore",
+    "ConflictError",
     "EtcdStore",
     "HttpVmList",
     "KeyValueStore",
