--- a/packages/vanillashore-node/src/vanillashore_node/_generation.py
+++ b/packages/vanillashore-node/src/vanillashore_node/_generation.py
@@ -98,18 +98,18 @@
         raise _broken("the decode stream ended early")
 
     async def _batches(self, place: Place, order: DecodeOrder) -> AsyncIterator[list[Frame]]:
-        """Yield the frames of a stream, which must not pause for long."""
+        """Yield the frames of a stream as they come in; it must not pause for long."""
         wait_s = self._core.cfg.timing.frame_wait_s
         async with aclosing(self._back_ends.decode(place.endpoint.address, order)) as batches:
             while True:
                 try:
                     async with asyncio.timeout(wait_s):
-                        frames = await anext(batches, None)
+                        batch = await anext(batches, None)
                 except TimeoutError as exc:
                     raise _broken(f"no frame within {wait_s:g} s") from exc
-                if frames is None:
+                if batch is None:
                     return
-                yield frames
+                yield batch
 
     async def _prefill(self, attempt: int) -> PrefillDone:
         place = await self._placer.prefill_place(self._req, attempt)
