--- a/packages/vanillashore-node/src/vanillashore_node/_config_revision.py
+++ b/packages/vanillashore-node/src/vanillashore_node/_config_revision.py
@@ -63,14 +63,15 @@
         await self._core.following.catch_up(address)
         self._core.decisions.note(order.request_id, "configuration", "caught up with an endpoint")
         if order.attempt == 1:
-            self._check_key(order.workspace)
+            check_key(self._core, order.workspace)
         return attrs.evolve(order, revision=self._core.directory.revision)
 
-    def _check_key(self, workspace: str) -> None:
-        """Raise RefusalError if the key that the request came with was withdrawn."""
-        key_hash = REQUEST_KEY_HASH.get()
-        if not key_hash:
-            return
-        found = self._core.directory.workspace_of_key(key_hash)
-        if found is None or found.name != workspace:
-            raise RefusalError(Refused(ErrorCode.KEY_INVALID, "the key was withdrawn"))
+
+def check_key(core: NodeCore, workspace: str) -> None:
+    """Raise RefusalError if the key that the request came with was withdrawn."""
+    key_hash = REQUEST_KEY_HASH.get()
+    if not key_hash:
+        return
+    found = core.directory.workspace_of_key(key_hash)
+    if found is None or found.name != workspace:
+        raise RefusalError(Refused(ErrorCode.KEY_INVALID, "the key was withdrawn"))
--- a/packages/vanillashore-node/src/vanillashore_node/_generation.py
+++ b/packages/vanillashore-node/src/vanillashore_node/_generation.py
@@ -5,6 +5,7 @@
 from contextlib import aclosing
 
 from vanillashore_node._back_ends import BackEnds
+from vanillashore_node._config_revision import check_key
 from vanillashore_node._core import NodeCore
 from vanillashore_node._generation_request import GenerationRequest
 from vanillashore_node._placer import Place, Placer
@@ -113,6 +114,8 @@
 
     async def _prefill(self, attempt: int) -> PrefillDone:
         place = await self._placer.prefill_place(self._req, attempt)
+        if not self._was_dispatched:
+            check_key(self._core, self._req.workspace)
         self._note(attempt, "prefill place", place.endpoint.vm)
         order = PrefillOrder(
             self._req.request_id,
--- a/packages/vanillashore-standins/src/vanillashore_standins/__init__.py
+++ b/packages/vanillashore-standins/src/vanillashore_standins/__init__.py
@@ -5,6 +5,7 @@
     python -m vanillashore_standins engine --port 9001 --model baker
 """
 
+from vanillashore_standins._byte_tap import ByteTap
 from vanillashore_standins._engine_app import engine_app
 from vanillashore_standins._engine_state import EngineOptions, EngineState
 from vanillashore_standins._kv_app import KvFaults, kv_app
@@ -17,6 +18,7 @@
 from vanillashore_standins._weight_store_app import WeightStoreState, weight_store_app
 
 __all__ = [
+    "ByteTap",
     "EngineOptions",
     "EngineState",
     "KvFaults",
