Hold the callers' interface to a table of bad input

Refused now: options that change an answer and that nothing carries out (tools, n, logprobs and their like), sampling numbers out of range, other methods on the /v1 paths (405, was 404), headers over the limit as 431 with a code (the parser's 400 came first). A peer path asked without the fleet secret at an entry gave 500 and a trace; it gives 403. A completion is given up on at its deadline with an answer at once; streams end with an error event, and a reader that doesn't read is cut off. A request's own id is always new: two callers who sent the same X-Request-Id shared one id at side processes and engines; the header is echoed.

--- a/packages/vanillashore-node/src/vanillashore_node/_callers.py
+++ b/packages/vanillashore-node/src/vanillashore_node/_callers.py
@@ -14,12 +14,13 @@
 
 from vanillashore_node._call_dispatch import SettledRefusalError
 from vanillashore_node._core import NodeCore
-from vanillashore_node._faces import json_response
+from vanillashore_node._faces import json_response, refusal_response
 from vanillashore_node._openai import error_body
 from vanillashore_schema import WorkspaceConfig, hash_key
 from vanillashore_wire import ErrorCode, Ran, RefusalError, Refused
 
 REQUEST_ID = web.RequestKey("request_id", str)
+ECHOED_ID = web.RequestKey("echoed_id", str)
 REQUEST_ID_HEADER = "X-Request-Id"
 IDEMPOTENCY_HEADER = "Idempotency-Key"
 SHED_RETRY_S = 1.0
@@ -38,8 +39,8 @@
     async def guard(self, request: web.Request, handler: Any) -> web.StreamResponse:
         """Run a request and turn every failure into a refusal in the callers' shape."""
         if request.path.startswith(_INTERNAL_PATHS):
-            return await handler(request)
-        request[REQUEST_ID] = _request_id(request)
+            return await _answer_peer(request, handler)
+        self._name(request)
         started = time.monotonic()
         try:
             response = await self._run(request, handler)
@@ -54,10 +55,20 @@
             text = "an unexpected failure; see the logs for this request id"
             response = self._refuse(request, Refused(ErrorCode.INTERNAL, text, Ran.UNKNOWN))
         if not response.prepared:
-            response.headers[REQUEST_ID_HEADER] = request[REQUEST_ID]
+            response.headers[REQUEST_ID_HEADER] = request[ECHOED_ID]
         self._log(request, response.status, started)
         return response
 
+    def _name(self, request: web.Request) -> None:
+        """Give a request an id that no other has; a caller may send the same one twice."""
+        request_id = f"req-{secrets.token_hex(12)}"
+        given = request.headers.get(REQUEST_ID_HEADER, "")
+        is_usable = _REQUEST_ID_SHAPE.fullmatch(given) is not None
+        request[REQUEST_ID] = request_id
+        request[ECHOED_ID] = given if is_usable else request_id
+        if is_usable:
+            self._core.decisions.note(given, "request", f"runs as {request_id}")
+
     async def _run(self, request: web.Request, handler: Any) -> web.StreamResponse:
         state = self._core.state
         if state.refusing:
@@ -137,11 +148,11 @@
     return workspace
 
 
-def _request_id(request: web.Request) -> str:
-    given = request.headers.get(REQUEST_ID_HEADER, "")
-    if _REQUEST_ID_SHAPE.fullmatch(given):
-        return given
-    return f"req-{secrets.token_hex(12)}"
+async def _answer_peer(request: web.Request, handler: Any) -> web.StreamResponse:
+    try:
+        return await handler(request)
+    except RefusalError as exc:
+        return refusal_response(exc.refused)
 
 
 def _shed(code: ErrorCode, text: str) -> RefusalError:
--- a/packages/vanillashore-node/src/vanillashore_node/_completions.py
+++ b/packages/vanillashore-node/src/vanillashore_node/_completions.py
@@ -1,12 +1,15 @@
 """Handlers of ``/v1/completions``, ``/v1/chat/completions`` and ``/v1/models``."""
 
+import asyncio
 import time
-from collections.abc import Callable
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
 
 from aiohttp import web
 
 from vanillashore_node._admission import Admission, Admitted
 from vanillashore_node._callers import (
+    ECHOED_ID,
     REQUEST_ID,
     REQUEST_ID_HEADER,
     authenticate,
@@ -24,7 +27,7 @@
     parse_body,
 )
 from vanillashore_schema import LimitSettings, ModelConfig, WorkspaceConfig
-from vanillashore_wire import ErrorCode, RefusalError, Refused
+from vanillashore_wire import ErrorCode, Ran, RefusalError, Refused
 
 GenerationFactory = Callable[[GenerationRequest], Generation]
 
@@ -56,6 +59,11 @@
         ]
         return json_response({"object": "list", "data": models})
 
+    async def not_allowed(self, request: web.Request) -> web.Response:
+        """Refuse any other method on these paths."""
+        text = f"{request.method} is not allowed here"
+        raise RefusalError(Refused(ErrorCode.METHOD_NOT_ALLOWED, text))
+
     async def _serve(self, request: web.Request, is_chat: bool) -> web.StreamResponse:
         limits = self._core.cfg.limits
         workspace = authenticate(self._core, request)
@@ -76,8 +84,9 @@
     async def _whole(
         self, generation: Generation, shape: AnswerShape, req: GenerationRequest
     ) -> web.Response:
-        async for _ in generation.run():
-            pass
+        async with _deadline(req):
+            async for _ in generation.run():
+                pass
         answer = generation.assembly
         usage = Usage(req.prompt_tokens, answer.next_sequence)
         return json_response(shape.whole(answer.text, answer.finish_reason, usage))
@@ -91,21 +100,19 @@
         include_usage: bool,
     ) -> web.StreamResponse:
         runs = generation.run()
-        first = await anext(runs, [])
-        response = web.StreamResponse(
-            headers={
-                "Content-Type": "text/event-stream",
-                "Cache-Control": "no-cache",
-                REQUEST_ID_HEADER: req.request_id,
-            }
-        )
+        async with _deadline(req):
+            first = await anext(runs, [])
+        response = _event_stream(request)
         await response.prepare(request)
-        await response.write(shape.opening() + shape.chunks(first))
+        buffer_bytes = self._core.cfg.limits.write_buffer_bytes
+        request.transport.set_write_buffer_limits(buffer_bytes)
         try:
-            async for texts in runs:
-                await response.write(shape.chunks(texts))
+            async with _deadline(req):
+                await response.write(shape.opening() + shape.chunks(first))
+                async for texts in runs:
+                    await response.write(shape.chunks(texts))
         except RefusalError as exc:
-            await response.write(shape.error(exc.refused))
+            await _break_off(request, response, shape.error(exc.refused))
             return response
         answer = generation.assembly
         usage = Usage(req.prompt_tokens, answer.next_sequence) if include_usage else None
@@ -118,6 +125,34 @@
         self._admission.refund(admitted, unused)
 
 
+@asynccontextmanager
+async def _deadline(req: GenerationRequest) -> AsyncIterator[None]:
+    """Raise RefusalError as soon as the request's time is over."""
+    try:
+        async with asyncio.timeout(req.time_left_s):
+            yield
+    except TimeoutError as exc:
+        text = "the request did not finish within its time"
+        raise RefusalError(Refused(ErrorCode.DEADLINE_EXCEEDED, text, Ran.UNKNOWN)) from exc
+
+
+def _event_stream(request: web.Request) -> web.StreamResponse:
+    headers = {
+        "Content-Type": "text/event-stream",
+        "Cache-Control": "no-cache",
+        REQUEST_ID_HEADER: request[ECHOED_ID],
+    }
+    return web.StreamResponse(headers=headers)
+
+
+async def _break_off(request: web.Request, response: web.StreamResponse, error: bytes) -> None:
+    """End a stream that failed; a caller that does not read is cut off, or it would stay."""
+    if request.transport is not None and request.transport.get_write_buffer_size() > 0:
+        request.transport.abort()
+    else:
+        await response.write(error)
+
+
 def _generation_request(
     request_id: str,
     workspace: WorkspaceConfig,
--- a/packages/vanillashore-node/src/vanillashore_node/_core.py
+++ b/packages/vanillashore-node/src/vanillashore_node/_core.py
@@ -25,6 +25,7 @@
 from vanillashore_wire import unstructure
 
 DRAIN_POLL_S = 0.05
+PARSED_HEADERS = 4  # Times the limit that is still read, so that its refusal has a code.
 WebHandler = Callable[[web.Request], Awaitable[web.StreamResponse]]
 
 
@@ -75,8 +76,8 @@
             access_log=None,
             handler_cancellation=True,
             shutdown_timeout=1.0,
-            max_field_size=self.cfg.limits.header_bytes,
-            max_line_size=self.cfg.limits.header_bytes,
+            max_field_size=PARSED_HEADERS * self.cfg.limits.header_bytes,
+            max_line_size=PARSED_HEADERS * self.cfg.limits.header_bytes,
         )
         await self._runner.setup()
         await web.TCPSite(self._runner, self.cfg.node.host, self.cfg.node.port).start()
--- a/packages/vanillashore-node/src/vanillashore_node/_entry.py
+++ b/packages/vanillashore-node/src/vanillashore_node/_entry.py
@@ -54,6 +54,8 @@
         app.router.add_post("/v1/completions", completions.completions)
         app.router.add_post("/v1/chat/completions", completions.chat_completions)
         app.router.add_get("/v1/models", completions.models)
+        for path in ("/v1/completions", "/v1/chat/completions", "/v1/models"):
+            app.router.add_route("*", path, completions.not_allowed)
         app.router.add_get("/internal/status", self._status)
         await core.start(app, calls.call)
 
--- a/packages/vanillashore-node/src/vanillashore_node/_openai.py
+++ b/packages/vanillashore-node/src/vanillashore_node/_openai.py
@@ -10,6 +10,18 @@
 from vanillashore_wire import ErrorCode, RefusalError, Refused, Sampling
 
 CHARS_PER_TOKEN = 4
+_NEUTRAL_VALUES: dict[str, tuple[Any, ...]] = {
+    "n": (None, 1),
+    "best_of": (None, 1),
+    "echo": (None, False),
+    "suffix": (None, ""),
+    "logprobs": (None, False),
+    "top_logprobs": (None, 0),
+    "logit_bias": (None, {}),
+    "tools": (None, []),
+    "functions": (None, []),
+    "response_format": (None, {"type": "text"}),
+}
 _ERROR_TYPES = {
     401: "authentication_error",
     403: "permission_error",
@@ -58,8 +70,7 @@
         ) from exc
     if not isinstance(body, dict):
         raise bad_request("the body must be a JSON object")
-    if _field(body, "n", int, 1) != 1:
-        raise bad_request("n must be 1")
+    _refuse_unsupported(body)
     stream_options = _field(body, "stream_options", dict, {})
     return CompletionBody(
         model=_required_text(body, "model"),
@@ -148,6 +159,13 @@
     return b"data: " + orjson.dumps(body) + b"\n\n"
 
 
+def _refuse_unsupported(body: dict[str, Any]) -> None:
+    """Refuse options that would change the answer and that nothing here carries out."""
+    for name, neutral in _NEUTRAL_VALUES.items():
+        if body.get(name) not in neutral:
+            raise bad_request(f"{name} is not supported here")
+
+
 def _field(body: dict[str, Any], name: str, kind: Any, default: Any) -> Any:
     value = body.get(name)
     if value is None:
@@ -211,12 +229,18 @@
     stops = (stop,) if isinstance(stop, str) else tuple(stop) if isinstance(stop, list) else None
     if stops is None or not all(isinstance(item, str) for item in stops):
         raise bad_request("stop must be a text or a list of texts")
-    number = (int, float)
     return Sampling(
-        temperature=_field(body, "temperature", number, None),
-        top_p=_field(body, "top_p", number, None),
+        temperature=_number(body, "temperature", 0, 2),
+        top_p=_number(body, "top_p", 0, 1),
         seed=_field(body, "seed", int, None),
-        presence_penalty=_field(body, "presence_penalty", number, None),
-        frequency_penalty=_field(body, "frequency_penalty", number, None),
+        presence_penalty=_number(body, "presence_penalty", -2, 2),
+        frequency_penalty=_number(body, "frequency_penalty", -2, 2),
         stop=stops,
     )
+
+
+def _number(body: dict[str, Any], name: str, lowest: float, highest: float) -> float | None:
+    value = _field(body, name, (int, float), None)
+    if value is not None and not lowest <= value <= highest:
+        raise bad_request(f"{name} must be from {lowest} to {highest}")
+    return value
--- a/packages/vanillashore-standins/src/vanillashore_standins/_engine_app.py
+++ b/packages/vanillashore-standins/src/vanillashore_standins/_engine_app.py
@@ -13,6 +13,14 @@
 
 STATE: web.AppKey[EngineState] = web.AppKey("state")
 SESSION: web.AppKey[aiohttp.ClientSession] = web.AppKey("session")
+SAMPLING_FIELDS = (
+    "temperature",
+    "top_p",
+    "seed",
+    "presence_penalty",
+    "frequency_penalty",
+    "stop",
+)
 TEST_PATHS = frozenset({"/ledger", "/control"})
 
 
@@ -60,6 +68,7 @@
     state = request.app[STATE]
     body = orjson.loads(await request.read())
     state.ledger.headers.append(dict(request.headers))
+    state.ledger.sampling.append({n: body[n] for n in SAMPLING_FIELDS if n in body})
     if body["model"] != state.options.model:
         raise EngineError(404, f"model {body['model']} is not loaded")
     transfer = body.get("kv_transfer_params", {})
--- a/packages/vanillashore-standins/src/vanillashore_standins/_engine_state.py
+++ b/packages/vanillashore-standins/src/vanillashore_standins/_engine_state.py
@@ -6,6 +6,7 @@
 import itertools
 import time
 from collections.abc import AsyncIterator, Iterator
+from typing import Any
 
 import attrs
 
@@ -76,6 +77,7 @@
     orders: list[str] = attrs.field(factory=list)
     crashes: int = 0
     headers: list[dict[str, str]] = attrs.field(factory=list)
+    sampling: list[dict[str, Any]] = attrs.field(factory=list)
 
 
 class EngineState:
--- /dev/null
+++ b/tests/node/test_callers.py
@@ -0,0 +1,199 @@
+"""The callers' interface: bad input gets its status and code and costs nothing downstream."""
+
+import asyncio
+from typing import Any
+
+import attrs
+import orjson
+import pytest
+
+from vanillashore_schema import LimitSettings
+from vanillashore_standins.testing import KEY, MODEL, FleetPlan, SmallFleet
+
+LIMITS = LimitSettings(
+    body_bytes=20_000, header_bytes=2_000, body_timeout_s=0.2, concurrent_requests=2
+)
+PLAN = FleetPlan(decodes=1, limits=LIMITS)
+COMPLETIONS = "/v1/completions"
+CHAT = "/v1/chat/completions"
+GOOD = {"model": MODEL, "prompt": "a cake", "max_tokens": 4}
+
+
+def good(**changes: Any) -> bytes:
+    return orjson.dumps(GOOD | changes)
+
+
+def chat(messages: Any) -> bytes:
+    return orjson.dumps({"model": MODEL, "messages": messages})
+
+
+BAD_INPUT = {
+    "not JSON": (COMPLETIONS, b"{", 400, "body_not_json"),
+    "empty": (COMPLETIONS, b"", 400, "body_not_json"),
+    "bad UTF-8": (COMPLETIONS, b'{"model": "\xff"}', 400, "body_not_json"),
+    "nested too deep": (COMPLETIONS, b"[" * 5_000, 400, "body_not_json"),
+    "not an object": (COMPLETIONS, b"[1]", 400, "bad_request"),
+    "no model": (COMPLETIONS, b'{"prompt": "a"}', 400, "bad_request"),
+    "no prompt": (COMPLETIONS, good(prompt=None), 400, "bad_request"),
+    "empty prompt": (COMPLETIONS, good(prompt=""), 400, "bad_request"),
+    "several prompts": (COMPLETIONS, good(prompt=["a", "b"]), 400, "bad_request"),
+    "prompt of tokens": (COMPLETIONS, good(prompt=[1, 2]), 400, "bad_request"),
+    "stream of wrong type": (COMPLETIONS, good(stream="yes"), 400, "bad_request"),
+    "max_tokens of wrong type": (COMPLETIONS, good(max_tokens="4"), 400, "bad_request"),
+    "max_tokens true": (COMPLETIONS, good(max_tokens=True), 400, "bad_request"),
+    "max_tokens 0": (COMPLETIONS, good(max_tokens=0), 400, "bad_request"),
+    "max_tokens too many": (COMPLETIONS, good(max_tokens=10**6), 400, "context_too_long"),
+    "two answers": (COMPLETIONS, good(n=2), 400, "bad_request"),
+    "tools": (COMPLETIONS, good(tools=[{"type": "function"}]), 400, "bad_request"),
+    "temperature too high": (COMPLETIONS, good(temperature=2.1), 400, "bad_request"),
+    "top_p below 0": (COMPLETIONS, good(top_p=-0.1), 400, "bad_request"),
+    "stop of wrong type": (COMPLETIONS, good(stop=[1]), 400, "bad_request"),
+    "unknown model": (COMPLETIONS, good(model="nobody"), 404, "model_unknown"),
+    "body too large": (COMPLETIONS, good(prompt="a" * 30_000), 413, "body_too_large"),
+    "no messages": (CHAT, chat([]), 400, "bad_request"),
+    "message without role": (CHAT, chat([{"content": "a"}]), 400, "bad_request"),
+    "message with an image": (
+        CHAT,
+        chat([{"role": "user", "content": [{"type": "image_url"}]}]),
+        400,
+        "bad_request",
+    ),
+    "unknown path": ("/v1/nothing", good(), 404, "route_unknown"),
+    "service body too large": ("/pay", b"a" * 30_000, 413, "body_too_large"),
+}
+
+
+@pytest.mark.parametrize("name", BAD_INPUT)
+async def test_bad_input_is_refused_and_costs_nothing(name: str) -> None:
+    path, body, status, code = BAD_INPUT[name]
+    async with SmallFleet(PLAN) as fleet:
+        async with fleet.request("POST", 0, path, data=body) as response:
+            await expect_refusal(response, status, code)
+        expect_untouched(fleet)
+
+
+@pytest.mark.parametrize(
+    ("headers", "status", "code"),
+    [
+        ({"Authorization": ""}, 401, "key_missing"),
+        ({"Authorization": f"Basic {KEY}"}, 401, "key_missing"),
+        ({"Authorization": "Bearer wrong"}, 401, "key_invalid"),
+        ({"Authorization": f"Bearer {KEY}x"}, 401, "key_invalid"),
+        ({"X-Large": "a" * 3_000}, 431, "headers_too_large"),
+        ({f"X-{i}": "a" * 100 for i in range(30)}, 431, "headers_too_large"),
+    ],
+)
+async def test_bad_headers(headers: dict[str, str], status: int, code: str) -> None:
+    async with SmallFleet(PLAN) as fleet:
+        async with fleet.post(0, COMPLETIONS, GOOD, headers=headers) as response:
+            await expect_refusal(response, status, code)
+        expect_untouched(fleet)
+
+
+@pytest.mark.parametrize("path", [COMPLETIONS, CHAT, "/v1/models", "/pay"])
+async def test_other_methods_are_not_allowed(path: str) -> None:
+    async with SmallFleet(PLAN) as fleet:
+        async with fleet.request("DELETE", 0, path) as response:
+            await expect_refusal(response, 405, "method_not_allowed")
+        expect_untouched(fleet)
+
+
+@pytest.mark.parametrize("path", [COMPLETIONS, "/pay"])
+async def test_chunked_body_is_limited(path: str) -> None:
+    async def chunks() -> Any:
+        for _ in range(30):
+            yield b"a" * 1_000
+
+    async with SmallFleet(PLAN) as fleet:
+        async with fleet.request("POST", 0, path, data=chunks()) as response:
+            await expect_refusal(response, 413, "body_too_large")
+        expect_untouched(fleet)
+
+
+@pytest.mark.parametrize("path", [COMPLETIONS, "/pay"])
+async def test_slow_sender_is_refused(path: str) -> None:
+    async def slow() -> Any:
+        yield b'{"model": '
+        await asyncio.sleep(5.0)
+        yield b'"model-a"}'
+
+    async with SmallFleet(PLAN) as fleet:
+        async with asyncio.timeout(2.0):
+            async with fleet.request("POST", 0, path, data=slow()) as response:
+                await expect_refusal(response, 408, "body_timeout")
+        expect_untouched(fleet)
+
+
+@pytest.mark.parametrize("path", ["/internal/status", "/internal/explain/x", "/internal/link"])
+async def test_callers_do_not_reach_internal_paths(path: str) -> None:
+    async with SmallFleet(PLAN) as fleet, fleet.get(0, path) as response:
+        assert response.status == 403
+        assert (await response.json())["code"] == "fleet_secret_invalid"
+
+
+async def test_requests_above_the_limit_are_told_when_to_come_back() -> None:
+    engine = attrs.evolve(PLAN.engine, step_s=0.05)
+    async with SmallFleet(attrs.evolve(PLAN, engine=engine)) as fleet:
+        running = [asyncio.create_task(complete(fleet)) for _ in range(2)]
+        await fleet.until(lambda: fleet.entries[0].core.state.active == 2)
+        async with fleet.post(0, COMPLETIONS, GOOD) as response:
+            await expect_refusal(response, 429, "too_many_requests")
+            assert response.headers["Retry-After"] == "1"
+        assert [answer["object"] for answer in await asyncio.gather(*running)]
+
+
+async def test_request_is_given_up_on_at_its_deadline() -> None:
+    limits = attrs.evolve(LIMITS, request_timeout_s=0.3)
+    engine = attrs.evolve(PLAN.engine, step_s=0.05)
+    async with SmallFleet(FleetPlan(limits=limits, engine=engine)) as fleet:
+        body = GOOD | {"max_tokens": 1_000}
+        async with asyncio.timeout(2.0):
+            async with fleet.post(0, COMPLETIONS, body) as response:
+                await expect_refusal(response, 504, "deadline_exceeded", ran="unknown")
+            async with fleet.post(0, COMPLETIONS, body | {"stream": True}) as response:
+                events = (await response.text()).split("\n\n")
+        assert orjson.loads(events[-2][6:])["error"]["code"] == "deadline_exceeded"
+        await fleet.until(lambda: fleet.held_pieces() == 0)
+
+
+async def test_request_id_is_echoed_but_never_shared() -> None:
+    async with SmallFleet(PLAN) as fleet:
+        headers = {"X-Request-Id": "order-17"}
+        answers = await asyncio.gather(*(complete(fleet, headers=headers) for _ in range(2)))
+        assert answers[0]["id"] != answers[1]["id"]
+        for given, expected in (("order-17", "order-17"), ("no spaces", None)):
+            async with fleet.get(0, "/stock", headers={"X-Request-Id": given}) as response:
+                echoed = response.headers["X-Request-Id"]
+            assert echoed == expected or (expected is None and echoed.startswith("req-"))
+
+
+async def test_sampling_reaches_the_engine() -> None:
+    sampling = {"temperature": 0.5, "top_p": 0.9, "seed": 7, "stop": ["."], "presence_penalty": 1}
+    async with SmallFleet(PLAN) as fleet:
+        await complete(fleet, **sampling)
+        assert fleet.engines["decode-0"].ledger.sampling == [sampling]
+
+
+async def test_health_needs_no_key() -> None:
+    async with SmallFleet(PLAN) as fleet:
+        for path in ("/healthz", "/readyz"):
+            async with fleet.session.get(fleet.entry_address(0) + path) as response:
+                assert response.status == 200
+
+
+async def complete(fleet: SmallFleet, headers: Any = None, **changes: Any) -> Any:
+    async with fleet.post(0, COMPLETIONS, GOOD | changes, headers=headers or {}) as response:
+        assert response.status == 200
+        return await response.json()
+
+
+async def expect_refusal(response: Any, status: int, code: str, ran: str = "no") -> None:
+    error = (await response.json())["error"]
+    assert (response.status, error["code"], error["ran"]) == (status, code, ran)
+    assert error["message"]
+    assert error["request_id"] == response.headers["X-Request-Id"]
+
+
+def expect_untouched(fleet: SmallFleet) -> None:
+    assert [e.ledger.headers for e in fleet.engines.values()] == [[], []]
+    assert [s.runs for s in fleet.service_states.values()] == [[]]
