Bound what waits for a slow reader in the kernel too

A stream's socket buffer grew to 4 MB by itself, so a caller who does not read pulled the whole answer into it (4,000 tokens, 0.8 MB) before the entry held back. The stream sets its send buffer to limits.write_buffer_bytes, and the transport's limit too. test_slow_reader_holds_the_stream_back failed without the socket option (the entry had finished), and passes with it. Tests of cancelled streams, mixed streams and one event a token passed at once; they guard what was there.

--- a/packages/vanillashore-node/src/vanillashore_node/_completions.py
+++ b/packages/vanillashore-node/src/vanillashore_node/_completions.py
@@ -1,6 +1,7 @@
 """Handlers of ``/v1/completions``, ``/v1/chat/completions`` and ``/v1/models``."""
 
 import asyncio
+import socket
 import time
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
@@ -104,8 +105,7 @@
             first = await anext(runs, [])
         response = _event_stream(request)
         await response.prepare(request)
-        buffer_bytes = self._core.cfg.limits.write_buffer_bytes
-        request.transport.set_write_buffer_limits(buffer_bytes)
+        _bound_buffers(request, self._core.cfg.limits.write_buffer_bytes)
         try:
             async with _deadline(req):
                 await response.write(shape.opening() + shape.chunks(first))
@@ -145,6 +145,15 @@
     return web.StreamResponse(headers=headers)
 
 
+def _bound_buffers(request: web.Request, size_bytes: int) -> None:
+    """Limit what waits for a slow reader, here and in the kernel, which would grow to megabytes."""
+    if request.transport is None:
+        return
+    request.transport.set_write_buffer_limits(size_bytes)
+    sock = request.transport.get_extra_info("socket")
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, size_bytes)
+
+
 async def _break_off(request: web.Request, response: web.StreamResponse, error: bytes) -> None:
     """End a stream that failed; a caller that does not read is cut off, or it would stay."""
     if request.transport is not None and request.transport.get_write_buffer_size() > 0:
