--- a/tests/node/test_keys.py
+++ b/tests/node/test_keys.py
@@ -103,15 +103,20 @@
         assert found == []
 
 
-@pytest.mark.parametrize("fault", ["none", "store down", "entry cut off"])
+@pytest.mark.parametrize(
+    "fault", ["none", "store-down-after", "store-down-at-once", "entry-cut-off"]
+)
 async def test_withdrawn_key_is_refused_everywhere_within_seconds(fault: str) -> None:
     async with TappedFleet(FleetPlan(entries=3, services=2)) as fleet:
         assert {await _status(fleet, i) for i in range(3)} == {200}
-        if fault == "entry cut off":
+        if fault == "entry-cut-off":
             fleet.store_taps["entry-0"].cut()
         await _withdraw_key(fleet)
         accepted_at = time.monotonic()
-        fleet.kv_faults.down = fault == "store down"
+        if fault == "store-down-after":
+            nodes = [*fleet.entries, *fleet.sides.values()]
+            await fleet.until(lambda: any(n.core.directory.revision > 1 for n in nodes))
+        fleet.kv_faults.down = fault.startswith("store-down")
         await asyncio.sleep(WITHDRAWN_WITHIN_S - 0.2)
         got = [await _status(fleet, i) for i in range(3)]
         assert time.monotonic() - accepted_at < WITHDRAWN_WITHIN_S + 1.0
