Find requests that crash engines, and quarantine them over the fleet

A request that crashed its engine was sent on to the next, up to six times, and again whenever its caller sent it again.

The side process watches its engine: what was in flight at a crash is a suspect, told at once to the side processes of the same model and role. A suspect runs on trial, one turn over the fleet by compare-and-swap, alone in a prefill engine. A crash on trial quarantines it; a list of the last convictions in the store teaches new processes. The engine stand-in now loses queued prefills in a crash, as it loses all else.

Ruled out: blaming by count alone (an innocent hit by two different poison requests would be quarantined).

--- a/packages/vanillashore-node/src/vanillashore_node/_generation.py
+++ b/packages/vanillashore-node/src/vanillashore_node/_generation.py
@@ -127,6 +127,7 @@
             self._req.model.route_class,
             min(self._req.time_left_s, self._core.cfg.timing.prefill_wait_s),
             self._core.directory.revision,
+            self._req.fingerprint,
         )
         self._was_dispatched = True
         return await self._back_ends.prefill(place.endpoint.address, order)
@@ -147,6 +148,7 @@
             self._req.time_left_s,
             self._core.directory.revision,
             self._req.sampling,
+            self._req.fingerprint,
         )
 
     def _accept(self, frames: list[Frame]) -> RefusalError | None:
--- a/packages/vanillashore-node/src/vanillashore_node/_generation_request.py
+++ b/packages/vanillashore-node/src/vanillashore_node/_generation_request.py
@@ -1,6 +1,8 @@
 """A checked request for a generated answer, as the parts of an entry hand it on."""
 
+import hashlib
 import time
+from functools import cached_property
 
 import attrs
 
@@ -21,6 +23,12 @@
     sampling: Sampling
     deadline: float
 
+    @cached_property
+    def fingerprint(self) -> str:
+        """What tells this request from others, also when it is sent again."""
+        asked = (self.workspace, self.model.name, self.prompt, self.max_tokens, self.sampling)
+        return hashlib.sha256(repr(asked).encode()).hexdigest()
+
     @property
     def time_left_s(self) -> float:
         """Seconds until the deadline."""
--- a/packages/vanillashore-node/src/vanillashore_node/_side.py
+++ b/packages/vanillashore-node/src/vanillashore_node/_side.py
@@ -1,5 +1,6 @@
 """The side process: the only process that talks to its endpoint."""
 
+import time
 from typing import Any
 
 from aiohttp import web
@@ -9,6 +10,7 @@
 from vanillashore_node._engine import HttpEngine
 from vanillashore_node._faces import json_response, refusal_response, require_fleet_secret
 from vanillashore_node._lifecycle import LifecycleEvent
+from vanillashore_node._quarantine import WatchedEngine
 from vanillashore_node._reservations import Reservations
 from vanillashore_node._side_engine import EngineWork
 from vanillashore_node._side_service import ServiceWork
@@ -54,7 +56,9 @@
         self.core.lifecycle.on(LifecycleEvent.REFUSE_NEW, self.reservations.leave)
         app = web.Application(client_max_size=ORDER_BODY_BYTES, middlewares=[self._guard])
         if endpoint.kind is BackEndKind.ENGINE:
-            engine = HttpEngine(self.core.session, endpoint.address)
+            plain_engine = HttpEngine(self.core.session, endpoint.address)
+            engine = WatchedEngine(self.core, plain_engine, time.monotonic)
+            self.core.lifecycle.on(LifecycleEvent.START, engine.start)
             work = EngineWork(self.core, engine, self.reservations)
             app.router.add_post("/internal/prefill", work.prefill)
             app.router.add_post("/internal/decode", work.decode)
--- a/packages/vanillashore-outcome/src/vanillashore_outcome/_retries.py
+++ b/packages/vanillashore-outcome/src/vanillashore_outcome/_retries.py
@@ -12,7 +12,9 @@
 RETRY_AFTER_S = 1.0
 RETRIED_CODES = frozenset(
     {
+        ErrorCode.ENDPOINT_CRASHED,
         ErrorCode.ENDPOINT_FAILED,
+        ErrorCode.ISOLATED,
         ErrorCode.PEER_UNREACHABLE,
         ErrorCode.RESERVATION_UNKNOWN,
         ErrorCode.REVISION_STALE,
--- a/packages/vanillashore-platform/src/vanillashore_platform/__init__.py
+++ b/packages/vanillashore-platform/src/vanillashore_platform/__init__.py
@@ -11,12 +11,14 @@
 )
 from vanillashore_platform._etcd import EtcdStore
 from vanillashore_platform._follower import VmListFollower
+from vanillashore_platform._quarantine_store import QuarantineStore
 from vanillashore_platform._store import (
     CasResult,
     KeyValueStore,
     StoredValue,
     StoreUnavailableError,
 )
+from vanillashore_platform._trial_store import Trial, TrialState, TrialStore, TrialTurn
 from vanillashore_platform._vm_list import HttpVmList, VmEntry, VmList, VmState
 
 __all__ = [
@@ -31,10 +33,15 @@
     "EtcdStore",
     "HttpVmList",
     "KeyValueStore",
+    "QuarantineStore",
     "RetentionLease",
     "StoreUnavailableError",
     "StoredClaim",
     "StoredValue",
+    "Trial",
+    "TrialState",
+    "TrialStore",
+    "TrialTurn",
     "VmEntry",
     "VmList",
     "VmListFollower",
--- /dev/null
+++ b/packages/vanillashore-platform/src/vanillashore_platform/_quarantine_store.py
@@ -0,0 +1,41 @@
+"""The requests that were quarantined last, as one value that a new process reads on its start."""
+
+import attrs
+
+from vanillashore_platform._store import KeyValueStore, StoreUnavailableError
+from vanillashore_wire import NoticedRequest, decode, encode
+
+QUARANTINE_KEY = "vanillashore/quarantine"
+MAX_KEPT = 500
+MAX_TRIES = 10
+
+
+@attrs.frozen
+class _Quarantined:
+    requests: tuple[NoticedRequest, ...]
+
+
+class QuarantineStore:
+    """Adds to the list by compare-and-swap; the oldest entries make room."""
+
+    def __init__(self, store: KeyValueStore) -> None:
+        self._store = store
+
+    async def read(self) -> tuple[NoticedRequest, ...]:
+        """Return the list, oldest first."""
+        stored = await self._store.get(QUARANTINE_KEY)
+        return decode(stored.value, _Quarantined).requests if stored else ()
+
+    async def add(self, request: NoticedRequest) -> None:
+        """Add a request; raise StoreUnavailableError if it could not be written."""
+        for _ in range(MAX_TRIES):
+            stored = await self._store.get(QUARANTINE_KEY)
+            kept = decode(stored.value, _Quarantined).requests if stored else ()
+            if request in kept:
+                return
+            value = encode(_Quarantined((*kept, request)[-MAX_KEPT:]))
+            version = stored.version if stored else 0
+            result = await self._store.compare_and_swap(QUARANTINE_KEY, version, value)
+            if result.applied:
+                return
+        raise StoreUnavailableError(f"{QUARANTINE_KEY} changes too fast")
--- a/packages/vanillashore-standins/src/vanillashore_standins/_engine_state.py
+++ b/packages/vanillashore-standins/src/vanillashore_standins/_engine_state.py
@@ -256,9 +256,11 @@
         self.memory.held[request_id] = pieces
 
     async def _run_prefill(self, prompt: str, priority: int) -> int:
+        crashes = self.ledger.crashes
         await self._wait_for_turn(priority)
         try:
-            crashes = self.ledger.crashes
+            if self.ledger.crashes != crashes:
+                raise EngineError(410, "engine crashed")
             cached = self.memory.take_cached(prompt)
             fresh = count_tokens(prompt) - cached * self.options.piece_tokens
             await asyncio.sleep(max(0, fresh) * self.options.prefill_s_per_token)
--- a/packages/vanillashore-wire/src/vanillashore_wire/__init__.py
+++ b/packages/vanillashore-wire/src/vanillashore_wire/__init__.py
@@ -50,7 +50,14 @@
     RouteClass,
     Sampling,
 )
-from vanillashore_wire._outcome_messages import Claim, ClaimAsk, ClaimState, ClaimStatus
+from vanillashore_wire._outcome_messages import (
+    Claim,
+    ClaimAsk,
+    ClaimState,
+    ClaimStatus,
+    CrashNotice,
+    NoticedRequest,
+)
 
 __all__ = [
     "Ack",
@@ -67,6 +74,7 @@
     "ConfigChunks",
     "ConfigHead",
     "ConfigUpdate",
+    "CrashNotice",
     "DecodeOrder",
     "EarlierHead",
     "Envelope",
@@ -77,6 +85,7 @@
     "Header",
     "KvHandle",
     "Load",
+    "NoticedRequest",
     "PrefillDone",
     "PrefillOrder",
     "Ran",
--- a/packages/vanillashore-wire/src/vanillashore_wire/_messages.py
+++ b/packages/vanillashore-wire/src/vanillashore_wire/_messages.py
@@ -101,6 +101,7 @@
     route_class: RouteClass
     deadline_s: float
     revision: int
+    fingerprint: str = ""
 
 
 @attrs.frozen
@@ -146,6 +147,7 @@
     deadline_s: float
     revision: int
     sampling: Sampling = Sampling()
+    fingerprint: str = ""
 
 
 class FrameKind(StrEnum):
--- a/packages/vanillashore-wire/src/vanillashore_wire/_outcome_messages.py
+++ b/packages/vanillashore-wire/src/vanillashore_wire/_outcome_messages.py
@@ -53,3 +53,20 @@
     """Answer to a `ClaimAsk`."""
 
     running: bool
+
+
+@attrs.frozen
+class NoticedRequest:
+    """A request that was in flight when an engine crashed."""
+
+    fingerprint: str
+    workspace: str
+
+
+@message("crash_notice")
+@attrs.frozen
+class CrashNotice:
+    """Tells the side processes of the same model and role what a crash said of requests."""
+
+    suspects: tuple[NoticedRequest, ...]
+    convicted: tuple[NoticedRequest, ...]
