--- a/packages/vanillashore-node/src/vanillashore_node/_calls.py
+++ b/packages/vanillashore-node/src/vanillashore_node/_calls.py
@@ -1,16 +1,17 @@
 """Handler of service routes: calls to plain services."""
 
 import base64
-import random
 
+import attrs
 from aiohttp import web
 
 from vanillashore_node._admission import Admission
 from vanillashore_node._back_ends import BackEnds
 from vanillashore_node._callers import REQUEST_ID, authenticate, read_body
 from vanillashore_node._core import NodeCore
-from vanillashore_schema import EndpointRole, RouteConfig
-from vanillashore_wire import CallDone, CallOrder, ErrorCode, Header, RefusalError, Refused
+from vanillashore_node._placer import ENDPOINT_FAULTS, Placer
+from vanillashore_schema import RouteConfig
+from vanillashore_wire import CallDone, CallOrder, Header, RefusalError
 
 IDEMPOTENCY_HEADER = "Idempotency-Key"
 ENDPOINT_HEADER = "X-Endpoint"
@@ -23,12 +24,12 @@
     """Serves the routes that lead to plain services."""
 
     def __init__(
-        self, core: NodeCore, admission: Admission, back_ends: BackEnds, rng: random.Random
+        self, core: NodeCore, admission: Admission, back_ends: BackEnds, placer: Placer
     ) -> None:
         self._core = core
         self._admission = admission
         self._back_ends = back_ends
-        self._rng = rng
+        self._placer = placer
 
     async def call(self, request: web.Request) -> web.Response:
         """Handle any path that a route declares."""
@@ -45,13 +46,18 @@
         return _response(await self._dispatch(route, order))
 
     async def _dispatch(self, route: RouteConfig, order: CallOrder) -> CallDone:
-        endpoints = self._core.directory.endpoints(EndpointRole.SERVICE, route.service)
-        if not endpoints:
-            text = f"no endpoint of {route.service!r} is live"
-            raise RefusalError(Refused(ErrorCode.NO_ENDPOINT, text, retry_after_s=5.0))
-        endpoint = self._rng.choice(endpoints)
-        self._core.decisions.note(order.request_id, "call place", endpoint.vm)
-        return await self._back_ends.call(endpoint.address, order)
+        place = await self._placer.call_place(order.request_id, order.workspace, route)
+        self._core.decisions.note(order.request_id, "call place", place.endpoint.vm)
+        order = attrs.evolve(order, reservation=place.grant.reservation)
+        failed = False
+        try:
+            return await self._back_ends.call(place.endpoint.address, order)
+        except RefusalError as exc:
+            failed = exc.code in ENDPOINT_FAULTS
+            raise
+        finally:
+            self._placer.note_call(place, failed)
+            self._placer.end(place)
 
     def _order(
         self, request: web.Request, route: RouteConfig, workspace: str, body: bytes
--- a/packages/vanillashore-node/src/vanillashore_node/_directory.py
+++ b/packages/vanillashore-node/src/vanillashore_node/_directory.py
@@ -72,6 +72,10 @@
         """Replace the VM list."""
         self._vms = {vm.name: vm for vm in vms}
 
+    def vm(self, name: str) -> VmEntry | None:
+        """Return a VM as it was last listed."""
+        return self._vms.get(name)
+
     def workspace_of_key(self, key_hash: str) -> WorkspaceConfig | None:
         """Return the workspace that a key belongs to."""
         name = self._workspace_of_key.get(key_hash)
--- a/packages/vanillashore-node/src/vanillashore_node/_entry.py
+++ b/packages/vanillashore-node/src/vanillashore_node/_entry.py
@@ -13,8 +13,9 @@
 from vanillashore_node._faces import json_response, require_fleet_secret
 from vanillashore_node._generation import Generation
 from vanillashore_node._generation_request import GenerationRequest
+from vanillashore_node._holds import HoldBook
 from vanillashore_node._placer import Placer
-from vanillashore_placement import Chooser, SeenLoads
+from vanillashore_placement import Breaker, Chooser, SeenLoads
 from vanillashore_schema import NodeSettings
 from vanillashore_wire import unstructure
 
@@ -40,10 +41,13 @@
         rng = random.Random()
         loads = SeenLoads()
         self._back_ends = BackEnds(core.session, self._cfg)
-        self._placer = Placer(core, Chooser(loads, rng), loads)
+        breaker = Breaker()
+        book = HoldBook(core, loads)
+        core.tasks.start(book.run(), "hold renewals")
+        self._placer = Placer(core, Chooser(loads, rng, breaker), breaker, loads, book)
         admission = LocalAdmission()
         completions = Completions(core, admission, self._new_generation)
-        calls = Calls(core, admission, self._back_ends, rng)
+        calls = Calls(core, admission, self._back_ends, self._placer)
         app = web.Application(
             client_max_size=self._cfg.limits.body_bytes, middlewares=[CallerGuard(core).guard]
         )
--- a/packages/vanillashore-node/src/vanillashore_node/_generation.py
+++ b/packages/vanillashore-node/src/vanillashore_node/_generation.py
@@ -45,6 +45,13 @@
 
     async def run(self) -> AsyncIterator[str]:
         """Yield the answer's tokens; raise RefusalError if it cannot be finished."""
+        try:
+            async for text in self._attempts():
+                yield text
+        finally:
+            self._placer.forget(self._req)
+
+    async def _attempts(self) -> AsyncIterator[str]:
         for attempt in range(1, MAX_ATTEMPTS + 1):
             self.assembly.begin_attempt(attempt)
             try:
@@ -53,20 +60,22 @@
                 return
             except RefusalError as exc:
                 self._note(attempt, "failed", str(exc))
+                self._placer.note_failed(self._req, attempt, exc)
                 if exc.code not in RETRIED_CODES or attempt == MAX_ATTEMPTS:
                     raise
+            finally:
+                self._placer.end_attempt(self._req, attempt)
         raise AssertionError("unreachable")
 
     async def _attempt(self, attempt: int) -> AsyncIterator[str]:
         place = await self._placer.decode_place(self._req, attempt)
         self._note(attempt, "decode place", place.endpoint.vm)
-        try:
-            done = await self._prefill(attempt)
-        except BaseException:
-            self._placer.give_up(place, self._req, attempt)
-            raise
+        done = await self._prefill(attempt)
+        self._placer.note_prefilled(self._req, attempt)
         order = self._decode_order(attempt, place, done)
         async for frames in self._back_ends.decode(place.endpoint.address, order):
+            if frames[0].kind is not FrameKind.FAILED:
+                self._placer.note_imported(self._req, attempt)
             for frame in frames:
                 if frame.kind is FrameKind.FAILED and frame.refused is not None:
                     raise RefusalError(frame.refused)
--- a/packages/vanillashore-node/src/vanillashore_node/_reservations.py
+++ b/packages/vanillashore-node/src/vanillashore_node/_reservations.py
@@ -2,71 +2,158 @@
 
 import asyncio
 import time
+from collections.abc import Callable
 
-from vanillashore_placement import Granted, Keeper, Outcome
+from loguru import logger as log
+
+from vanillashore_node._core import NodeCore
+from vanillashore_placement import Granted, Hold, Keeper, Lapsed, Outcome
+from vanillashore_platform import VmState
+from vanillashore_schema import EndpointRole
 from vanillashore_wire import (
     ErrorCode,
+    HoldEnd,
+    HoldRenewal,
+    HoldRenewed,
     Load,
     RefusalError,
     Refused,
+    ReservationKind,
     ReserveAsk,
     ReserveGrant,
     ReserveWithdraw,
 )
 
 TICK_S = 0.1
+ROLE_OF_KIND = {
+    ReservationKind.PREFILL: EndpointRole.PREFILL,
+    ReservationKind.DECODE: EndpointRole.DECODE,
+    ReservationKind.CALL: EndpointRole.SERVICE,
+}
+AskKey = tuple[str, int, ReservationKind]
 
 
 class Reservations:
-    """Waits for the keeper's decisions on behalf of the asks that came over links."""
+    """Waits for the keeper's decisions on behalf of the asks that came over links.
+
+    ``on_freed`` is called with each hold that ended without its work's own word, so that whatever
+    the endpoint holds for it can be freed.
+    """
 
-    def __init__(self, keeper: Keeper) -> None:
+    def __init__(self, core: NodeCore, keeper: Keeper) -> None:
+        self._core = core
         self._keeper = keeper
-        self._futures: dict[tuple[str, int], asyncio.Future[Outcome]] = {}
+        self._futures: dict[AskKey, asyncio.Future[Outcome]] = {}
+        self._stopping = False
+        self._changing = False
+        self.on_freed: Callable[[Hold], None] = lambda hold: None
 
     @property
     def load(self) -> Load:
         """The endpoint's occupancy."""
         return self._keeper.load
 
+    @property
+    def keeper(self) -> Keeper:
+        """The keeper itself."""
+        return self._keeper
+
     async def ask(self, ask: ReserveAsk, sender: str) -> ReserveGrant | Refused:
         """Wait until the ask is granted or turned away."""
+        refused = self._mismatch(ask)
+        if refused is not None:
+            return refused
+        self._check_leaving()
         fut = asyncio.get_running_loop().create_future()
-        self._futures[ask.request_id, ask.attempt] = fut
-        self._settle(self._keeper.ask(ask, time.monotonic()))
+        self._futures[_key(ask)] = fut
+        self._settle(self._keeper.ask(ask, sender, time.monotonic()))
         outcome = await fut
         return outcome.grant if isinstance(outcome, Granted) else outcome.refused
 
     async def withdraw(self, message: ReserveWithdraw, sender: str) -> None:
         """Give up an ask or a reservation that is not in use."""
-        fut = self._futures.pop((message.request_id, message.attempt), None)
+        fut = self._futures.pop((message.request_id, message.attempt, message.kind), None)
         if fut is not None and not fut.done():
             fut.cancel()
-        now = time.monotonic()
-        self._settle(self._keeper.withdraw(message.request_id, message.attempt, now))
+        self._settle(self._keeper.withdraw(message, time.monotonic()))
 
-    def use(self, reservation: str) -> None:
+    async def renew(self, renewal: HoldRenewal, sender: str) -> HoldRenewed:
+        """Prolong what an entry has here."""
+        unknown = self._keeper.renew(renewal, sender, time.monotonic())
+        return HoldRenewed(unknown, self.load)
+
+    async def end(self, message: HoldEnd, sender: str) -> None:
+        """Free a hold that its entry gives up."""
+        hold = self._keeper.holds.get(message.reservation)
+        if hold is not None:
+            self._settle(self._keeper.release(message.reservation, time.monotonic()))
+            self.on_freed(hold)
+
+    def use(self, reservation: str) -> Hold:
         """Turn a reservation into a hold; raise RefusalError if it has lapsed."""
-        if not self._keeper.use(reservation, time.monotonic()):
+        hold = self._keeper.use(reservation, time.monotonic())
+        if hold is None:
             text = f"reservation {reservation} has lapsed"
             raise RefusalError(Refused(ErrorCode.RESERVATION_UNKNOWN, text))
+        return hold
+
+    def export(self, reservation: str) -> None:
+        """End a prefill's turn, with its cache waiting to be fetched."""
+        self._settle(self._keeper.export(reservation, time.monotonic()))
 
     def release(self, reservation: str) -> None:
         """End a hold."""
         self._settle(self._keeper.release(reservation, time.monotonic()))
 
-    def leave(self) -> None:
+    def stop(self) -> None:
         """Refuse new work from now on."""
-        self._settle(self._keeper.leave())
+        self._stopping = True
+        self._check_leaving()
+
+    def set_changing(self, changing: bool) -> None:
+        """Refuse new work while the endpoint changes what it is used for."""
+        self._changing = changing
+        self._check_leaving()
 
     async def run(self) -> None:
         """Let time pass for the keeper until cancelled."""
         while True:
             await asyncio.sleep(TICK_S)
+            self._check_leaving()
             self._settle(self._keeper.tick(time.monotonic()))
 
+    def _check_leaving(self) -> None:
+        vm = self._core.directory.vm(self._core.cfg.node.name)
+        listed_as_leaving = vm is not None and vm.state is not VmState.LIVE
+        if self._stopping or self._changing or listed_as_leaving:
+            self._settle(self._keeper.leave(time.monotonic()))
+        else:
+            self._keeper.rejoin()
+
+    def _mismatch(self, ask: ReserveAsk) -> Refused | None:
+        declared = self._core.directory.endpoint_config(self._core.cfg.node.name)
+        role = ROLE_OF_KIND[ask.kind]
+        if declared is not None and declared.role is role:
+            subject = declared.service or declared.model
+            if subject == ask.model:
+                return None
+        text = f"this endpoint is not declared as {role.value} of {ask.model!r}"
+        return Refused(ErrorCode.ROLE_MISMATCH, text)
+
     def _settle(self, outcomes: list[Outcome]) -> None:
         for outcome in outcomes:
-            fut = self._futures.pop((outcome.ask.request_id, outcome.ask.attempt), None)
+            if isinstance(outcome, Lapsed):
+                self._lapse(outcome.hold)
+                continue
+            fut = self._futures.pop(_key(outcome.ask), None)
             if fut is not None and not fut.done():
                 fut.set_result(outcome)
+
+    def _lapse(self, hold: Hold) -> None:
+        fields = {"request_id": hold.ask.request_id, "state": hold.state.value}
+        log.bind(entry=hold.sender, **fields).warning("a hold lapsed")
+        self.on_freed(hold)
+
+
+def _key(ask: ReserveAsk) -> AskKey:
+    return (ask.request_id, ask.attempt, ask.kind)
--- a/packages/vanillashore-node/src/vanillashore_node/_side.py
+++ b/packages/vanillashore-node/src/vanillashore_node/_side.py
@@ -1,5 +1,6 @@
 """The side process: the only process that talks to its endpoint."""
 
+import secrets
 from typing import Any
 
 from aiohttp import web
@@ -8,13 +9,17 @@
 from vanillashore_node._engine import HttpEngine
 from vanillashore_node._faces import json_response, refusal_response, require_fleet_secret
 from vanillashore_node._lifecycle import LifecycleEvent
+from vanillashore_node._reconciliation import Reconciliation
 from vanillashore_node._reservations import Reservations
+from vanillashore_node._side_calls import CallPlaces
 from vanillashore_node._side_engine import EngineWork
 from vanillashore_node._side_service import ServiceWork
-from vanillashore_placement import Keeper
-from vanillashore_schema import BackEndKind, NodeSettings
+from vanillashore_placement import Keeper, KeeperSettings
+from vanillashore_schema import BackEndKind, EndpointSettings, NodeSettings
 from vanillashore_wire import (
     ErrorCode,
+    HoldEnd,
+    HoldRenewal,
     RefusalError,
     Refused,
     ReserveAsk,
@@ -22,6 +27,7 @@
     unstructure,
 )
 
+INCARNATION_BYTES = 3
 ORDER_BODY_BYTES = 16_777_216
 WORK_PATHS = frozenset({"/internal/prefill", "/internal/decode", "/internal/call"})
 
@@ -44,25 +50,44 @@
         """Listen and serve."""
         await self.core.open()
         endpoint = self._cfg.endpoint
-        valid_s = self._cfg.timing.reservation_valid_s
-        keeper = Keeper(self._cfg.node.name, endpoint.slots, valid_s)
-        self.reservations = Reservations(keeper)
+        self.reservations = Reservations(self.core, self._new_keeper(endpoint))
         self.core.hub.on(ReserveAsk, self.reservations.ask)
         self.core.hub.on(ReserveWithdraw, self.reservations.withdraw)
+        self.core.hub.on(HoldRenewal, self.reservations.renew)
+        self.core.hub.on(HoldEnd, self.reservations.end)
         self.core.tasks.start(self.reservations.run(), "reservations")
-        self.core.lifecycle.on(LifecycleEvent.REFUSE_NEW, self.reservations.leave)
+        self.core.lifecycle.on(LifecycleEvent.REFUSE_NEW, self.reservations.stop)
         app = web.Application(client_max_size=ORDER_BODY_BYTES, middlewares=[self._guard])
         if endpoint.kind is BackEndKind.ENGINE:
             engine = HttpEngine(self.core.session, endpoint.address)
             work = EngineWork(self.core, engine, self.reservations)
+            reconciliation = Reconciliation(engine, work.known_ids)
+            self.core.tasks.start(reconciliation.run(), "reconciliation")
             app.router.add_post("/internal/prefill", work.prefill)
             app.router.add_post("/internal/decode", work.decode)
         else:
             service = ServiceWork(self.core, endpoint.address)
-            app.router.add_post("/internal/call", service.call)
+            places = CallPlaces(self.reservations, service.call)
+            app.router.add_post("/internal/call", places.call)
         app.router.add_get("/internal/status", self._status)
         await self.core.start(app)
 
+    def _new_keeper(self, endpoint: EndpointSettings) -> Keeper:
+        timing = self._cfg.timing
+        keeper_cfg = KeeperSettings(
+            name=secrets.token_hex(INCARNATION_BYTES),
+            slots=endpoint.slots,
+            prefill_turns=endpoint.prefill_turns,
+            pieces=endpoint.kv_pieces,
+            reservation_valid_s=timing.reservation_valid_s,
+            hold_valid_s=timing.hold_valid_s,
+        )
+        return Keeper(keeper_cfg, self._weight_of)
+
+    def _weight_of(self, workspace: str) -> float:
+        declared = self.core.directory.workspace(workspace)
+        return declared.weight if declared is not None else 1.0
+
     @web.middleware
     async def _guard(self, request: web.Request, handler: Any) -> web.StreamResponse:
         try:
--- /dev/null
+++ b/packages/vanillashore-node/src/vanillashore_node/_side_calls.py
@@ -0,0 +1,28 @@
+"""Calls to a plain service, each on the place that was reserved for it."""
+
+from collections.abc import Awaitable, Callable
+
+from aiohttp import web
+
+from vanillashore_node._reservations import Reservations
+from vanillashore_node._side_engine import read_order
+from vanillashore_wire import CallOrder
+
+CallHandler = Callable[[web.Request], Awaitable[web.Response]]
+
+
+class CallPlaces:
+    """Takes a call's place before ``handler`` runs it, and gives it back after."""
+
+    def __init__(self, reservations: Reservations, handler: CallHandler) -> None:
+        self._reservations = reservations
+        self._handler = handler
+
+    async def call(self, request: web.Request) -> web.Response:
+        """Handle ``POST /internal/call``."""
+        order = await read_order(request, CallOrder)
+        self._reservations.use(order.reservation)
+        try:
+            return await self._handler(request)
+        finally:
+            self._reservations.release(order.reservation)
--- a/packages/vanillashore-node/src/vanillashore_node/_side_engine.py
+++ b/packages/vanillashore-node/src/vanillashore_node/_side_engine.py
@@ -1,5 +1,7 @@
 """Prefill and decode orders at a side process whose endpoint is a model engine."""
 
+import asyncio
+import time
 from collections.abc import AsyncIterator
 from typing import TypeVar
 
@@ -7,9 +9,10 @@
 from loguru import logger as log
 
 from vanillashore_node._core import NodeCore
-from vanillashore_node._engine import Engine, engine_request_id
+from vanillashore_node._engine import Engine, EngineToken, engine_request_id
 from vanillashore_node._faces import message_response
 from vanillashore_node._reservations import Reservations
+from vanillashore_placement import Hold, TransferPacer
 from vanillashore_wire import (
     DecodeOrder,
     ErrorCode,
@@ -17,6 +20,7 @@
     FrameKind,
     PrefillDone,
     PrefillOrder,
+    Ran,
     RefusalError,
     Refused,
     decode,
@@ -27,26 +31,38 @@
 
 
 class EngineWork:
-    """Runs orders on the engine, each on the place that was reserved for it."""
+    """Runs orders on the engine, each on the place that was reserved for it.
+
+    A hold that ends in any other way than by its work's end takes its work with it: the handler is
+    cancelled and the engine is told to drop the request, with its exported cache.
+    """
 
     def __init__(self, core: NodeCore, engine: Engine, reservations: Reservations) -> None:
         self._core = core
         self._engine = engine
         self._reservations = reservations
+        self._pacer = TransferPacer(core.cfg.endpoint.link_pieces_per_s)
+        self._running: dict[str, asyncio.Task[object]] = {}
+        reservations.on_freed = self._free
+
+    def known_ids(self) -> set[str]:
+        """Return the engine's ids of all that is held here on purpose."""
+        return {_engine_id(hold) for hold in self._reservations.keeper.holds}
 
     async def prefill(self, request: web.Request) -> web.Response:
         """Handle ``POST /internal/prefill``."""
         order = await read_order(request, PrefillOrder)
         self._core.decisions.note(order.request_id, "prefill", f"attempt {order.attempt}")
-        self._reservations.use(order.reservation)
+        hold = self._begin(order.reservation)
         finished = False
         try:
             done = await self._engine.prefill(order)
+            self._reservations.export(order.reservation)
             finished = True
         finally:
-            self._reservations.release(order.reservation)
+            self._running.pop(order.reservation, None)
             if not finished:
-                self._abort_later(order.request_id, order.attempt, "prefill")
+                self._give_up(hold)
         load = self._reservations.load
         return message_response(PrefillDone(done.kv, done.prompt_tokens, done.cached_pieces, load))
 
@@ -54,25 +70,27 @@
         """Handle ``POST /internal/decode`` with a stream of frames, one a line."""
         order = await read_order(request, DecodeOrder)
         self._core.decisions.note(order.request_id, "decode", f"attempt {order.attempt}")
-        self._reservations.use(order.reservation)
+        hold = self._begin(order.reservation)
         response = web.StreamResponse(headers={"Content-Type": "application/x-ndjson"})
         finished = False
         try:
             await response.prepare(request)
             async for frame in self._frames(order):
-                await response.write(encode_frame(frame))
                 finished = finished or frame.kind is FrameKind.END
+                if finished:
+                    self._reservations.release(order.reservation)
+                await response.write(encode_frame(frame))
             await response.write_eof()
         finally:
-            self._reservations.release(order.reservation)
+            self._running.pop(order.reservation, None)
             if not finished:
-                self._abort_later(order.request_id, order.attempt, "decode")
+                self._give_up(hold)
         return response
 
     async def _frames(self, order: DecodeOrder) -> AsyncIterator[Frame]:
         sequence = order.emitted_tokens
         try:
-            async for token in self._engine.decode(order):
+            async for token in self._tokens(order):
                 if token.finish_reason:
                     yield _frame(order, FrameKind.END, sequence, finish=token.finish_reason)
                     return
@@ -81,9 +99,46 @@
         except RefusalError as exc:
             yield _frame(order, FrameKind.FAILED, sequence, refused=exc.refused)
 
-    def _abort_later(self, request_id: str, attempt: int, phase: str) -> None:
-        engine_id = engine_request_id(request_id, attempt, phase)
-        self._core.tasks.start(self._abort(engine_id), "engine abort")
+    async def _tokens(self, order: DecodeOrder) -> AsyncIterator[EngineToken]:
+        """Start the transfer in its turn, and give it up if nothing comes of it in time."""
+        await asyncio.sleep(self._pacer.start_in(order.kv.pieces, time.monotonic()))
+        expected_s = self._pacer.expected_s(order.kv.pieces)
+        started = time.monotonic()
+        tokens = self._engine.decode(order)
+        try:
+            async with asyncio.timeout(expected_s + self._core.cfg.timing.transfer_stall_s):
+                first = await anext(tokens)
+        except TimeoutError as exc:
+            text = "the transfer of the cache stalled"
+            raise RefusalError(Refused(ErrorCode.ENDPOINT_FAILED, text, Ran.UNKNOWN)) from exc
+        except RefusalError:
+            self._reservations.keeper.note_evicted()
+            raise
+        waited_s = time.monotonic() - started - expected_s
+        self._reservations.keeper.note_started(waited_s)
+        yield first
+        async for token in tokens:
+            yield token
+
+    def _begin(self, reservation: str) -> Hold:
+        hold = self._reservations.use(reservation)
+        task = asyncio.current_task()
+        assert task is not None
+        self._running[reservation] = task
+        return hold
+
+    def _free(self, hold: Hold) -> None:
+        task = self._running.pop(hold.reservation, None)
+        if task is not None:
+            task.cancel()
+        self._abort_later(hold)
+
+    def _give_up(self, hold: Hold) -> None:
+        self._reservations.release(hold.reservation)
+        self._abort_later(hold)
+
+    def _abort_later(self, hold: Hold) -> None:
+        self._core.tasks.start(self._abort(_engine_id(hold)), "engine abort")
 
     async def _abort(self, engine_id: str) -> None:
         try:
@@ -100,6 +155,10 @@
         raise RefusalError(Refused(ErrorCode.BAD_REQUEST, str(exc))) from exc
 
 
+def _engine_id(hold: Hold) -> str:
+    return engine_request_id(hold.ask.request_id, hold.ask.attempt, hold.ask.kind.value)
+
+
 def _frame(
     order: DecodeOrder,
     kind: FrameKind,
--- a/packages/vanillashore-placement/src/vanillashore_placement/_affinity.py
+++ b/packages/vanillashore-placement/src/vanillashore_placement/_affinity.py
@@ -1,12 +1,20 @@
-"""Prefix affinity without an index: rendezvous hashing of a prompt's leading pieces."""
+"""Prefix affinity without an index: rendezvous hashing of a prompt's leading piece."""
 
 import xxhash
 
+from vanillashore_placement._loads import SeenLoads
+
 PIECE_TOKENS = 1_000
+LOAD_BOUND = 1.25
 _CHARS_PER_TOKEN = 4
 _PIECE_CHARS = PIECE_TOKENS * _CHARS_PER_TOKEN
 
 
+def has_whole_piece(prompt: str) -> bool:
+    """Return whether ``prompt`` is long enough to leave a piece that another prompt can reuse."""
+    return len(prompt) >= _PIECE_CHARS
+
+
 def leading_pieces(prompt: str, pieces: int = 1) -> str:
     """Return the part of ``prompt`` that decides its affinity."""
     return prompt[: pieces * _PIECE_CHARS]
@@ -23,5 +31,16 @@
     return sorted(names, key=lambda name: _weight(name, digest), reverse=True)
 
 
+def first_below_bound(ranked: list[str], loads: SeenLoads) -> str:
+    """Return the best-ranked endpoint whose load is not far above the mean of all ``ranked``.
+
+    One place more than `LOAD_BOUND` times the mean is allowed, so that idle pools keep their
+    affinity.
+    """
+    work = [loads.work(name) for name in ranked]
+    bound = 1 + LOAD_BOUND * sum(work) / len(work)
+    return next(name for name, load in zip(ranked, work, strict=True) if load <= bound)
+
+
 def _weight(name: str, digest: int) -> int:
     return xxhash.xxh64_intdigest(name.encode(), seed=digest)
--- /dev/null
+++ b/packages/vanillashore-placement/src/vanillashore_placement/_breaker.py
@@ -0,0 +1,80 @@
+"""Leaving out endpoints that fail: a breaker for each, and bounds on how many may be out."""
+
+import attrs
+
+FAILURES_TO_OPEN = 3
+FAILURE_SHARE_TO_OPEN = 0.5
+MIN_SAMPLES = 8
+OPEN_S = 1.0
+MAX_OPEN_S = 30.0
+MAX_OUT_SHARE = 0.5
+_SMOOTHING = 0.1
+
+
+@attrs.define
+class _Health:
+    in_a_row: int = 0
+    samples: int = 0
+    failure_share: float = 0.0
+    open_until: float = 0.0
+    times_opened: int = 0
+    probe_at: float = 0.0
+
+
+class Breaker:
+    """Tells which endpoints to leave out for a while.
+
+    An endpoint is left out after a few failures in a row, or when it fails far more often than its
+    peers do, so that a fault which all share (a broken client, say) opens none. It comes back with
+    one probe, and stays out longer each time that the probe fails.
+    """
+
+    def __init__(self) -> None:
+        self._health: dict[str, _Health] = {}
+
+    def note(self, endpoint: str, succeeded: bool, now: float) -> None:
+        """Take in how an attempt on an endpoint ended."""
+        health = self._health.setdefault(endpoint, _Health())
+        health.samples += 1
+        sample = 0.0 if succeeded else 1.0
+        health.failure_share += _SMOOTHING * (sample - health.failure_share)
+        if succeeded:
+            health.in_a_row = 0
+            health.times_opened = 0
+            health.open_until = 0.0
+            return
+        health.in_a_row += 1
+        if health.in_a_row >= FAILURES_TO_OPEN or self._is_outlier(health):
+            self._open(health, now)
+
+    def usable(self, endpoints: list[str], now: float) -> list[str]:
+        """Return the endpoints that may be used; all of them if too many would be left out."""
+        usable = [endpoint for endpoint in endpoints if self._is_usable(endpoint, now)]
+        if len(usable) < len(endpoints) * (1 - MAX_OUT_SHARE):
+            return endpoints
+        return usable
+
+    def note_chosen(self, endpoint: str, now: float) -> None:
+        """Note that an endpoint gets work; one that was out gets a single probe at a time."""
+        health = self._health.get(endpoint)
+        if health is not None and health.open_until:
+            health.probe_at = now
+
+    def _is_usable(self, endpoint: str, now: float) -> bool:
+        health = self._health.get(endpoint)
+        if health is None or not health.open_until:
+            return True
+        return now >= health.open_until and now >= health.probe_at + OPEN_S
+
+    def _is_outlier(self, health: _Health) -> bool:
+        peers = [h.failure_share for h in self._health.values() if h is not health]
+        if health.samples < MIN_SAMPLES or not peers:
+            return False
+        usual = sorted(peers)[len(peers) // 2]
+        return health.failure_share - usual >= FAILURE_SHARE_TO_OPEN
+
+    def _open(self, health: _Health, now: float) -> None:
+        if now < health.open_until:
+            return
+        health.open_until = now + min(MAX_OPEN_S, OPEN_S * 2**health.times_opened)
+        health.times_opened += 1
--- a/packages/vanillashore-placement/src/vanillashore_placement/_chooser.py
+++ b/packages/vanillashore-placement/src/vanillashore_placement/_chooser.py
@@ -2,35 +2,40 @@
 
 import random
 
-from vanillashore_wire import Load
-
-
-class SeenLoads:
-    """The load of each endpoint as the last message from its side process gave it."""
-
-    def __init__(self) -> None:
-        self._loads: dict[str, Load] = {}
-
-    def note(self, endpoint: str, load: Load) -> None:
-        """Remember the load of an endpoint."""
-        self._loads[endpoint] = load
-
-    def pressure(self, endpoint: str) -> float:
-        """Return running and waiting work per slot; an endpoint never seen counts as idle."""
-        load = self._loads.get(endpoint)
-        if load is None or load.slots == 0:
-            return 0.0
-        return (load.running + load.waiting) / load.slots
+from vanillashore_placement._affinity import first_below_bound, has_whole_piece, rank_by_affinity
+from vanillashore_placement._breaker import Breaker
+from vanillashore_placement._loads import SeenLoads
 
 
 class Chooser:
-    """Power of two choices; ``rng`` is passed in so that tests can seed it."""
+    """Power of two choices and prefix affinity, among endpoints whose breaker is closed.
+
+    ``rng`` is passed in so that tests can seed it.
+    """
 
-    def __init__(self, loads: SeenLoads, rng: random.Random) -> None:
+    def __init__(self, loads: SeenLoads, rng: random.Random, breaker: Breaker) -> None:
         self._loads = loads
         self._rng = rng
+        self._breaker = breaker
 
-    def candidates(self, endpoints: list[str], count: int = 2) -> list[str]:
+    def candidates(self, endpoints: list[str], now: float, count: int = 2) -> list[str]:
         """Return up to ``count`` random endpoints, least pressure first."""
-        picked = self._rng.sample(endpoints, min(count, len(endpoints)))
+        usable = self._breaker.usable(endpoints, now)
+        picked = self._rng.sample(usable, min(count, len(usable)))
+        for endpoint in picked:
+            self._breaker.note_chosen(endpoint, now)
         return sorted(picked, key=self._loads.pressure)
+
+    def prefill_candidates(
+        self, endpoints: list[str], workspace: str, prompt: str, now: float
+    ) -> list[str]:
+        """Return the endpoint that most likely has the prompt's prefix and is not overloaded.
+
+        A prompt too short to leave anything in a cache goes by load alone.
+        """
+        if not has_whole_piece(prompt):
+            return self.candidates(endpoints, now)
+        usable = self._breaker.usable(endpoints, now)
+        chosen = first_below_bound(rank_by_affinity(workspace, prompt, usable), self._loads)
+        self._breaker.note_chosen(chosen, now)
+        return [chosen]
--- a/packages/vanillashore-placement/src/vanillashore_placement/_keeper.py
+++ b/packages/vanillashore-placement/src/vanillashore_placement/_keeper.py
@@ -1,10 +1,48 @@
-"""The keeper of one endpoint's places: reservations, a queue and holds."""
+"""The keeper of one endpoint's places: reservations, a fair queue and holds."""
 
 import itertools
+import math
+from collections.abc import Callable
 
 import attrs
 
-from vanillashore_wire import ErrorCode, Load, Refused, ReserveAsk, ReserveGrant
+from vanillashore_placement._class_queue import BATCH_FLOOR, ClassQueue
+from vanillashore_placement._estimates import GrantAhead, QueuePace
+from vanillashore_placement._fair_queue import Waiting
+from vanillashore_placement._holds import Hold, HoldState, HoldTable, is_of
+from vanillashore_wire import (
+    AskRef,
+    ErrorCode,
+    HoldRenewal,
+    Load,
+    Refused,
+    ReservationKind,
+    ReserveAsk,
+    ReserveGrant,
+    ReserveWithdraw,
+    RouteClass,
+)
+
+INTERACTIVE_HEADROOM = 0.1
+HEADROOM_KEPT_S = 60.0
+LEAVING_USE_S = 1.5
+MIN_RETRY_AFTER_S = 0.1
+
+
+@attrs.frozen
+class KeeperSettings:
+    """What an endpoint has, and how long places live.
+
+    ``slots`` are places for decoding or calls, ``prefill_turns`` how many prefills may be at the
+    engine at once. ``name`` must differ between incarnations of a side process.
+    """
+
+    name: str
+    slots: int = 20
+    prefill_turns: int = 2
+    pieces: int = 200
+    reservation_valid_s: float = 3.0
+    hold_valid_s: float = 4.0
 
 
 @attrs.frozen
@@ -23,106 +61,245 @@
     refused: Refused
 
 
-Outcome = Granted | TurnedAway
-
+@attrs.frozen
+class Lapsed:
+    """A hold ended without its entry's word; what it holds on the endpoint has to be freed."""
 
-@attrs.define
-class _Waiting:
-    ask: ReserveAsk
-    patience_ends: float
+    hold: Hold
 
 
-@attrs.define
-class _Reserved:
-    ask: ReserveAsk
-    lapses_at: float
-    in_use: bool = False
+Outcome = Granted | TurnedAway | Lapsed
 
 
 class Keeper:
-    """Grants places first come, first served; a place is reserved, then in use, then released.
+    """Grants places on one endpoint; the only one who does.
+
+    Methods that may settle asks return outcomes. Time is in seconds and passed in; ``weight_of``
+    gives a workspace's weight::
 
-    Methods that may settle asks return them as outcomes. Time is in seconds and passed in.
+        outcomes = keeper.ask(ask, "entry-1", now)
     """
 
-    def __init__(self, endpoint: str, slots: int, reservation_valid_s: float) -> None:
-        self._endpoint = endpoint
-        self._slots = slots
-        self._valid_s = reservation_valid_s
+    def __init__(
+        self, cfg: KeeperSettings, weight_of: Callable[[str], float] = lambda workspace: 1.0
+    ) -> None:
+        self._cfg = cfg
+        self._weight_of = weight_of
         self._numbers = itertools.count(1)
-        self._waiting: list[_Waiting] = []
-        self._reserved: dict[str, _Reserved] = {}
+        self._queue = ClassQueue()
+        self._holds = HoldTable()
+        self._pace = QueuePace()
+        self._ahead = GrantAhead(cfg.slots)
         self._leaving = False
+        self._interactive_at = -math.inf
 
     @property
     def load(self) -> Load:
         """The occupancy as it is now."""
-        return Load(running=len(self._reserved), waiting=len(self._waiting), slots=self._slots)
+        return Load(
+            running=self._holds.places_taken(),
+            waiting=len(self._queue),
+            slots=self._cfg.slots,
+            free_pieces=self._cfg.pieces - self._holds.pieces(),
+        )
+
+    @property
+    def holds(self) -> HoldTable:
+        """The places granted and in use."""
+        return self._holds
+
+    @property
+    def is_leaving(self) -> bool:
+        """Whether new asks are refused."""
+        return self._leaving
 
-    def ask(self, ask: ReserveAsk, now: float) -> list[Outcome]:
-        """Queue an ask; it may be granted at once."""
+    def ask(self, ask: ReserveAsk, sender: str, now: float) -> list[Outcome]:
+        """Queue an ask; it may be granted or turned away at once."""
         if self._leaving:
-            refused = Refused(ErrorCode.SHUTTING_DOWN, "the endpoint is leaving")
-            return [TurnedAway(ask, refused)]
-        self._waiting.append(_Waiting(ask, now + min(ask.patience_s, ask.deadline_s)))
+            return [TurnedAway(ask, _leaving())]
+        if ask.pieces > self._cfg.pieces:
+            text = f"needs {ask.pieces} pieces, the endpoint has {self._cfg.pieces}"
+            return [TurnedAway(ask, Refused(ErrorCode.CONTEXT_TOO_LONG, text))]
+        known = self._holds.of(ask.request_id, ask.attempt, ask.kind)
+        if known is not None:
+            return [self._granted(known)]
+        self._forget_ask(ask.request_id, ask.attempt, ask.kind)
+        if ask.route_class is RouteClass.INTERACTIVE:
+            self._interactive_at = now
+        waiting = self._waiting(ask, sender, now)
+        outcomes = self._shed(waiting)
+        if outcomes:
+            return outcomes
+        self._queue.add(waiting)
         return self._settle(now)
 
-    def withdraw(self, request_id: str, attempt: int, now: float) -> list[Outcome]:
+    def withdraw(self, message: ReserveWithdraw, now: float) -> list[Outcome]:
         """Forget an ask, or its reservation unless that is in use."""
-        self._waiting = [w for w in self._waiting if not _is_of(w.ask, request_id, attempt)]
-        for name, reserved in list(self._reserved.items()):
-            if _is_of(reserved.ask, request_id, attempt) and not reserved.in_use:
-                del self._reserved[name]
+        if self._forget_ask(message.request_id, message.attempt, message.kind):
+            self._pace.note_left(granted=False)
+        hold = self._holds.of(message.request_id, message.attempt, message.kind)
+        if hold is not None and hold.state is HoldState.RESERVED:
+            self._holds.pop(hold.reservation)
         return self._settle(now)
 
-    def use(self, reservation: str, now: float) -> bool:
-        """Turn a reservation into a hold; False if it has lapsed."""
-        reserved = self._reserved.get(reservation)
-        if reserved is None or reserved.in_use or reserved.lapses_at <= now:
-            return False
-        reserved.in_use = True
-        return True
+    def use(self, reservation: str, now: float) -> Hold | None:
+        """Turn a reservation into a hold; None if it has lapsed or is used already."""
+        hold = self._holds.get(reservation)
+        if hold is None or hold.state is not HoldState.RESERVED or hold.is_over(now):
+            return None
+        hold.state = HoldState.IN_USE
+        hold.used_at = now
+        hold.lapses_at = now + self._cfg.hold_valid_s
+        if hold.ask.kind is ReservationKind.DECODE:
+            self._ahead.note_used(now - hold.granted_at)
+        return hold
+
+    def note_started(self, waited_s: float) -> None:
+        """Take in how long an imported cache waited at the engine before its first token."""
+        self._ahead.note_started(waited_s)
+
+    def note_evicted(self) -> None:
+        """Take in that a cache was evicted before it could be imported."""
+        self._ahead.note_evicted()
+
+    def export(self, reservation: str, now: float) -> list[Outcome]:
+        """End a prefill's turn, but keep the hold on the cache that it exported."""
+        hold = self._holds.get(reservation)
+        if hold is not None and hold.state is HoldState.IN_USE:
+            hold.state = HoldState.EXPORTED
+            self._pace.note_released(now - hold.used_at)
+        return self._settle(now)
 
     def release(self, reservation: str, now: float) -> list[Outcome]:
         """End a hold and give its place to the next ask."""
-        self._reserved.pop(reservation, None)
+        hold = self._holds.pop(reservation)
+        if hold is not None and hold.state is HoldState.IN_USE:
+            self._pace.note_released(now - hold.used_at)
         return self._settle(now)
 
+    def renew(self, renewal: HoldRenewal, sender: str, now: float) -> tuple[str, ...]:
+        """Prolong what an entry names; return the reservations that are not known."""
+        unknown = []
+        for reservation in renewal.reservations:
+            hold = self._holds.get(reservation)
+            if hold is None or hold.is_over(now):
+                unknown.append(reservation)
+            elif not (self._leaving and hold.state is HoldState.RESERVED):
+                hold.lapses_at = now + self._cfg.hold_valid_s
+        named = set(renewal.asks)
+        for waiting in self._queue:
+            ref = AskRef(waiting.ask.request_id, waiting.ask.attempt, waiting.ask.kind)
+            if waiting.sender == sender and ref in named:
+                waiting.renewed_at = now
+        return tuple(unknown)
+
     def tick(self, now: float) -> list[Outcome]:
-        """Drop lapsed reservations and asks whose patience is over."""
-        lapsed = [n for n, r in self._reserved.items() if not r.in_use and r.lapses_at <= now]
-        for name in lapsed:
-            del self._reserved[name]
-        return self._settle(now)
+        """Drop what has lapsed, and turn away asks whose patience is over."""
+        outcomes: list[Outcome] = [Lapsed(hold) for hold in self._holds.pop_over(now)]
+        for waiting in list(self._queue):
+            if now - waiting.renewed_at >= self._cfg.hold_valid_s:
+                self._queue.remove(waiting)
+                text = "the entry no longer renews this"
+                outcomes.append(TurnedAway(waiting.ask, Refused(ErrorCode.CANCELLED, text)))
+        return outcomes + self._settle(now)
 
-    def leave(self) -> list[Outcome]:
-        """Refuse all that waits, and all new asks from now on."""
+    def leave(self, now: float) -> list[Outcome]:
+        """Refuse all that waits and all new asks; reservations must be used within a moment."""
+        if self._leaving:
+            return []
         self._leaving = True
-        refused = Refused(ErrorCode.SHUTTING_DOWN, "the endpoint is leaving")
-        outcomes: list[Outcome] = [TurnedAway(w.ask, refused) for w in self._waiting]
-        self._waiting.clear()
-        return outcomes
+        for hold in self._holds:
+            if hold.state is HoldState.RESERVED:
+                hold.lapses_at = min(hold.lapses_at, now + LEAVING_USE_S)
+        waiting = list(self._queue)
+        for item in waiting:
+            self._queue.remove(item)
+        return [TurnedAway(item.ask, _leaving()) for item in waiting]
+
+    def rejoin(self) -> None:
+        """Take new work again."""
+        self._leaving = False
+
+    def _waiting(self, ask: ReserveAsk, sender: str, now: float) -> Waiting:
+        patience_ends = now + min(ask.patience_s, ask.deadline_s)
+        cost = float(max(1, ask.tokens))
+        weight = self._weight_of(ask.workspace)
+        return Waiting(ask, sender, now, patience_ends, now, cost, weight)
+
+    def _shed(self, waiting: Waiting) -> list[Outcome]:
+        if self._may_grant(waiting) and not len(self._queue):
+            return []
+        ahead = self._queue.ahead_of(waiting)
+        wait_s = self._pace.wait_s(ahead, self._places(waiting.ask.kind))
+        patience_s = min(waiting.ask.patience_s, waiting.ask.deadline_s)
+        if wait_s <= patience_s:
+            return []
+        return [TurnedAway(waiting.ask, _overloaded(wait_s, wait_s - patience_s))]
 
     def _settle(self, now: float) -> list[Outcome]:
         outcomes: list[Outcome] = []
-        still_waiting = []
-        for waiting in self._waiting:
-            if waiting.patience_ends <= now and len(self._reserved) >= self._slots:
-                text = "no place came free in time"
-                refused = Refused(ErrorCode.OVERLOADED, text, retry_after_s=1.0)
-                outcomes.append(TurnedAway(waiting.ask, refused))
-            elif len(self._reserved) < self._slots:
-                outcomes.append(self._grant(waiting.ask, now))
-            else:
-                still_waiting.append(waiting)
-        self._waiting = still_waiting
+        for waiting in list(self._queue):
+            if waiting.patience_ends <= now:
+                self._queue.remove(waiting)
+                wait_s = self._pace.wait_s(len(self._queue), self._places(waiting.ask.kind))
+                outcomes.append(TurnedAway(waiting.ask, _overloaded(wait_s, wait_s)))
+        return outcomes + self._grant_next(now)
+
+    def _grant_next(self, now: float) -> list[Outcome]:
+        outcomes: list[Outcome] = []
+        while (head := self._queue.head(self._batch_may_run(now))) is not None:
+            if not self._may_grant(head):
+                break
+            self._queue.take(head)
+            self._pace.note_left(granted=True)
+            outcomes.append(self._grant(head, now))
         return outcomes
 
-    def _grant(self, ask: ReserveAsk, now: float) -> Granted:
-        name = f"{self._endpoint}-{next(self._numbers)}"
-        self._reserved[name] = _Reserved(ask, now + self._valid_s)
-        return Granted(ask, ReserveGrant(name, self._valid_s, self.load))
+    def _grant(self, waiting: Waiting, now: float) -> Granted:
+        name = f"{self._cfg.name}-{next(self._numbers)}"
+        lapses_at = now + self._cfg.reservation_valid_s
+        deadline = waiting.arrived + waiting.ask.deadline_s
+        hold = Hold(name, waiting.ask, waiting.sender, now, lapses_at, deadline)
+        self._holds.add(hold)
+        return self._granted(hold)
+
+    def _granted(self, hold: Hold) -> Granted:
+        grant = ReserveGrant(hold.reservation, self._cfg.reservation_valid_s, self.load)
+        return Granted(hold.ask, grant)
+
+    def _places(self, kind: ReservationKind) -> int:
+        return self._cfg.prefill_turns if kind is ReservationKind.PREFILL else self._cfg.slots
+
+    def _may_grant(self, waiting: Waiting) -> bool:
+        kind = waiting.ask.kind
+        places = self._places(kind)
+        if kind is ReservationKind.DECODE:
+            places += self._ahead.places(self._holds.in_use(), self._pace.hold_s)
+        if self._holds.places_taken() >= places:
+            return False
+        return self._holds.pieces() + waiting.ask.pieces <= self._cfg.pieces
+
+    def _batch_may_run(self, now: float) -> bool:
+        if now - self._interactive_at >= HEADROOM_KEPT_S:
+            return True
+        slots = self._cfg.slots
+        if self._holds.places_taken(RouteClass.BATCH) < math.ceil(slots * BATCH_FLOOR):
+            return True
+        headroom = math.ceil(slots * INTERACTIVE_HEADROOM)
+        return self._holds.places_taken() < slots - headroom
+
+    def _forget_ask(self, request_id: str, attempt: int, kind: ReservationKind) -> bool:
+        for waiting in self._queue:
+            if is_of(waiting.ask, request_id, attempt, kind):
+                self._queue.remove(waiting)
+                return True
+        return False
+
+
+def _leaving() -> Refused:
+    return Refused(ErrorCode.SHUTTING_DOWN, "the endpoint is leaving")
 
 
-def _is_of(ask: ReserveAsk, request_id: str, attempt: int) -> bool:
-    return ask.request_id == request_id and ask.attempt == attempt
+def _overloaded(wait_s: float, retry_after_s: float) -> Refused:
+    text = f"no place within its time; the wait is about {wait_s:.1f} s"
+    return Refused(ErrorCode.OVERLOADED, text, retry_after_s=max(MIN_RETRY_AFTER_S, retry_after_s))
--- /dev/null
+++ b/packages/vanillashore-placement/src/vanillashore_placement/_transfers.py
@@ -0,0 +1,25 @@
+"""Transfers of KV caches into an endpoint, paced at the rate of its link."""
+
+
+class TransferPacer:
+    """Gives each transfer its starting time on the link.
+
+    Turns follow from the sizes alone and never from another transfer's end, so a transfer that
+    stalls holds nobody else up::
+
+        wait_s = pacer.start_in(pieces=12, now=now)
+    """
+
+    def __init__(self, pieces_per_s: float) -> None:
+        self._pieces_per_s = pieces_per_s
+        self._free_at = 0.0
+
+    def expected_s(self, pieces: int) -> float:
+        """Return how long a transfer takes on an idle link."""
+        return pieces / self._pieces_per_s
+
+    def start_in(self, pieces: int, now: float) -> float:
+        """Book a transfer and return in how many seconds it may start."""
+        start = max(now, self._free_at)
+        self._free_at = start + self.expected_s(pieces)
+        return start - now
--- a/packages/vanillashore-schema/src/vanillashore_schema/_settings.py
+++ b/packages/vanillashore-schema/src/vanillashore_schema/_settings.py
@@ -73,6 +73,9 @@
     address: str = option(http_address)
     kind: BackEndKind = option()
     slots: int = option(positive, default=20)
+    prefill_turns: int = option(positive, default=2)
+    kv_pieces: int = option(positive, default=200)
+    link_pieces_per_s: float = option(positive, default=500.0)
     honours_fencing: bool = option(default=False)
 
 
@@ -100,6 +103,7 @@
     reservation_valid_s: float = option(positive, default=3.0)
     hold_valid_s: float = option(positive, default=4.0)
     hold_renewal_s: float = option(positive, default=2.0)
+    transfer_stall_s: float = option(positive, default=3.0)
     link_idle_s: float = option(positive, default=60.0)
     ask_timeout_s: float = option(positive, default=2.0)
     link_coalesce_ms: float = option(at_least_zero, default=2.0)
--- a/packages/vanillashore-wire/src/vanillashore_wire/__init__.py
+++ b/packages/vanillashore-wire/src/vanillashore_wire/__init__.py
@@ -41,9 +41,11 @@
     RouteClass,
     Sampling,
 )
+from vanillashore_wire._placement_messages import AskRef, HoldEnd, HoldRenewal, HoldRenewed
 
 __all__ = [
     "Ack",
+    "AskRef",
     "Batch",
     "CallDone",
     "CallOrder",
@@ -55,6 +57,9 @@
     "FrameSplitter",
     "Header",
     "KvHandle",
+    "HoldEnd",
+    "HoldRenewal",
+    "HoldRenewed",
     "Load",
     "PrefillDone",
     "PrefillOrder",
--- a/packages/vanillashore-wire/src/vanillashore_wire/_messages.py
+++ b/packages/vanillashore-wire/src/vanillashore_wire/_messages.py
@@ -46,6 +46,7 @@
 
     ``pieces`` is the KV memory the attempt may come to need, ``patience_s`` how long the ask may
     wait in the queue, ``deadline_s`` the time left to the request; both count from sending.
+    ``tokens`` is the work: prompt tokens to prefill, or the most tokens to generate.
     """
 
     request_id: str
@@ -57,6 +58,7 @@
     route_class: RouteClass
     patience_s: float
     deadline_s: float
+    tokens: int = 1
 
 
 @message("reserve_grant")
@@ -201,6 +203,7 @@
     route_class: RouteClass
     deadline_s: float
     revision: int
+    reservation: str = ""
 
 
 @attrs.frozen
--- /dev/null
+++ b/packages/vanillashore-wire/src/vanillashore_wire/_placement_messages.py
@@ -0,0 +1,41 @@
+"""Messages that keep places on endpoints alive, and end them."""
+
+import attrs
+
+from vanillashore_wire._codec import message
+from vanillashore_wire._messages import Load, ReservationKind
+
+
+@attrs.frozen
+class AskRef:
+    """Names an ask that still waits in a keeper's queue."""
+
+    request_id: str
+    attempt: int
+    kind: ReservationKind
+
+
+@message("hold_renewal")
+@attrs.frozen
+class HoldRenewal:
+    """All places and asks that one entry has at one endpoint; what is not named will lapse."""
+
+    reservations: tuple[str, ...]
+    asks: tuple[AskRef, ...] = ()
+
+
+@message("hold_renewed")
+@attrs.frozen
+class HoldRenewed:
+    """Reply to a `HoldRenewal`: which of the reservations are not known, and the present load."""
+
+    unknown: tuple[str, ...]
+    load: Load
+
+
+@message("hold_end")
+@attrs.frozen
+class HoldEnd:
+    """The work on a reservation is over, or given up; all that it holds can be freed."""
+
+    reservation: str
--- /dev/null
+++ b/tests/node/test_holds.py
@@ -0,0 +1,190 @@
+"""Nothing stays held on an engine or at a keeper for a request that is gone."""
+
+import asyncio
+from collections.abc import Callable
+from typing import Any
+
+import attrs
+import pytest
+
+from vanillashore_node import EntryNode, SideNode
+from vanillashore_node._reconciliation import Reconciliation
+from vanillashore_placement import rank_by_affinity
+from vanillashore_schema import TimingSettings
+from vanillashore_standins import EngineOptions, generate
+from vanillashore_standins.testing import MODEL, WORKSPACE, FleetPlan, SmallFleet
+from vanillashore_wire import HoldEnd, ReserveAsk, ReserveWithdraw
+
+GONE_S = 5.0
+LONG_PROMPT = "x" * 40_000
+SHORT_HOLDS = TimingSettings(
+    balancer_delay_s=0.0,
+    reservation_valid_s=0.6,
+    hold_valid_s=0.8,
+    hold_renewal_s=0.3,
+    transfer_stall_s=0.5,
+    ask_timeout_s=0.5,
+)
+ENGINE = EngineOptions(step_s=0.005, prefill_s_per_token=0.00001, export_keep_s=60.0)
+PLAN = FleetPlan(engine=ENGINE, timing=SHORT_HOLDS)
+
+
+def all_is_free(fleet: SmallFleet) -> bool:
+    keepers = [side.reservations.keeper for side in fleet.sides.values()]
+    kept = sum(len(keeper.holds) + keeper.load.waiting for keeper in keepers)
+    return fleet.held_pieces() == 0 and kept == 0
+
+
+def holds_of(fleet: SmallFleet, kind: str) -> int:
+    return sum(
+        hold.ask.kind.value == kind
+        for side in fleet.sides.values()
+        for hold in side.reservations.keeper.holds
+    )
+
+
+async def complete(fleet: SmallFleet, max_tokens: int = 5, prompt: str = LONG_PROMPT) -> Any:
+    body = {"model": MODEL, "prompt": prompt, "max_tokens": max_tokens}
+    async with fleet.post(0, "/v1/completions", body) as response:
+        return await response.json()
+
+
+@pytest.mark.parametrize("phase", ["prefill", "transfer", "decode"])
+@pytest.mark.parametrize("sweeps", [True, False])
+async def test_a_cancelled_request_frees_all(
+    phase: str, sweeps: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    if not sweeps:
+        monkeypatch.setattr(Reconciliation, "sweep", _ignore)
+    async with SmallFleet(PLAN) as fleet:
+        prefill = fleet.engines["prefill-0"]
+        if phase == "prefill":
+            prefill.options.prefill_s_per_token = 0.001
+        prefill.options.stall_transfers = phase == "transfer"
+        reached: dict[str, Callable[[], bool]] = {
+            "prefill": lambda: bool(prefill.memory.held),
+            "transfer": lambda: bool(prefill.memory.exports),
+            "decode": lambda: sum(e.ledger.decoded_tokens for e in fleet.engines.values()) > 3,
+        }
+        task = asyncio.create_task(complete(fleet, max_tokens=10_000))
+        await fleet.until(reached[phase])
+        task.cancel()
+        await fleet.until(lambda: all_is_free(fleet), GONE_S)
+
+
+async def test_a_cancelled_request_leaves_the_queue() -> None:
+    plan = attrs.evolve(PLAN, decodes=1, engine=attrs.evolve(ENGINE, slots=1))
+    async with SmallFleet(plan) as fleet:
+        keeper = fleet.sides["decode-0"].reservations.keeper
+        running = asyncio.create_task(complete(fleet, max_tokens=10_000))
+        await fleet.until(lambda: keeper.holds.in_use() == 1)
+        queued = asyncio.create_task(complete(fleet))
+        await fleet.until(lambda: keeper.load.waiting == 1)
+        queued.cancel()
+        await fleet.until(lambda: keeper.load.waiting == 0, GONE_S)
+        running.cancel()
+        await fleet.until(lambda: all_is_free(fleet), GONE_S)
+
+
+async def _hang(*args: object) -> None:
+    await asyncio.Event().wait()
+
+
+async def _ignore(*args: object) -> None:
+    return None
+
+
+def lose_grants(fleet: SmallFleet) -> None:
+    def without_reply(side: SideNode) -> Callable[..., Any]:
+        async def handle(message: ReserveAsk, sender: str) -> None:
+            await side.reservations.ask(message, sender)
+            await asyncio.Event().wait()
+
+        return handle
+
+    for side in fleet.sides.values():
+        side.core.hub.on(ReserveAsk, without_reply(side))
+        side.core.hub.on(ReserveWithdraw, _ignore)
+
+
+def lose_ends(fleet: SmallFleet) -> None:
+    for side in fleet.sides.values():
+        side.core.hub.on(HoldEnd, _ignore)
+
+
+def lose_prefill_replies(fleet: SmallFleet) -> None:
+    entry: EntryNode = fleet.entries[0]
+    ask = entry._back_ends.prefill
+
+    async def lost(*args: Any) -> None:
+        await ask(*args)
+        await asyncio.sleep(60.0)
+
+    entry._back_ends.prefill = lost
+    lose_ends(fleet)
+
+
+@pytest.mark.parametrize("fault", [lose_grants, lose_ends, lose_prefill_replies])
+async def test_what_a_lost_message_should_have_freed_lapses(
+    fault: Callable[[SmallFleet], None],
+) -> None:
+    async with SmallFleet(PLAN) as fleet:
+        fault(fleet)
+        task = asyncio.create_task(complete(fleet))
+        await fleet.until(
+            lambda: any(len(s.reservations.keeper.holds) for s in fleet.sides.values())
+        )
+        await asyncio.wait([task], timeout=1.0)
+        task.cancel()
+        await fleet.until(lambda: all_is_free(fleet), GONE_S)
+
+
+async def test_a_slow_prefill_keeps_its_decode_place_by_renewal() -> None:
+    async with SmallFleet(PLAN) as fleet:
+        fleet.engines["prefill-0"].options.prefill_s_per_token = 0.0002
+        answer = await complete(fleet)
+        assert answer["choices"][0]["text"] == generate(LONG_PROMPT, 5)
+        [prefill] = fleet.engines["prefill-0"].ledger.prefills
+        assert prefill.endswith("/1/prefill")
+
+
+async def test_a_stalled_transfer_holds_nobody_up_and_is_tried_elsewhere() -> None:
+    async with SmallFleet(attrs.evolve(PLAN, prefills=2)) as fleet:
+        fleet.engines["prefill-0"].options.stall_transfers = True
+        prompts = [f"{i}" + LONG_PROMPT for i in range(8)]
+        answers = await asyncio.gather(*(complete(fleet, 5, p) for p in prompts))
+        assert [a["choices"][0]["text"] for a in answers] == [generate(p, 5) for p in prompts]
+        assert fleet.engines["prefill-0"].ledger.prefills
+        await fleet.until(lambda: all_is_free(fleet), GONE_S)
+
+
+async def test_the_next_attempt_goes_elsewhere() -> None:
+    async with SmallFleet(attrs.evolve(PLAN, prefills=2)) as fleet:
+        names = ["prefill-0", "prefill-1"]
+        first = rank_by_affinity(WORKSPACE, LONG_PROMPT, names)[0]
+        fleet.engines[first].options.stall_transfers = True
+        answer = await complete(fleet)
+        assert answer["choices"][0]["text"] == generate(LONG_PROMPT, 5)
+        assert len(fleet.engines[first].ledger.prefills) == 1
+
+
+async def test_an_engine_is_freed_of_what_nobody_claims() -> None:
+    async with SmallFleet(PLAN) as fleet:
+        engine = fleet.engines["decode-0"]
+        engine.hold_for_import("of-an-earlier-incarnation/1/decode", 5_000)
+        await fleet.until(lambda: fleet.held_pieces() == 0, GONE_S)
+
+
+async def test_a_leaving_endpoint_gets_no_new_work() -> None:
+    async with SmallFleet(PLAN) as fleet:
+        leaving = fleet.sides["decode-0"]
+        state = {"name": "decode-0", "address": leaving.core.address, "kind": "endpoint"}
+        listed = {"data_centre": leaving.core.cfg.node.data_centre, "state": "leaving"}
+        fleet.vm_list.put(state | listed)
+        await fleet.until(lambda: leaving.reservations.keeper.is_leaving, 3.0)
+        fleet.entries[0].core.directory.take_vms = lambda vms: None
+        before = len(fleet.engines["decode-0"].ledger.decodes)
+        for i in range(6):
+            answer = await complete(fleet, 3, f"cake {i}")
+            assert answer["choices"][0]["text"] == generate(f"cake {i}", 3)
+        assert len(fleet.engines["decode-0"].ledger.decodes) == before
--- /dev/null
+++ b/tests/placement/test_choice.py
@@ -0,0 +1,108 @@
+import random
+
+import pytest
+
+from vanillashore_placement import (
+    Breaker,
+    Chooser,
+    GrantAhead,
+    SeenLoads,
+    TransferPacer,
+    rank_by_affinity,
+)
+from vanillashore_wire import Load
+
+NAMES = [f"p{i}" for i in range(10)]
+LONG = "x" * 8_000
+
+
+def chooser(loads: SeenLoads, breaker: Breaker | None = None) -> Chooser:
+    return Chooser(loads, random.Random(1), breaker or Breaker())
+
+
+def test_a_prefix_goes_to_the_same_endpoint_whatever_follows() -> None:
+    pick = chooser(SeenLoads()).prefill_candidates
+    chosen = {pick(NAMES, "w", LONG + str(i), 0.0)[0] for i in range(20)}
+    assert len(chosen) == 1
+
+
+def test_losing_an_endpoint_moves_only_its_own_prefixes() -> None:
+    for i in range(50):
+        prompt = f"{i}" + LONG
+        ranked = rank_by_affinity("w", prompt, NAMES)
+        without = [name for name in NAMES if name != ranked[-1]]
+        assert rank_by_affinity("w", prompt, without) == ranked[:-1]
+
+
+def test_an_overloaded_endpoint_loses_its_affinity() -> None:
+    loads = SeenLoads()
+    first, second = rank_by_affinity("w", LONG, NAMES)[:2]
+    loads.note(first, Load(running=20, slots=20))
+    assert chooser(loads).prefill_candidates(NAMES, "w", LONG, 0.0) == [second]
+
+
+def test_the_less_loaded_of_two_comes_first() -> None:
+    loads = SeenLoads()
+    loads.note("p0", Load(running=20, slots=20))
+    assert chooser(loads).candidates(["p0", "p1"], 0.0) == ["p1", "p0"]
+
+
+def test_failures_in_a_row_open_the_breaker_and_one_probe_closes_it() -> None:
+    breaker = Breaker()
+    for _ in range(3):
+        breaker.note("p0", False, 0.0)
+    assert "p0" not in breaker.usable(NAMES, 0.5)
+    assert "p0" in breaker.usable(NAMES, 1.0)
+    breaker.note_chosen("p0", 1.0)
+    assert "p0" not in breaker.usable(NAMES, 1.1)
+    breaker.note("p0", True, 1.2)
+    assert "p0" in breaker.usable(NAMES, 1.2)
+
+
+def test_a_failed_probe_keeps_it_out_longer() -> None:
+    breaker = Breaker()
+    for now in (0.0, 0.0, 0.0, 1.0):
+        breaker.note("p0", False, now)
+    assert "p0" not in breaker.usable(NAMES, 2.5)
+    assert "p0" in breaker.usable(NAMES, 3.0)
+
+
+@pytest.mark.parametrize(("peer_failures", "out"), [(0, True), (1, False)])
+def test_an_outlier_is_left_out_but_not_for_a_fault_that_all_share(
+    peer_failures: int, out: bool
+) -> None:
+    breaker = Breaker()
+    for _ in range(40):
+        for name in NAMES:
+            failures = 2 if name == "p0" else peer_failures
+            for i in range(3):
+                breaker.note(name, i < 3 - failures, 0.0)
+    assert ("p0" not in breaker.usable(NAMES, 0.5)) is out
+
+
+def test_the_breaker_never_leaves_out_most_of_a_pool() -> None:
+    breaker = Breaker()
+    for name in NAMES[:6]:
+        for _ in range(3):
+            breaker.note(name, False, 0.0)
+    assert breaker.usable(NAMES, 0.5) == NAMES
+
+
+def test_grant_ahead_shrinks_on_eviction_and_grows_again() -> None:
+    ahead = GrantAhead(slots=20)
+    assert ahead.places(20, 3.0) == 0
+    ahead.note_used(lead_s=0.6)
+    before = ahead.places(20, 3.0)
+    ahead.note_evicted()
+    assert ahead.places(20, 3.0) < before
+    for _ in range(100):
+        ahead.note_started(waited_s=0.0)
+    assert ahead.places(20, 3.0) == 4
+    assert ahead.places(20, 0.1) == 5
+
+
+def test_a_transfer_that_never_ends_delays_nobody() -> None:
+    pacer = TransferPacer(pieces_per_s=100.0)
+    assert pacer.start_in(10, 0.0) == 0.0
+    assert pacer.start_in(10, 0.0) == pytest.approx(0.1)
+    assert pacer.start_in(10, 50.0) == 0.0
--- /dev/null
+++ b/tests/placement/test_fair_queue.py
@@ -0,0 +1,95 @@
+from collections import Counter
+
+from vanillashore_placement import ClassQueue, FairQueue, Waiting
+from vanillashore_wire import ReservationKind, ReserveAsk, RouteClass
+
+
+def waiting(
+    workspace: str,
+    number: int = 0,
+    *,
+    patience_ends: float = 10.0,
+    weight: float = 1.0,
+    route_class: RouteClass = RouteClass.INTERACTIVE,
+) -> Waiting:
+    ask = ReserveAsk(
+        f"{workspace}-{number}",
+        1,
+        ReservationKind.DECODE,
+        workspace,
+        "model",
+        1,
+        route_class,
+        patience_ends,
+        patience_ends,
+    )
+    return Waiting(ask, "entry", float(number), patience_ends, 0.0, 1.0, weight)
+
+
+def served(queue: FairQueue, count: int) -> list[str]:
+    return [queue.take(queue.head()).ask.workspace for _ in range(count)]
+
+
+def test_a_long_queue_of_one_workspace_does_not_delay_another() -> None:
+    queue = FairQueue()
+    for i in range(50):
+        queue.add(waiting("loud", i))
+    served(queue, 10)
+    queue.add(waiting("quiet"))
+    assert queue.ahead_of(waiting("quiet2")) <= 2
+    assert "quiet" in served(queue, 2)
+
+
+def test_service_follows_weights() -> None:
+    queue = FairQueue()
+    for i in range(60):
+        queue.add(waiting("one", i, weight=1.0))
+        queue.add(waiting("two", i, weight=2.0))
+    counts = Counter(served(queue, 30))
+    assert 19 <= counts["two"] <= 21
+
+
+def test_an_idle_workspace_saves_up_nothing() -> None:
+    queue = FairQueue()
+    for i in range(40):
+        queue.add(waiting("busy", i))
+    served(queue, 30)
+    for i in range(10):
+        queue.add(waiting("late", i))
+    assert Counter(served(queue, 10))["late"] <= 6
+
+
+def test_earliest_deadline_first_within_a_workspace() -> None:
+    queue = FairQueue()
+    queue.add(waiting("a", 1, patience_ends=9.0))
+    queue.add(waiting("a", 2, patience_ends=3.0))
+    assert queue.head().ask.request_id == "a-2"
+
+
+def test_what_is_withdrawn_is_not_charged() -> None:
+    queue = FairQueue()
+    for i in range(20):
+        item = waiting("a", i)
+        queue.add(item)
+        queue.remove(item)
+    queue.add(waiting("a", 99))
+    queue.add(waiting("b", 99))
+    queue.add(waiting("b", 100))
+    assert queue.ahead_of(waiting("c")) <= 2
+    assert set(served(queue, 2)) == {"a", "b"}
+
+
+def test_batch_has_its_floor_and_no_more_while_interactive_waits() -> None:
+    queue = ClassQueue()
+    for i in range(200):
+        queue.add(waiting("a", i))
+        queue.add(waiting("b", i, route_class=RouteClass.BATCH))
+    classes = Counter(queue.take(queue.head(True)).ask.route_class for _ in range(100))
+    assert 9 <= classes[RouteClass.BATCH] <= 11
+
+
+def test_batch_gets_everything_when_nothing_else_waits() -> None:
+    queue = ClassQueue()
+    queue.add(waiting("b", route_class=RouteClass.BATCH))
+    assert queue.head(True) is not None
+    assert queue.head(False) is None
