--- a/packages/vanillashore-node/src/vanillashore_node/_call_dispatch.py
+++ b/packages/vanillashore-node/src/vanillashore_node/_call_dispatch.py
@@ -1,6 +1,5 @@
 """Dispatch of calls to plain services: failover, and what can truly be said after a failure."""
 
-import random
 import time
 from collections.abc import Callable
 
@@ -10,10 +9,10 @@
 from vanillashore_node._claim_desk import ClaimDesk, ClaimResult
 from vanillashore_node._claims import answer_of
 from vanillashore_node._core import NodeCore
-from vanillashore_node._directory import Endpoint
+from vanillashore_node._placer import Place, Placer
 from vanillashore_outcome import Bar, ClaimVerdict, RetryBudget, call_fingerprint, claim_name
 from vanillashore_platform import StoreUnavailableError
-from vanillashore_schema import EndpointRole
+from vanillashore_schema import RouteConfig
 from vanillashore_wire import CallDone, CallOrder, ErrorCode, Ran, RefusalError, Refused
 
 MAX_ATTEMPTS = 3
@@ -21,7 +20,6 @@
 SETTLE_RESERVE_S = 2.0
 STATEMENT_VALID_S = 1.0
 RETRY_AFTER_S = 1.0
-NO_ENDPOINT_RETRY_S = 5.0
 FAILOVER_CODES = frozenset(
     {
         ErrorCode.ENDPOINT_FAILED,
@@ -48,56 +46,73 @@
         back_ends: BackEnds,
         desk: ClaimDesk,
         budget: RetryBudget,
-        rng: random.Random,
+        placer: Placer,
     ) -> None:
         self._core = core
         self._back_ends = back_ends
         self._desk = desk
-        self._rng = rng
         self._budget = budget
+        self._placer = placer
 
-    async def run(self, order: CallOrder, check: Callable[[], None]) -> CallDone:
+    async def run(
+        self, order: CallOrder, route: RouteConfig, check: Callable[[], None]
+    ) -> CallDone:
         """Run a call; ``check`` raises RefusalError if the caller may no longer have it."""
-        deadline = time.monotonic() + order.deadline_s
         self._budget.earn()
-        endpoints = self._endpoints(order)
+        try:
+            return await self._attempts(order, route, check)
+        finally:
+            self._placer.forget(order.request_id)
+
+    async def _attempts(
+        self, order: CallOrder, route: RouteConfig, check: Callable[[], None]
+    ) -> CallDone:
+        deadline = time.monotonic() + order.deadline_s
         ran = Ran.NO
-        for attempt, endpoint in enumerate(endpoints, start=1):
+        for attempt in range(1, MAX_ATTEMPTS + 1):
             check()
             try:
-                return await self._attempt(order, attempt, endpoint, deadline)
+                return await self._attempt(attrs.evolve(order, attempt=attempt), route, deadline)
             except RefusalError as exc:
                 self._core.decisions.note(order.request_id, "call failed", str(exc))
                 ran = Ran.UNKNOWN if exc.refused.ran is Ran.UNKNOWN else ran
-                is_last = attempt == len(endpoints) or not self._may_go_on(order, exc)
+                is_last = attempt == MAX_ATTEMPTS or not self._may_go_on(order, exc)
                 if is_last or time.monotonic() >= deadline or not self._budget.spend():
                     refused = attrs.evolve(exc.refused, ran=ran)
                     return await self._end(order, refused)
         raise AssertionError("unreachable")
 
-    async def _attempt(
-        self, order: CallOrder, attempt: int, endpoint: Endpoint, deadline: float
-    ) -> CallDone:
+    async def _attempt(self, order: CallOrder, route: RouteConfig, deadline: float) -> CallDone:
+        place = await self._place(order, route, deadline)
+        code = None
+        try:
+            return await self._send(order, place, deadline)
+        except RefusalError as exc:
+            code = exc.code
+            raise
+        finally:
+            self._placer.end_call(order.request_id, place, code)
+
+    async def _place(self, order: CallOrder, route: RouteConfig, deadline: float) -> Place:
+        """Get a place; a call that got none certainly did not run."""
+        try:
+            return await self._placer.call_place(order, route, deadline - time.monotonic())
+        except RefusalError as exc:
+            raise RefusalError(attrs.evolve(exc.refused, ran=Ran.NO)) from exc
+
+    async def _send(self, order: CallOrder, place: Place, deadline: float) -> CallDone:
         left_s = deadline - time.monotonic()
         if left_s <= 0:
             text = "the deadline passed before the call was sent"
             raise RefusalError(Refused(ErrorCode.DEADLINE_EXCEEDED, text))
-        self._core.decisions.note(order.request_id, "call place", endpoint.vm)
+        self._core.decisions.note(order.request_id, "call place", place.endpoint.vm)
         order = attrs.evolve(
             order,
-            attempt=attempt,
+            reservation=place.grant.reservation,
             deadline_s=max(left_s / 2, left_s - SETTLE_RESERVE_S),
             revision=self._core.directory.revision,
         )
-        return await self._back_ends.call(endpoint.address, order)
-
-    def _endpoints(self, order: CallOrder) -> list[Endpoint]:
-        endpoints = self._core.directory.endpoints(EndpointRole.SERVICE, order.service)
-        if not endpoints:
-            text = f"no endpoint of {order.service!r} is live"
-            refused = Refused(ErrorCode.NO_ENDPOINT, text, retry_after_s=NO_ENDPOINT_RETRY_S)
-            raise RefusalError(refused)
-        return self._rng.sample(endpoints, min(MAX_ATTEMPTS, len(endpoints)))
+        return await self._back_ends.call(place.endpoint.address, order)
 
     def _may_go_on(self, order: CallOrder, exc: RefusalError) -> bool:
         if order.idempotent and exc.code is ErrorCode.OUTCOME_UNKNOWN:
--- a/packages/vanillashore-node/src/vanillashore_node/_entry.py
+++ b/packages/vanillashore-node/src/vanillashore_node/_entry.py
@@ -15,9 +15,10 @@
 from vanillashore_node._faces import json_response, require_fleet_secret
 from vanillashore_node._generation import Generation
 from vanillashore_node._generation_request import GenerationRequest
+from vanillashore_node._holds import HoldBook
 from vanillashore_node._placer import Placer
 from vanillashore_outcome import RetryBudget
-from vanillashore_placement import Chooser, SeenLoads
+from vanillashore_placement import Breaker, Chooser, SeenLoads
 from vanillashore_platform import ClaimStore
 from vanillashore_schema import NodeSettings
 from vanillashore_wire import unstructure
@@ -43,13 +44,16 @@
         await core.open()
         rng = random.Random()
         loads = SeenLoads()
+        breaker = Breaker()
+        book = HoldBook(core, loads)
+        core.tasks.start(book.run(), "hold renewals")
         self._budget = RetryBudget()
         self._back_ends = CurrentBackEnds(core)
-        self._placer = Placer(core, Chooser(loads, rng), loads)
+        self._placer = Placer(core, Chooser(loads, rng, breaker), breaker, loads, book)
         admission = LocalAdmission()
         completions = Completions(core, admission, self._new_generation)
         desk = ClaimDesk(ClaimStore(core.store))
-        dispatch = CallDispatch(core, self._back_ends, desk, self._budget, rng)
+        dispatch = CallDispatch(core, self._back_ends, desk, self._budget, self._placer)
         calls = Calls(core, admission, dispatch)
         app = web.Application(
             client_max_size=self._cfg.limits.body_bytes, middlewares=[CallerGuard(core).guard]
--- a/packages/vanillashore-schema/src/vanillashore_schema/_settings.py
+++ b/packages/vanillashore-schema/src/vanillashore_schema/_settings.py
@@ -73,6 +73,9 @@
     address: str = option(http_address)
     kind: BackEndKind = option()
     slots: int = option(positive, default=20)
+    prefill_turns: int = option(positive, default=2)
+    kv_pieces: int = option(positive, default=200)
+    link_pieces_per_s: float = option(positive, default=500.0)
     honours_fencing: bool = option(default=False)
 
 
@@ -102,6 +105,7 @@
     hold_renewal_s: float = option(positive, default=2.0)
     prefill_wait_s: float = option(positive, default=30.0)
     frame_wait_s: float = option(positive, default=10.0)
+    transfer_stall_s: float = option(positive, default=3.0)
     link_idle_s: float = option(positive, default=60.0)
     ask_timeout_s: float = option(positive, default=2.0)
     config_wait_s: float = option(positive, default=2.0)
