--- a/packages/vanillashore-node/src/vanillashore_node/_quarantine.py
+++ b/packages/vanillashore-node/src/vanillashore_node/_quarantine.py
@@ -30,6 +30,22 @@
 )
 
 ISOLATED_RETRY_S = 1.0
+PROGRESS_TOKENS = 4
+
+
+@attrs.define(eq=False)
+class _Flight:
+    """A request in flight, and the tokens that it has got from this engine."""
+
+    running: Running
+    tokens: int = 0
+    has_crashed: bool = False
+
+    def evidence(self) -> Running:
+        """Return the request; one that got well past its last crash is not on trial any more."""
+        if self.tokens < PROGRESS_TOKENS:
+            return self.running
+        return attrs.evolve(self.running, on_trial=False)
 
 
 class WatchedEngine:
@@ -49,8 +65,7 @@
         self._quarantine = QuarantineStore(core.store)
         self._prefill_turns = Turns()
         self._decode_turns = Turns()
-        self._in_flight: dict[object, Running] = {}
-        self._crashed: set[object] = set()
+        self._in_flight: set[_Flight] = set()
         self._is_down = False
         core.hub.on(CrashNotice, self._take_notice)
 
@@ -70,8 +85,9 @@
 
     async def decode(self, order: DecodeOrder) -> AsyncIterator[EngineToken]:
         """Import a KV cache and stream the answer."""
-        async with self._watch(order, "decode"):
+        async with self._watch(order, "decode") as flight:
             async for token in self._engine.decode(order):
+                flight.tokens += 1
                 yield token
 
     async def abort(self, engine_request_id: str) -> None:
@@ -83,17 +99,21 @@
         return await self._engine.holdings()
 
     @asynccontextmanager
-    async def _watch(self, order: PrefillOrder | DecodeOrder, phase: str) -> AsyncIterator[None]:
+    async def _watch(
+        self, order: PrefillOrder | DecodeOrder, phase: str
+    ) -> AsyncIterator["_Flight"]:
         running = Running(order.fingerprint, order.workspace)
         standing = self._check(running)
-        await self._wait_until_up()
+        if self._is_down or standing is Standing.SUSPECT:
+            await self._check_up()
         if standing is not Standing.SUSPECT:
-            async with self._shared(phase), self._noted(running):
-                yield
+            async with self._shared(phase), self._noted(running) as flight:
+                yield flight
             return
         turn = await self._begin_trial(running, phase)
-        async with self._alone(phase), self._tried(turn, attrs.evolve(running, on_trial=True)):
-            yield
+        tried = attrs.evolve(running, on_trial=True)
+        async with self._alone(phase), self._tried(turn, tried) as flight:
+            yield flight
 
     def _shared(self, phase: str) -> AbstractAsyncContextManager[None]:
         return self._prefill_turns.shared() if phase == "prefill" else self._decode_turns.free()
@@ -111,10 +131,10 @@
             raise _quarantined(self._book.contained_for_s(running.workspace, now))
         return standing
 
-    async def _wait_until_up(self) -> None:
-        if self._is_down:
-            await self._engine.holdings()
-            self._is_down = False
+    async def _check_up(self) -> None:
+        """Raise RefusalError if the engine is down already, which is not this request's doing."""
+        await self._engine.holdings()
+        self._is_down = False
 
     async def _begin_trial(self, running: Running, phase: str) -> TrialTurn:
         try:
@@ -132,11 +152,11 @@
         raise RefusalError(Refused(ErrorCode.ISOLATED, text, retry_after_s=ISOLATED_RETRY_S))
 
     @asynccontextmanager
-    async def _tried(self, turn: TrialTurn, running: Running) -> AsyncIterator[None]:
+    async def _tried(self, turn: TrialTurn, running: Running) -> AsyncIterator["_Flight"]:
         state = TrialState.OPEN
         try:
-            async with self._noted(running):
-                yield
+            async with self._noted(running) as flight:
+                yield flight
             state = TrialState.CLEARED
             self._book.clear(running.fingerprint)
         except RefusalError as exc:
@@ -155,17 +175,17 @@
             log.bind(trial=turn.name, error=exc.text).error("a trial's end is not stored")
 
     @asynccontextmanager
-    async def _noted(self, running: Running) -> AsyncIterator[None]:
+    async def _noted(self, running: Running) -> AsyncIterator["_Flight"]:
         """Keep a request in flight; turn a failure into what a crash says of it."""
-        mark = object()
-        self._in_flight[mark] = running
+        flight = _Flight(running)
+        self._in_flight.add(flight)
         try:
-            yield
+            yield flight
         except RefusalError as exc:
             if exc.code is not ErrorCode.ENDPOINT_FAILED:
                 raise
-            await self._look_for_crash(mark)
-            if mark not in self._crashed:
+            await self._look_for_crash(flight)
+            if not flight.has_crashed:
                 raise
             if self._book.standing(running, self._clock()) is Standing.QUARANTINED:
                 raise _quarantined(None) from exc
@@ -173,12 +193,11 @@
             refused = Refused(ErrorCode.ENDPOINT_CRASHED, text, Ran.UNKNOWN)
             raise RefusalError(refused) from exc
         finally:
-            self._in_flight.pop(mark, None)
-            self._crashed.discard(mark)
+            self._in_flight.discard(flight)
 
-    async def _look_for_crash(self, mark: object) -> None:
-        """Find out whether the engine went down while ``mark`` was in flight."""
-        if self._is_down or mark in self._crashed:
+    async def _look_for_crash(self, flight: "_Flight") -> None:
+        """Find out whether the engine went down while a request was in flight."""
+        if self._is_down or flight.has_crashed:
             return
         try:
             await self._engine.holdings()
@@ -188,8 +207,9 @@
 
     def _note_crash(self) -> None:
         self._is_down = True
-        self._crashed |= self._in_flight.keys()
-        finding = self._book.find(tuple(self._in_flight.values()))
+        for flight in self._in_flight:
+            flight.has_crashed = True
+        finding = self._book.find(tuple(flight.evidence() for flight in self._in_flight))
         self._book.note(finding, self._clock())
         log.bind(
             suspects=[r.fingerprint for r in finding.suspects],
--- a/packages/vanillashore-wire/src/vanillashore_wire/__init__.py
+++ b/packages/vanillashore-wire/src/vanillashore_wire/__init__.py
@@ -58,9 +58,11 @@
     CrashNotice,
     NoticedRequest,
 )
+from vanillashore_wire._placement_messages import AskRef, HoldEnd, HoldRenewal, HoldRenewed
 
 __all__ = [
     "Ack",
+    "AskRef",
     "Batch",
     "CallDone",
     "CallOrder",
@@ -84,6 +86,9 @@
     "FrameSplitter",
     "Header",
     "KvHandle",
+    "HoldEnd",
+    "HoldRenewal",
+    "HoldRenewed",
     "Load",
     "NoticedRequest",
     "PrefillDone",
--- a/tests/node/test_poison.py
+++ b/tests/node/test_poison.py
@@ -60,9 +60,9 @@
             asyncio.ensure_future(_complete(fleet, i % 3, prompt, OTHER_KEY))
             for i, prompt in enumerate(prompts)
         ]
-        poison = [asyncio.ensure_future(_complete(fleet, i % 3, POISON)) for i in range(3)]
+        poison = [await _complete(fleet, i, POISON) for i in range(3)]
         got = await asyncio.gather(*innocent)
-        await asyncio.gather(*poison)
+        assert {p.code for p in poison} == {"quarantined"}
         assert [g.text for g in got] == [generate(prompt, 10) for prompt in prompts]
         assert 1 <= _crashes(fleet) <= 2
 
