Admit requests by fleet-wide shares instead of a bucket an entry

Entries are the holders: they follow the share table, ask the partition's first holder that answers for each grant, lend and borrow shares, take over those of VMs that are gone and give theirs away when they leave. LocalAdmission is gone.

--- a/packages/vanillashore-node/src/vanillashore_node/_calls.py
+++ b/packages/vanillashore-node/src/vanillashore_node/_calls.py
@@ -39,7 +39,7 @@
         workspace = OPEN_WORKSPACE
         if not route.open:
             caller = authenticate(self._core, request)
-            await self._admission.admit(caller, route.cost_tokens)
+            await self._admission.admit(caller, route.cost_tokens, route.route_class)
             workspace = caller.name
         order = self._order(request, route, workspace, body)
         return _response(await self._dispatch(route, order))
--- a/packages/vanillashore-node/src/vanillashore_node/_completions.py
+++ b/packages/vanillashore-node/src/vanillashore_node/_completions.py
@@ -62,7 +62,9 @@
         model = self._core.directory.model(body.model)
         workspace = authenticate(self._core, request)
         req = _generation_request(request[REQUEST_ID], workspace, model, body, limits)
-        admitted = await self._admission.admit(workspace, req.prompt_tokens + req.max_tokens)
+        admitted = await self._admission.admit(
+            workspace, req.prompt_tokens + req.max_tokens, model.route_class
+        )
         shape = AnswerShape(req.request_id, model.name, is_chat)
         generation = self._new_generation(req)
         try:
--- a/packages/vanillashore-node/src/vanillashore_node/_directory.py
+++ b/packages/vanillashore-node/src/vanillashore_node/_directory.py
@@ -32,6 +32,7 @@
     def __init__(self) -> None:
         self._snapshot = ConfigSnapshot(0, Configuration())
         self._vms: dict[str, VmEntry] = {}
+        self._last_addresses: dict[str, str] = {}
         self._workspaces: dict[str, WorkspaceConfig] = {}
         self._workspace_of_key: dict[str, str] = {}
         self._models: dict[str, ModelConfig] = {}
@@ -71,6 +72,16 @@
     def take_vms(self, vms: tuple[VmEntry, ...]) -> None:
         """Replace the VM list."""
         self._vms = {vm.name: vm for vm in vms}
+        self._last_addresses |= {vm.name: vm.address for vm in vms}
+
+    def address_of(self, vm: str) -> str | None:
+        """Return the address of a listed VM's process."""
+        entry = self._vms.get(vm)
+        return entry.address if entry else None
+
+    def last_address_of(self, vm: str) -> str | None:
+        """Return the address that a VM was last listed with, also after it left the list."""
+        return self._last_addresses.get(vm)
 
     def workspace_of_key(self, key_hash: str) -> WorkspaceConfig | None:
         """Return the workspace that a key belongs to."""
--- a/packages/vanillashore-node/src/vanillashore_node/_entry.py
+++ b/packages/vanillashore-node/src/vanillashore_node/_entry.py
@@ -4,7 +4,6 @@
 
 from aiohttp import web
 
-from vanillashore_node._admission import LocalAdmission
 from vanillashore_node._back_ends import BackEnds
 from vanillashore_node._callers import CallerGuard
 from vanillashore_node._calls import Calls
@@ -12,6 +11,7 @@
 from vanillashore_node._core import NodeCore
 from vanillashore_node._faces import json_response, require_fleet_secret
 from vanillashore_node._generation import Generation, GenerationRequest, Placer
+from vanillashore_node._shares import Shares
 from vanillashore_placement import Chooser, SeenLoads
 from vanillashore_schema import NodeSettings
 from vanillashore_wire import unstructure
@@ -39,7 +39,8 @@
         loads = SeenLoads()
         self._back_ends = BackEnds(core.session, self._cfg)
         self._placer = Placer(core, Chooser(loads, rng), loads)
-        admission = LocalAdmission()
+        self._shares = Shares(core, rng)
+        admission = self._shares.admission
         completions = Completions(core, admission, self._new_generation)
         calls = Calls(core, admission, self._back_ends, rng)
         app = web.Application(
@@ -64,5 +65,6 @@
                 "revision": self.core.directory.revision,
                 "active": self.core.state.active,
                 "links": unstructure(self.core.hub.stats),
+                "shares": unstructure(self._shares.status()),
             }
         )
--- /dev/null
+++ b/packages/vanillashore-node/src/vanillashore_node/_shares.py
@@ -0,0 +1,54 @@
+"""An entry's part in the fleet-wide rates: its shares, its share table and its admission."""
+
+import random
+
+import attrs
+
+from vanillashore_node._core import NodeCore
+from vanillashore_node._lifecycle import LifecycleEvent
+from vanillashore_node._share_admission import AdmissionStats, ShareAdmission
+from vanillashore_node._share_holder import HolderStats, ShareHolderTask
+from vanillashore_node._share_ownership import ShareOwnership
+from vanillashore_share import HolderStatus
+
+INCARNATION_BITS = 24
+
+
+@attrs.frozen
+class ShareStatus:
+    """What ``/internal/status`` tells about shares."""
+
+    table_version: int
+    holder: HolderStatus
+    answered: HolderStats
+    asked: AdmissionStats
+
+
+class Shares:
+    """Builds and starts the tasks; ``admission`` is what the callers' handlers use."""
+
+    def __init__(self, core: NodeCore, rng: random.Random) -> None:
+        incarnation = rng.getrandbits(INCARNATION_BITS) + 1
+        self._task = ShareHolderTask(core, incarnation)
+        self._ownership = ShareOwnership(core, self._task, rng)
+        row_of = self._ownership.row_of
+        self.admission = ShareAdmission(core, self._task, row_of, incarnation)
+        core.tasks.start(self._task.run(), "share holder")
+        core.tasks.start(self._ownership.follow(), "share table follower")
+        core.tasks.start(self._ownership.maintain(), "share table keeper")
+        core.tasks.start(self.admission.run(), "refunds")
+        core.lifecycle.on(LifecycleEvent.DRAINED, self._leave)
+
+    def status(self) -> ShareStatus:
+        """Return the shares, loans and levels here, and what was refused."""
+        table = self._ownership.table
+        return ShareStatus(
+            table.version if table else 0,
+            self._task.status(),
+            self._task.stats,
+            self.admission.stats,
+        )
+
+    async def _leave(self) -> None:
+        self.admission.flush()
+        await self._ownership.leave()
--- a/packages/vanillashore-platform/src/vanillashore_platform/__init__.py
+++ b/packages/vanillashore-platform/src/vanillashore_platform/__init__.py
@@ -8,6 +8,7 @@
 )
 from vanillashore_platform._etcd import EtcdStore
 from vanillashore_platform._follower import ConfigFollower, VmListFollower
+from vanillashore_platform._share_table import SHARE_TABLE_KEY, ShareTableStore
 from vanillashore_platform._store import (
     CasResult,
     KeyValueStore,
@@ -18,6 +19,7 @@
 
 __all__ = [
     "HEAD_KEY",
+    "SHARE_TABLE_KEY",
     "CasResult",
     "ConfigFollower",
     "ConfigHead",
@@ -26,6 +28,7 @@
     "EtcdStore",
     "HttpVmList",
     "KeyValueStore",
+    "ShareTableStore",
     "StoreUnavailableError",
     "StoredValue",
     "VmEntry",
--- /dev/null
+++ b/packages/vanillashore-platform/src/vanillashore_platform/_share_table.py
@@ -0,0 +1,56 @@
+"""The share table in the platform's store: one value, changed by compare-and-swap."""
+
+import secrets
+from collections.abc import AsyncIterator
+
+import attrs
+
+from vanillashore_platform._store import KeyValueStore, StoredValue, StoreUnavailableError
+from vanillashore_wire import ShareRow, ShareTable, decode, encode
+
+SHARE_TABLE_KEY = "vanillashore/share/table"
+
+
+class ShareTableStore:
+    """Reads and changes the share table; its version is the store's version of the value."""
+
+    def __init__(self, store: KeyValueStore) -> None:
+        self._store = store
+
+    async def read(self) -> ShareTable | None:
+        """Return the table, or ``None`` if it was never written."""
+        return _table_of(await self._store.get(SHARE_TABLE_KEY))
+
+    async def write(self, rows: tuple[ShareRow, ...], base_version: int) -> ShareTable | None:
+        """Replace the table of ``base_version`` (0: absent); ``None`` if another was faster.
+
+        Raises StoreUnavailableError if it cannot be told whether the write took effect.
+        """
+        table = ShareTable(base_version, secrets.token_hex(8), rows)
+        try:
+            result = await self._store.compare_and_swap(
+                SHARE_TABLE_KEY, base_version, encode(table)
+            )
+        except StoreUnavailableError:
+            return await self._settle(table)
+        current = _table_of(result.current)
+        return current if result.applied else None
+
+    async def watch(self, after_version: int) -> AsyncIterator[ShareTable]:
+        """Yield each newer table as it comes."""
+        async for stored in self._store.watch(SHARE_TABLE_KEY, after_version):
+            yield attrs.evolve(decode(stored.value, ShareTable), version=stored.version)
+
+    async def _settle(self, written: ShareTable) -> ShareTable | None:
+        current = await self.read()
+        if current is not None and current.writer == written.writer:
+            return current
+        if (current.version if current else 0) == written.version:
+            raise StoreUnavailableError("the write may still take effect")
+        return None
+
+
+def _table_of(stored: StoredValue | None) -> ShareTable | None:
+    if stored is None:
+        return None
+    return attrs.evolve(decode(stored.value, ShareTable), version=stored.version)
--- a/packages/vanillashore-share/src/vanillashore_share/__init__.py
+++ b/packages/vanillashore-share/src/vanillashore_share/__init__.py
@@ -18,6 +18,7 @@
 from vanillashore_share._holder import HolderActions, ShareHolder
 from vanillashore_share._partition import GrantOutcome
 from vanillashore_share._rates import PARTITIONS, SHARES, grant_valid_s, partition_of
+from vanillashore_share._status import HolderStatus, WorkspaceStatus, holder_status
 from vanillashore_share._timing import RatedWorkspace, ShareTiming
 
 __all__ = [
@@ -26,17 +27,20 @@
     "GrantOutcome",
     "HolderActions",
     "HolderChoice",
+    "HolderStatus",
     "HolderVm",
     "Move",
     "RatedWorkspace",
     "ShareHolder",
     "ShareTiming",
     "TokenBucket",
+    "WorkspaceStatus",
     "apply_moves",
     "farewell",
     "first_rows",
     "gifts",
     "grant_valid_s",
+    "holder_status",
     "partition_of",
     "substitutes",
     "usable_until",
--- a/packages/vanillashore-share/src/vanillashore_share/_holder.py
+++ b/packages/vanillashore-share/src/vanillashore_share/_holder.py
@@ -189,6 +189,13 @@
         share.recalled = True
         return share.suspend(now)
 
+    def cancel_recall(self, partition: int, index: int) -> None:
+        """Lend a share again that could not be given away in time."""
+        holder = self.partitions.get(partition)
+        share = holder.owned.get(index) if holder else None
+        if share is not None:
+            share.recalled = False
+
     def keep(self, partition: int, index: int, levels: ShareLevels, now: float) -> None:
         """Go on using a share whose giving away is known to have failed."""
         holder = self.partitions.get(partition)
--- a/packages/vanillashore-share/src/vanillashore_share/_rates.py
+++ b/packages/vanillashore-share/src/vanillashore_share/_rates.py
@@ -46,6 +46,10 @@
         """Return the rate of a workspace, or ``None`` if it is not declared."""
         return self._rates.get(workspace)
 
+    def items(self) -> Iterable[tuple[str, Rate]]:
+        """Return each workspace with its rate."""
+        return self._rates.items()
+
     def changed(self, workspaces: Iterable[RatedWorkspace]) -> list[str]:
         """Return the known workspaces whose rate would be another with ``workspaces``."""
         new = self._rates_of(workspaces)
--- a/packages/vanillashore-share/src/vanillashore_share/_waiting.py
+++ b/packages/vanillashore-share/src/vanillashore_share/_waiting.py
@@ -75,6 +75,10 @@
         """Return the first ask of each workspace."""
         return [queue[0] for queue in self._queues.values()]
 
+    def count(self, workspace: str) -> int:
+        """Return how many asks of a workspace wait."""
+        return len(self._queues.get(workspace, ()))
+
     def tokens_ahead(self, workspace: str) -> float:
         """Return the tokens that all waiting asks of a workspace want."""
         return sum(waiting.ask.tokens for waiting in self._queues.get(workspace, ()))
--- a/packages/vanillashore-wire/src/vanillashore_wire/_share_messages.py
+++ b/packages/vanillashore-wire/src/vanillashore_wire/_share_messages.py
@@ -159,7 +159,9 @@
 @message("share_probe")
 @attrs.frozen
 class ShareProbe:
-    """Ask a process whether it runs; answered by an `Ack`."""
+    """Ask whether the process on the VM ``vm`` runs; it alone answers, with an `Ack`."""
+
+    vm: str
 
 
 @compact
