--- a/packages/vanillashore-platform/src/vanillashore_platform/__init__.py
+++ b/packages/vanillashore-platform/src/vanillashore_platform/__init__.py
@@ -1,5 +1,6 @@
 """Clients of the platform's key-value service and VM list, and followers of what they hold."""
 
+from vanillashore_platform._claim_store import ClaimStore, RetentionLease, StoredClaim
 from vanillashore_platform._config_store import (
     HEAD_KEY,
     ConfigHead,
@@ -21,6 +22,7 @@
     "HEAD_KEY",
     "SHARE_TABLE_KEY",
     "CasResult",
+    "ClaimStore",
     "ConfigFollower",
     "ConfigHead",
     "ConfigSnapshot",
@@ -29,7 +31,9 @@
     "HttpVmList",
     "KeyValueStore",
     "ShareTableStore",
+    "RetentionLease",
     "StoreUnavailableError",
+    "StoredClaim",
     "StoredValue",
     "VmEntry",
     "VmList",
--- a/packages/vanillashore-wire/src/vanillashore_wire/__init__.py
+++ b/packages/vanillashore-wire/src/vanillashore_wire/__init__.py
@@ -41,6 +41,7 @@
     RouteClass,
     Sampling,
 )
+from vanillashore_wire._outcome_messages import Claim, ClaimAsk, ClaimState, ClaimStatus
 from vanillashore_wire._share_messages import (
     Grant,
     GrantAsk,
@@ -66,6 +67,10 @@
     "Batch",
     "CallDone",
     "CallOrder",
+    "Claim",
+    "ClaimAsk",
+    "ClaimState",
+    "ClaimStatus",
     "DecodeOrder",
     "Envelope",
     "ErrorCode",
