Let a shutdown wait until answers are sent to their end

A request counted as running only while its handler ran; the answer of a slow reader was still being sent when the process left. The guard now sends the answer itself before it counts the request as finished.

Seen failing first: without the send inside the count, the slow reader's test ends with 2.8 of 12 MB; without the wait for running requests, 4 of 11 tests of tests/node/test_shutdown.py fail, and the middle-of-answers ones after they were made long enough to outlast the server's own second.

--- a/packages/vanillashore-node/src/vanillashore_node/_callers.py
+++ b/packages/vanillashore-node/src/vanillashore_node/_callers.py
@@ -42,22 +42,38 @@
             return await _answer_peer(request, handler)
         self._name(request)
         started = time.monotonic()
+        self._core.state.active += 1
         try:
-            response = await self._run(request, handler)
+            response = await self._answer(request, handler)
+            await self._send(request, response)
+        finally:
+            self._core.state.active -= 1
+        self._log(request, response.status, started)
+        return response
+
+    async def _answer(self, request: web.Request, handler: Any) -> web.StreamResponse:
+        try:
+            self._check(request)
+            return await handler(request)
         except RefusalError as exc:
-            response = self._refuse(request, self._true_refusal(request, exc))
+            return self._refuse(request, self._true_refusal(request, exc))
         except web.HTTPException as exc:
-            response = self._refuse(request, _of_http_exception(exc))
+            return self._refuse(request, _of_http_exception(exc))
         except Exception:
             log.bind(request_id=request[REQUEST_ID], trace=traceback.format_exc()).error(
                 "a handler failed"
             )
             text = "an unexpected failure; see the logs for this request id"
-            response = self._refuse(request, Refused(ErrorCode.INTERNAL, text, Ran.UNKNOWN))
+            return self._refuse(request, Refused(ErrorCode.INTERNAL, text, Ran.UNKNOWN))
+
+    async def _send(self, request: web.Request, response: web.StreamResponse) -> None:
+        """Send an answer to its end, so that a shutdown which waits for requests waits for it."""
         if not response.prepared:
             response.headers[REQUEST_ID_HEADER] = request[ECHOED_ID]
-        self._log(request, response.status, started)
-        return response
+            if not self._core.state.ready:
+                response.force_close()
+            await response.prepare(request)
+        await response.write_eof()
 
     def _name(self, request: web.Request) -> None:
         """Give a request an id that no other has; a caller may send the same one twice."""
@@ -69,21 +85,16 @@
         if is_usable:
             self._core.decisions.note(given, "request", f"runs as {request_id}")
 
-    async def _run(self, request: web.Request, handler: Any) -> web.StreamResponse:
+    def _check(self, request: web.Request) -> None:
         state = self._core.state
         if state.refusing:
             text = "this process is shutting down; the balancer has others"
             raise _shed(ErrorCode.SHUTTING_DOWN, text)
         if self._core.directory.revision == 0:
             raise _shed(ErrorCode.NOT_CONFIGURED, "no configuration is in force here yet")
-        if state.active >= self._limits.concurrent_requests:
+        if state.active > self._limits.concurrent_requests:
             raise _shed(ErrorCode.TOO_MANY_REQUESTS, "too many requests at once")
         self._check_sizes(request)
-        state.active += 1
-        try:
-            return await handler(request)
-        finally:
-            state.active -= 1
 
     def _check_sizes(self, request: web.Request) -> None:
         header_bytes = sum(len(name) + len(value) for name, value in request.raw_headers)
