--- a/packages/vanillashore-node/src/vanillashore_node/_call_dispatch.py
+++ b/packages/vanillashore-node/src/vanillashore_node/_call_dispatch.py
@@ -43,13 +43,18 @@
     """Sends calls to side processes until one has answered for good."""
 
     def __init__(
-        self, core: NodeCore, back_ends: BackEnds, desk: ClaimDesk, rng: random.Random
+        self,
+        core: NodeCore,
+        back_ends: BackEnds,
+        desk: ClaimDesk,
+        budget: RetryBudget,
+        rng: random.Random,
     ) -> None:
         self._core = core
         self._back_ends = back_ends
         self._desk = desk
         self._rng = rng
-        self._budget = RetryBudget()
+        self._budget = budget
 
     async def run(self, order: CallOrder, check: Callable[[], None]) -> CallDone:
         """Run a call; ``check`` raises RefusalError if the caller may no longer have it."""
@@ -128,7 +133,7 @@
 
 
 def _unknown(refused: Refused) -> Refused:
-    if refused.code is ErrorCode.IN_PROGRESS:
+    if refused.retry_after_s is not None:
         return attrs.evolve(refused, ran=Ran.UNKNOWN)
     text = f"it is not known whether the call ran: {refused.code.value}: {refused.text}"
     return Refused(ErrorCode.OUTCOME_UNKNOWN, text, Ran.UNKNOWN, RETRY_AFTER_S)
