--- a/packages/vanillashore-node/src/vanillashore_node/_daemon.py
+++ b/packages/vanillashore-node/src/vanillashore_node/_daemon.py
@@ -33,12 +33,14 @@
     except VanillashoreError as exc:
         print(exc, file=sys.stderr)
         return EXIT_USAGE
-    for warning in warnings:
-        print(warning, file=sys.stderr)
     if args.check:
+        for warning in warnings:
+            print(warning, file=sys.stderr)
         print(f"{args.settings}: ok")
         return EXIT_OK
     set_up_logging(cfg.node.name, args.log_level)
+    for warning in warnings:
+        log.bind(finding=str(warning)).warning("a setting is doubtful")
     try:
         uvloop.run(_run(cfg))
     except OSError as exc:
--- a/packages/vanillashore-schema/src/vanillashore_schema/_settings.py
+++ b/packages/vanillashore-schema/src/vanillashore_schema/_settings.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from vanillashore_schema._findings import Finding, FindingsError
+from vanillashore_schema._findings import Finding, FindingsError, Severity
 from vanillashore_schema._table import (
     TableReader,
     at_least_zero,
@@ -174,3 +174,6 @@
         reader.report("limits.default_max_tokens", "must not be above limits.max_tokens")
     if settings.timing.hold_renewal_s >= settings.timing.hold_valid_s:
         reader.report("timing.hold_renewal_s", "must be below timing.hold_valid_s")
+    if settings.timing.shutdown_wait_s < settings.limits.request_timeout_s:
+        text = "is below limits.request_timeout_s; a shutdown may cut requests"
+        reader.report("timing.shutdown_wait_s", text, Severity.WARNING)
--- a/packages/vanillashore-schema/src/vanillashore_schema/_table.py
+++ b/packages/vanillashore-schema/src/vanillashore_schema/_table.py
@@ -1,6 +1,7 @@
 """Checking plain TOML tables against attrs classes, with findings in place of exceptions."""
 
 import difflib
+import re
 import tomllib
 import types
 from collections.abc import Callable
@@ -15,6 +16,7 @@
 T = TypeVar("T")
 Check = Callable[[Any], str | None]
 
+_TOML_PLACE = re.compile(r"at line (\d+)")
 _CHECKS = "vanillashore_checks"
 _SECRET = "vanillashore_secret"
 
@@ -93,7 +95,9 @@
         try:
             return tomllib.loads(text)
         except tomllib.TOMLDecodeError as exc:
-            self.findings.append(Finding(self.file, 0, "", f"not TOML: {exc}"))
+            place = _TOML_PLACE.search(str(exc))
+            line = int(place.group(1)) if place else 0
+            self.findings.append(Finding(self.file, line, "", f"not TOML: {exc}"))
             return {}
 
     def _report_unknown(self, table: dict[str, Any], names: list[str], path: str) -> None:
