--- a/packages/vanillashore-wire/src/vanillashore_wire/__init__.py
+++ b/packages/vanillashore-wire/src/vanillashore_wire/__init__.py
@@ -51,9 +51,11 @@
     Sampling,
 )
 from vanillashore_wire._outcome_messages import Claim, ClaimAsk, ClaimState, ClaimStatus
+from vanillashore_wire._placement_messages import AskRef, HoldEnd, HoldRenewal, HoldRenewed
 
 __all__ = [
     "Ack",
+    "AskRef",
     "Batch",
     "CallDone",
     "CallOrder",
@@ -76,6 +78,9 @@
     "FrameSplitter",
     "Header",
     "KvHandle",
+    "HoldEnd",
+    "HoldRenewal",
+    "HoldRenewed",
     "Load",
     "PrefillDone",
     "PrefillOrder",
