Keep Ctrl-C of the demo from its children, and list new settings

A terminal's Ctrl-C went to every process of the demo at once, so nodes got two stop signals and stand-ins died first. Children have a process group of their own now.

--- a/benches/path.py
+++ b/benches/path.py
@@ -39,6 +39,7 @@
         "transfer_s_per_piece": 0.0,
         "total_pieces": 4_000,
     },
+    endpoint_options={"kv_pieces": 4_000, "link_pieces_per_s": 1e6, "prefill_turns": 8},
     rate_tokens_per_s=1e9,
     burst_tokens=1e9,
 )
--- a/packages/vanillashore-standins/src/vanillashore_standins/demo/_files.py
+++ b/packages/vanillashore-standins/src/vanillashore_standins/demo/_files.py
@@ -18,8 +18,8 @@
 class FleetShape:
     """How many processes a fleet has, and how its engines and workspaces are set.
 
-    ``engine_options`` are fields of `EngineOptions`; ``slots`` holds for engines and side
-    processes alike.
+    ``engine_options`` are fields of `EngineOptions`, ``endpoint_options`` settings of the side
+    processes beside them; ``slots`` holds for both.
     """
 
     entries: int = 3
@@ -28,6 +28,7 @@
     services: int = 3
     slots: int = 20
     engine_options: dict[str, Any] = attrs.Factory(dict)
+    endpoint_options: dict[str, float] = attrs.Factory(dict)
     rate_tokens_per_s: float = 20_000.0
     burst_tokens: float = 60_000.0
 
--- a/packages/vanillashore-standins/src/vanillashore_standins/demo/_fleet.py
+++ b/packages/vanillashore-standins/src/vanillashore_standins/demo/_fleet.py
@@ -73,7 +73,8 @@
         self.services = [self._node("service", i) for i in range(self.shape.services)]
 
     def __enter__(self) -> "DemoFleet":
-        signal.signal(signal.SIGTERM, signal.default_int_handler)
+        for number in (signal.SIGTERM, signal.SIGINT):
+            signal.signal(number, signal.default_int_handler)
         return self
 
     def __exit__(
@@ -157,7 +158,8 @@
         self._start_stand_in(kind, address, *args)
         self.endpoint_addresses[node.name] = address
         section = f'\n[endpoint]\naddress = "{address}"\nkind = "{kind}"\n'
-        section += f"slots = {self.shape.slots}\n"
+        settings = self.shape.endpoint_options | {"slots": self.shape.slots}
+        section += "".join(f"{name} = {value}\n" for name, value in settings.items())
         self._start_node(node, section)
 
     def _start_stand_in(self, kind: str, address: str, *args: str) -> None:
@@ -174,7 +176,11 @@
     def _spawn(self, line: list[str], name: str) -> subprocess.Popen[bytes]:
         with (self.folder / f"{name}.log").open("wb") as log_file:
             process = subprocess.Popen(
-                line, stdout=log_file, stderr=log_file, stdin=subprocess.DEVNULL
+                line,
+                stdout=log_file,
+                stderr=log_file,
+                stdin=subprocess.DEVNULL,
+                process_group=0,  # A terminal's Ctrl-C is for the demo alone.
             )
         self.pids[name] = process.pid
         return process
