--- a/packages/vanillashore-standins/src/vanillashore_standins/demo/_fleet.py
+++ b/packages/vanillashore-standins/src/vanillashore_standins/demo/_fleet.py
@@ -140,6 +140,10 @@
             f"curl {self.entries[0].address}/v1/completions "
             f"-H 'Authorization: Bearer {self.key}' -d '{body}'"
         )
+        print(
+            f"export ENTRY={self.entries[0].address} KEY={self.key} "
+            f"SETTINGS={self.operator_settings} FLEET={self.configuration}"
+        )
         print("Ctrl-C stops everything", flush=True)
         try:
             signal.pause()
