--- a/packages/vanillashore-node/src/vanillashore_node/_callers.py
+++ b/packages/vanillashore-node/src/vanillashore_node/_callers.py
@@ -15,12 +15,13 @@
 from vanillashore_node._call_dispatch import SettledRefusalError
 from vanillashore_node._config_revision import REQUEST_KEY_HASH
 from vanillashore_node._core import NodeCore
-from vanillashore_node._faces import json_response
+from vanillashore_node._faces import json_response, refusal_response
 from vanillashore_node._openai import error_body
 from vanillashore_schema import WorkspaceConfig, hash_key
 from vanillashore_wire import ErrorCode, Ran, RefusalError, Refused
 
 REQUEST_ID = web.RequestKey("request_id", str)
+ECHOED_ID = web.RequestKey("echoed_id", str)
 REQUEST_ID_HEADER = "X-Request-Id"
 IDEMPOTENCY_HEADER = "Idempotency-Key"
 SHED_RETRY_S = 1.0
@@ -39,27 +40,53 @@
     async def guard(self, request: web.Request, handler: Any) -> web.StreamResponse:
         """Run a request and turn every failure into a refusal in the callers' shape."""
         if request.path.startswith(_INTERNAL_PATHS):
-            return await handler(request)
-        request[REQUEST_ID] = _request_id(request)
+            return await _answer_peer(request, handler)
+        self._name(request)
         started = time.monotonic()
+        self._core.state.active += 1
+        try:
+            response = await self._answer(request, handler)
+            await self._send(request, response)
+        finally:
+            self._core.state.active -= 1
+        self._log(request, response.status, started)
+        return response
+
+    async def _answer(self, request: web.Request, handler: Any) -> web.StreamResponse:
         try:
-            response = await self._run(request, handler)
+            self._check(request)
+            return await handler(request)
         except RefusalError as exc:
-            response = self._refuse(request, self._true_refusal(request, exc))
+            return self._refuse(request, self._true_refusal(request, exc))
         except web.HTTPException as exc:
-            response = self._refuse(request, _of_http_exception(exc))
+            return self._refuse(request, _of_http_exception(exc))
         except Exception:
             log.bind(request_id=request[REQUEST_ID], trace=traceback.format_exc()).error(
                 "a handler failed"
             )
             text = "an unexpected failure; see the logs for this request id"
-            response = self._refuse(request, Refused(ErrorCode.INTERNAL, text, Ran.UNKNOWN))
-        if not response.prepared:
-            response.headers[REQUEST_ID_HEADER] = request[REQUEST_ID]
-        self._log(request, response.status, started)
-        return response
+            return self._refuse(request, Refused(ErrorCode.INTERNAL, text, Ran.UNKNOWN))
 
-    async def _run(self, request: web.Request, handler: Any) -> web.StreamResponse:
+    async def _send(self, request: web.Request, response: web.StreamResponse) -> None:
+        """Send an answer to its end, so that a shutdown which waits for requests waits for it."""
+        if not response.prepared:
+            response.headers[REQUEST_ID_HEADER] = request[ECHOED_ID]
+            if not self._core.state.ready:
+                response.force_close()
+            await response.prepare(request)
+        await response.write_eof()
+
+    def _name(self, request: web.Request) -> None:
+        """Give a request an id that no other has; a caller may send the same one twice."""
+        request_id = f"req-{secrets.token_hex(12)}"
+        given = request.headers.get(REQUEST_ID_HEADER, "")
+        is_usable = _REQUEST_ID_SHAPE.fullmatch(given) is not None
+        request[REQUEST_ID] = request_id
+        request[ECHOED_ID] = given if is_usable else request_id
+        if is_usable:
+            self._core.decisions.note(given, "request", f"runs as {request_id}")
+
+    def _check(self, request: web.Request) -> None:
         state = self._core.state
         if state.refusing:
             text = "this process is shutting down; the balancer has others"
@@ -67,14 +94,9 @@
         if self._core.directory.revision == 0:
             raise _shed(ErrorCode.NOT_CONFIGURED, "no configuration is in force here yet")
         self._core.following.check_contact()
-        if state.active >= self._limits.concurrent_requests:
+        if state.active > self._limits.concurrent_requests:
             raise _shed(ErrorCode.TOO_MANY_REQUESTS, "too many requests at once")
         self._check_sizes(request)
-        state.active += 1
-        try:
-            return await handler(request)
-        finally:
-            state.active -= 1
 
     def _check_sizes(self, request: web.Request) -> None:
         header_bytes = sum(len(name) + len(value) for name, value in request.raw_headers)
@@ -141,11 +163,11 @@
     return workspace
 
 
-def _request_id(request: web.Request) -> str:
-    given = request.headers.get(REQUEST_ID_HEADER, "")
-    if _REQUEST_ID_SHAPE.fullmatch(given):
-        return given
-    return f"req-{secrets.token_hex(12)}"
+async def _answer_peer(request: web.Request, handler: Any) -> web.StreamResponse:
+    try:
+        return await handler(request)
+    except RefusalError as exc:
+        return refusal_response(exc.refused)
 
 
 def _shed(code: ErrorCode, text: str) -> RefusalError:
