--- a/packages/vanillashore-platform/src/vanillashore_platform/__init__.py
+++ b/packages/vanillashore-platform/src/vanillashore_platform/__init__.py
@@ -12,6 +12,7 @@
 from vanillashore_platform._etcd import EtcdStore
 from vanillashore_platform._follower import VmListFollower
 from vanillashore_platform._quarantine_store import QuarantineStore
+from vanillashore_platform._share_table import SHARE_TABLE_KEY, ShareTableStore
 from vanillashore_platform._store import (
     CasResult,
     KeyValueStore,
@@ -24,6 +25,7 @@
 __all__ = [
     "CHUNK_PREFIX",
     "HEAD_KEY",
+    "SHARE_TABLE_KEY",
     "CasResult",
     "ClaimStore",
     "ConfigReplica",
@@ -34,6 +36,7 @@
     "HttpVmList",
     "KeyValueStore",
     "QuarantineStore",
+    "ShareTableStore",
     "RetentionLease",
     "StoreUnavailableError",
     "StoredClaim",
--- a/packages/vanillashore-standins/src/vanillashore_standins/_engine_app.py
+++ b/packages/vanillashore-standins/src/vanillashore_standins/_engine_app.py
@@ -14,7 +14,6 @@
 
 STATE: web.AppKey[EngineState] = web.AppKey("state")
 SESSION: web.AppKey[aiohttp.ClientSession] = web.AppKey("session")
-STALL_POLL_S = 0.05
 SAMPLING_FIELDS = (
     "temperature",
     "top_p",
@@ -23,6 +22,7 @@
     "frequency_penalty",
     "stop",
 )
+STALL_POLL_S = 0.05
 TEST_PATHS = frozenset({"/ledger", "/control"})
 
 
--- a/tests/node/test_claims_processes.py
+++ b/tests/node/test_claims_processes.py
@@ -16,6 +16,7 @@
 from vanillashore_standins.testing import FleetBase, ProcessFleet
 
 FREEZE_S = 0.5
+CLAIM_PREFIX = "vanillashore/claim/"
 
 
 def _begin(fleet: FleetBase, entry: int = 0) -> "asyncio.Task[Paid]":
@@ -105,8 +106,7 @@
     async with ProcessFleet(service_plan(store_timeout_s=2.0)) as fleet:
         fleet.kv_faults.delay_s = 0.4
         first = _begin(fleet)
-        claims = fleet.kv.calls["/v3/kv/txn"]
-        await fleet.until(lambda: fleet.kv.calls["/v3/kv/txn"] > claims)
+        await fleet.until(lambda: any(k.startswith(CLAIM_PREFIX) for k in fleet.kv.writes_asked))
         sides = [fleet.nodes[f"service-{i}"] for i in range(2)]
         for side in sides:
             side.freeze()
@@ -127,8 +127,7 @@
     async with ProcessFleet(service_plan(services=1, store_timeout_s=2.0)) as fleet:
         fleet.kv_faults.delay_s = 0.4
         first = _begin(fleet)
-        claims = fleet.kv.calls["/v3/kv/txn"]
-        await fleet.until(lambda: fleet.kv.calls["/v3/kv/txn"] > claims)
+        await fleet.until(lambda: any(k.startswith(CLAIM_PREFIX) for k in fleet.kv.writes_asked))
         fleet.nodes["service-0"].freeze()
         await asyncio.sleep(0.8)
         fleet.kv_faults.delay_s = 0.0
--- a/tests/node/test_poison.py
+++ b/tests/node/test_poison.py
@@ -94,6 +94,7 @@
         await _complete(fleet, 0, POISON)
         assert _crashes(fleet) == 2
         await fleet.until(lambda: fleet.kv.get("vanillashore/quarantine"))
+        await fleet.until(lambda: not fleet.engines["prefill-0"].is_down)
         old = fleet.sides["prefill-0"].core
         await old.close()
         await fleet.start_side("prefill-0", old.cfg.endpoint)
