--- a/packages/vanillashore-node/src/vanillashore_node/_config_revision.py
+++ b/packages/vanillashore-node/src/vanillashore_node/_config_revision.py
@@ -9,7 +9,7 @@
 
 from vanillashore_node._back_ends import REVISION_HEADER, BackEnds
 from vanillashore_node._core import NodeCore
-from vanillashore_wire import DecodeOrder, ErrorCode, Frame, RefusalError, Refused
+from vanillashore_wire import CallOrder, DecodeOrder, ErrorCode, Frame, RefusalError, Refused
 
 T = TypeVar("T")
 
@@ -30,8 +30,8 @@
 class CurrentBackEnds(BackEnds):
     """Back ends whose orders are sent again, once, after the entry was behind and caught up.
 
-    The caller's key is checked against the newer configuration before a first attempt goes out
-    again; an answer that was already begun is finished.
+    The caller's key is checked against the newer configuration before the order goes out again,
+    but for later attempts at a generated answer: what was begun is finished.
     """
 
     def __init__(self, core: NodeCore) -> None:
@@ -62,7 +62,7 @@
     async def _renewed(self, address: str, order: Any) -> Any:
         await self._core.following.catch_up(address)
         self._core.decisions.note(order.request_id, "configuration", "caught up with an endpoint")
-        if order.attempt == 1:
+        if order.attempt == 1 or isinstance(order, CallOrder):
             self._check_key(order.workspace)
         return attrs.evolve(order, revision=self._core.directory.revision)
 
--- a/packages/vanillashore-node/src/vanillashore_node/_link.py
+++ b/packages/vanillashore-node/src/vanillashore_node/_link.py
@@ -167,6 +167,7 @@
         self._session = session
         self._secret = cfg.node.fleet_secret
         self._links: dict[str, _Dialled] = {}
+        self._serving: set[asyncio.Task[Any]] = set()
         self._handlers: dict[type, Handler] = {}
         self._revision_listeners: list[Callable[[int, str], None]] = []
 
@@ -199,6 +200,8 @@
         await socket.prepare(request)
         outbox = _Outbox(self, socket)
         sender = self.tasks.start(outbox.run(), "link sender")
+        server = asyncio.current_task()
+        self._serving.add(server)
         try:
             async for incoming in socket:
                 if incoming.type is not aiohttp.WSMsgType.BINARY:
@@ -207,6 +210,7 @@
         except ValueError as exc:
             log.bind(error=str(exc)).warning("a peer sent a damaged frame")
         finally:
+            self._serving.discard(server)
             sender.cancel()
         return socket
 
@@ -231,7 +235,9 @@
         return len(self._links)
 
     async def close(self) -> None:
-        """Close every link."""
+        """Close every link, those that peers opened too."""
+        for server in list(self._serving):
+            server.cancel()
         await self.tasks.close()
 
     def _link(self, address: str) -> _Dialled:
--- a/packages/vanillashore-platform/src/vanillashore_platform/__init__.py
+++ b/packages/vanillashore-platform/src/vanillashore_platform/__init__.py
@@ -1,5 +1,6 @@
 """Clients of the platform's key-value service and VM list, and followers of what they hold."""
 
+from vanillashore_platform._claim_store import ClaimStore, RetentionLease, StoredClaim
 from vanillashore_platform._config_replica import ConfigReplica
 from vanillashore_platform._config_store import (
     CHUNK_PREFIX,
@@ -23,13 +24,16 @@
     "HEAD_KEY",
     "CasResult",
     "ConfigReplica",
+    "ClaimStore",
     "ConfigSnapshot",
     "ConfigStore",
     "ConflictError",
     "EtcdStore",
     "HttpVmList",
     "KeyValueStore",
+    "RetentionLease",
     "StoreUnavailableError",
+    "StoredClaim",
     "StoredValue",
     "VmEntry",
     "VmList",
--- a/packages/vanillashore-wire/src/vanillashore_wire/__init__.py
+++ b/packages/vanillashore-wire/src/vanillashore_wire/__init__.py
@@ -50,6 +50,7 @@
     RouteClass,
     Sampling,
 )
+from vanillashore_wire._outcome_messages import Claim, ClaimAsk, ClaimState, ClaimStatus
 
 __all__ = [
     "Ack",
@@ -62,6 +63,10 @@
     "ConfigChunks",
     "ConfigHead",
     "ConfigUpdate",
+    "Claim",
+    "ClaimAsk",
+    "ClaimState",
+    "ClaimStatus",
     "DecodeOrder",
     "EarlierHead",
     "Envelope",
