--- /dev/null
+++ b/packages/vanillashore-cli/src/vanillashore_cli/_fleet.py
@@ -0,0 +1,64 @@
+"""Reaching the platform and the fleet's processes."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from pathlib import Path
+from typing import Any
+
+import aiohttp
+import attrs
+
+from vanillashore_platform import ConfigStore, EtcdStore, HttpVmList, VmEntry
+from vanillashore_schema import OperatorSettings, load_operator_settings
+
+FLEET_HEADER = "X-Fleet-Secret"
+NODE_TIMEOUT = aiohttp.ClientTimeout(total=5.0)
+ASKS_AT_ONCE = 64
+
+
+@attrs.frozen
+class NodeAnswer:
+    """What a process answered; ``None`` if it cannot be reached."""
+
+    vm: VmEntry
+    body: dict[str, Any] | None
+
+
+class Fleet:
+    """The platform and the processes of one fleet."""
+
+    def __init__(self, session: aiohttp.ClientSession, cfg: OperatorSettings) -> None:
+        platform = cfg.platform
+        timeout_s = platform.store_timeout_s
+        self.config_store = ConfigStore(EtcdStore(session, platform.store_address, timeout_s))
+        self._vm_list = HttpVmList(session, platform.vm_list_address, timeout_s)
+        self._session = session
+        self._headers = {FLEET_HEADER: cfg.fleet_secret}
+
+    @staticmethod
+    @asynccontextmanager
+    async def open(settings: Path) -> "AsyncIterator[Fleet]":
+        """Read the settings and hold a session open."""
+        cfg = load_operator_settings(settings)
+        async with aiohttp.ClientSession() as session:
+            yield Fleet(session, cfg)
+
+    async def ask_all(self, path: str) -> list[NodeAnswer]:
+        """Ask every process of the VM list."""
+        limit = asyncio.Semaphore(ASKS_AT_ONCE)
+
+        async def ask(vm: VmEntry) -> NodeAnswer:
+            async with limit:
+                return NodeAnswer(vm, await self._ask(vm, path))
+
+        return list(await asyncio.gather(*(ask(vm) for vm in await self._vm_list.fetch())))
+
+    async def _ask(self, vm: VmEntry, path: str) -> dict[str, Any] | None:
+        try:
+            async with self._session.get(
+                vm.address + path, headers=self._headers, timeout=NODE_TIMEOUT
+            ) as response:
+                return await response.json() if response.status == 200 else None
+        except (aiohttp.ClientError, TimeoutError, OSError, ValueError):
+            return None
--- a/packages/vanillashore-cli/src/vanillashore_cli/_main.py
+++ b/packages/vanillashore-cli/src/vanillashore_cli/_main.py
@@ -1,67 +1,82 @@
-"""Command line of the operators' tool: a thin shell over the functions of `_commands`."""
+"""Command line of the operators' tool: a thin shell over the functions of its commands."""
 
 import argparse
 import sys
 from collections.abc import Sequence
-from pathlib import Path
+from typing import Any
 
+import attrs
+import orjson
 import uvloop
+from loguru import logger as log
 
-from vanillashore_cli import _commands
+from vanillashore_cli import _configuring, _watching
+from vanillashore_cli._parser import build_parser
+from vanillashore_cli._report import EXIT_CODES, ExitCode, Report
+from vanillashore_platform import ConflictError
 from vanillashore_schema import FindingsError
 from vanillashore_wire import VanillashoreError
 
-EXIT_OK = 0
-EXIT_FAILED = 1
-
 
 def main(argv: Sequence[str] | None = None) -> int:
     """Run the tool and return its exit code."""
-    args = _parser().parse_args(argv)
+    args = build_parser().parse_args(argv)
+    log.remove()
     try:
-        for line in _run(args):
-            print(line)
-    except FindingsError as exc:
-        for finding in exc.findings:
-            print(finding, file=sys.stderr)
-        print(exc, file=sys.stderr)
-        return EXIT_FAILED
+        report = _run(args)
     except VanillashoreError as exc:
+        return _fail(exc, args.json)
+    if args.json:
+        _print_json(report.data)
+    else:
+        print("\n".join(report.lines))
+    return report.exit_code
+
+
+def _run(args: argparse.Namespace) -> Report:
+    match args.command:
+        case "check":
+            return _configuring.check(args.file)
+        case "key":
+            return _configuring.new_key()
+        case "plan":
+            return uvloop.run(_configuring.plan(args.settings, args.file))
+        case "apply":
+            return uvloop.run(_configuring.apply(args.settings, args.file, _apply_options(args)))
+        case "show":
+            return uvloop.run(_configuring.show(args.settings))
+        case "explain":
+            return uvloop.run(_watching.explain(args.settings, args.request))
+        case _:
+            return uvloop.run(_watching.status(args.settings))
+
+
+def _apply_options(args: argparse.Namespace) -> _configuring.ApplyOptions:
+    return _configuring.ApplyOptions(args.base, frozenset(args.allow), args.wait)
+
+
+def _fail(exc: VanillashoreError, as_json: bool) -> int:
+    details = _details(exc)
+    if as_json:
+        _print_json({"error": {"code": exc.code.value, "text": exc.text, "details": details}})
+    else:
+        for detail in details:
+            print(detail, file=sys.stderr)
         print(exc, file=sys.stderr)
-        return EXIT_FAILED
-    return EXIT_OK
-
-
-def _run(args: argparse.Namespace) -> list[str]:
-    if args.command == "check":
-        return _commands.check(args.file)
-    if args.command == "key":
-        return _commands.new_key()
-    if args.command == "apply":
-        return uvloop.run(_commands.apply(args.settings, args.file, args.base))
-    if args.command == "explain":
-        return uvloop.run(_commands.explain(args.settings, args.request))
-    return uvloop.run(_commands.status(args.settings))
-
-
-def _parser() -> argparse.ArgumentParser:
-    parser = argparse.ArgumentParser(prog="vanillashore", description="Operate a fleet.")
-    commands = parser.add_subparsers(dest="command", required=True, metavar="COMMAND")
-    check = commands.add_parser("check", help="check a configuration file")
-    check.add_argument("file", type=Path)
-    key = commands.add_parser("key", help="make a key")
-    key.add_argument("action", choices=["new"])
-    apply = commands.add_parser("apply", help="put a configuration into force")
-    _add_settings(apply)
-    apply.add_argument("file", type=Path)
-    apply.add_argument("--base", type=int, required=True, help="revision it was planned from")
-    status = commands.add_parser("status", help="show the fleet's processes")
-    _add_settings(status)
-    explain = commands.add_parser("explain", help="show the decisions that a request met")
-    _add_settings(explain)
-    explain.add_argument("request", help="a request's id")
-    return parser
-
-
-def _add_settings(parser: argparse.ArgumentParser) -> None:
-    parser.add_argument("--settings", type=Path, required=True, metavar="FILE")
+    return EXIT_CODES.get(exc.code, ExitCode.FAILED)
+
+
+def _details(exc: VanillashoreError) -> list[str]:
+    if isinstance(exc, FindingsError):
+        return [str(finding) for finding in exc.findings]
+    if isinstance(exc, ConflictError):
+        return _configuring.conflict_changes(exc)
+    return []
+
+
+def _print_json(data: dict[str, Any]) -> None:
+    print(orjson.dumps(data, default=_plain).decode())
+
+
+def _plain(value: object) -> object:
+    return attrs.asdict(value)
--- a/packages/vanillashore-node/src/vanillashore_node/_side.py
+++ b/packages/vanillashore-node/src/vanillashore_node/_side.py
@@ -95,6 +95,7 @@
                 "role": self._cfg.node.role.value,
                 "data_centre": self._cfg.node.data_centre,
                 "revision": self.core.directory.revision,
+                "relay": self.core.following.is_relay,
                 "active": self.core.state.active,
                 "load": unstructure(self.reservations.load),
                 "links": unstructure(self.core.hub.stats),
--- a/packages/vanillashore-schema/src/vanillashore_schema/__init__.py
+++ b/packages/vanillashore-schema/src/vanillashore_schema/__init__.py
@@ -14,6 +14,7 @@
     hash_key,
     load_configuration,
 )
+from vanillashore_schema._difference import Change, ChangeKind, Cut, cuts, difference
 from vanillashore_schema._findings import Finding, FindingsError, Severity
 from vanillashore_schema._settings import (
     BackEndKind,
@@ -31,7 +32,10 @@
 
 __all__ = [
     "BackEndKind",
+    "Change",
+    "ChangeKind",
     "Configuration",
+    "Cut",
     "EndpointConfig",
     "EndpointRole",
     "EndpointSettings",
@@ -52,6 +56,8 @@
     "TimingSettings",
     "WorkspaceConfig",
     "check_configuration",
+    "cuts",
+    "difference",
     "hash_key",
     "load_configuration",
     "load_node_settings",
--- a/packages/vanillashore-wire/src/vanillashore_wire/_errors.py
+++ b/packages/vanillashore-wire/src/vanillashore_wire/_errors.py
@@ -68,6 +68,7 @@
     DEADLINE_EXCEEDED = ("deadline_exceeded", 504)
     PEER_UNREACHABLE = ("peer_unreachable", 502)
     REVISION_CONFLICT = ("revision_conflict", 409)
+    HELD_BACK = ("held_back", 409)
     CONFIG_INVALID = ("config_invalid", 400)
     SETTINGS_INVALID = ("settings_invalid", 400)
     FILE_UNREADABLE = ("file_unreadable", 400)
