--- a/packages/vanillashore-node/src/vanillashore_node/_core.py
+++ b/packages/vanillashore-node/src/vanillashore_node/_core.py
@@ -137,7 +137,8 @@
         return json_response({"status": "ok"})
 
     async def _readyz(self, request: web.Request) -> web.Response:
-        ready = self.state.ready and self.directory.revision > 0
+        is_informed = self.directory.revision > 0 and bool(self.directory.vms)
+        ready = self.state.ready and is_informed
         return json_response({"ready": ready}, 200 if ready else 503)
 
     async def _link(self, request: web.Request) -> web.StreamResponse:
