Report error-budget burn from all entries

Entries observe the first token, the mean time between tokens of an answer, and the time to the answer of a call, in slots of a minute for six hours. A page holds an encoded HdrHistogram for each window and series; the tool merges them over all live entries, names those that did not answer, and prints a table, JSON or a picture. A slot holds 200 series at most, the rest is summed as (others).

Ruled out: a histogram object for each slot and series (2,048 counters each), and sending every slot, which grows with workspaces x slots.

--- a/packages/vanillashore-cli/src/vanillashore_cli/_fleet.py
+++ b/packages/vanillashore-cli/src/vanillashore_cli/_fleet.py
@@ -44,15 +44,16 @@
         async with aiohttp.ClientSession() as session:
             yield Fleet(session, cfg)
 
-    async def ask_all(self, path: str) -> list[NodeAnswer]:
-        """Ask every process of the VM list."""
+    async def ask_all(self, path: str, kind: str = "") -> list[NodeAnswer]:
+        """Ask every process of the VM list, or those on VMs of one kind."""
         limit = asyncio.Semaphore(ASKS_AT_ONCE)
 
         async def ask(vm: VmEntry) -> NodeAnswer:
             async with limit:
                 return NodeAnswer(vm, await self._ask(vm, path))
 
-        return list(await asyncio.gather(*(ask(vm) for vm in await self._vm_list.fetch())))
+        vms = [vm for vm in await self._vm_list.fetch() if kind in ("", vm.kind)]
+        return list(await asyncio.gather(*(ask(vm) for vm in vms)))
 
     async def _ask(self, vm: VmEntry, path: str) -> dict[str, Any] | None:
         try:
--- a/packages/vanillashore-cli/src/vanillashore_cli/_main.py
+++ b/packages/vanillashore-cli/src/vanillashore_cli/_main.py
@@ -10,7 +10,7 @@
 import uvloop
 from loguru import logger as log
 
-from vanillashore_cli import _configuring, _watching
+from vanillashore_cli import _burn, _configuring, _watching
 from vanillashore_cli._parser import build_parser
 from vanillashore_cli._report import EXIT_CODES, ExitCode, Report
 from vanillashore_platform import ConflictError
@@ -47,6 +47,8 @@
             return uvloop.run(_configuring.show(args.settings))
         case "explain":
             return uvloop.run(_watching.explain(args.settings, args.request))
+        case "burn":
+            return uvloop.run(_burn.burn(args.settings, args.picture))
         case _:
             return uvloop.run(_watching.status(args.settings))
 
--- /dev/null
+++ b/packages/vanillashore-node/src/vanillashore_node/_burn.py
@@ -0,0 +1,168 @@
+"""What an entry observes of latencies, in slots of a minute, for the burn report."""
+
+import time
+from collections import Counter
+from collections.abc import AsyncGenerator, AsyncIterator, Awaitable, Callable
+from contextlib import aclosing
+from typing import TypeVar
+
+import attrs
+from hdrh.histogram import HdrHistogram
+
+from vanillashore_schema import ModelConfig, RouteConfig
+from vanillashore_wire import BurnMeasure, BurnPage, BurnSeries, RefusalError
+
+T = TypeVar("T")
+
+WINDOWS_S = (300, 1_800, 3_600, 21_600)
+SLOT_S = 60
+SLOTS_KEPT = max(WINDOWS_S) // SLOT_S
+MAX_SERIES_PER_SLOT = 200
+OTHER_WORKSPACES = "(others)"
+HIGHEST_MS = 3_600_000
+SIGNIFICANT_DIGITS = 2
+SERVER_ERROR_STATUS = 500
+
+
+@attrs.frozen
+class SeriesKey:
+    """What a series is about."""
+
+    route: str
+    workspace: str
+    measure: BurnMeasure
+
+
+@attrs.define
+class SlotSeries:
+    """Observations of one series within one slot; ``counts`` by milliseconds."""
+
+    target_ms: float = 0.0
+    good: int = 0
+    bad: int = 0
+    counts: Counter[int] = attrs.field(factory=Counter)
+
+    def add(self, other: "SlotSeries") -> None:
+        """Take in a later slot's observations."""
+        self.target_ms = other.target_ms
+        self.good += other.good
+        self.bad += other.bad
+        self.counts.update(other.counts)
+
+
+class BurnBook:
+    """Keeps six hours of observations; ``clock`` gives seconds since the epoch.
+
+    Example::
+
+        async for texts in book.watch_answer(model, workspace, generation.run()):
+            ...
+    """
+
+    def __init__(self, node: str, clock: Callable[[], float] = time.time) -> None:
+        self._node = node
+        self._clock = clock
+        self._slots: dict[int, dict[SeriesKey, SlotSeries]] = {}
+
+    async def watch_answer(
+        self, model: ModelConfig, workspace: str, runs: AsyncGenerator[list[str], None]
+    ) -> AsyncIterator[list[str]]:
+        """Pass a generated answer on and observe its first token and the time between tokens."""
+        route = f"model {model.name}"
+        started = last = time.monotonic()
+        first: float | None = None
+        tokens = 0
+        try:
+            async with aclosing(runs):
+                async for texts in runs:
+                    last = time.monotonic()
+                    first = first or last
+                    tokens += len(texts)
+                    yield texts
+        except RefusalError as exc:
+            if first is None and exc.code.status >= SERVER_ERROR_STATUS:
+                key = SeriesKey(route, workspace, BurnMeasure.FIRST_TOKEN)
+                self.record(key, None, model.first_token_target_ms)
+            raise
+        finally:
+            if first is not None:
+                key = SeriesKey(route, workspace, BurnMeasure.FIRST_TOKEN)
+                self.record(key, (first - started) * 1_000, model.first_token_target_ms)
+            if first is not None and tokens > 1:
+                gap_ms = (last - first) * 1_000 / (tokens - 1)
+                key = SeriesKey(route, workspace, BurnMeasure.TOKEN_GAP)
+                self.record(key, gap_ms, model.token_gap_target_ms)
+
+    async def watch_call(self, route: RouteConfig, workspace: str, call: Awaitable[T]) -> T:
+        """Wait for a call to a plain service and observe the time to its answer."""
+        key = SeriesKey(f"{'|'.join(route.methods)} {route.path}", workspace, BurnMeasure.ANSWER)
+        started = time.monotonic()
+        try:
+            done = await call
+        except RefusalError as exc:
+            if exc.code.status >= SERVER_ERROR_STATUS:
+                self.record(key, None, route.target_ms)
+            raise
+        self.record(key, (time.monotonic() - started) * 1_000, route.target_ms)
+        return done
+
+    def record(self, key: SeriesKey, value_ms: float | None, target_ms: float) -> None:
+        """Count one observation; ``None`` is a failure, which misses any target."""
+        series = self._series(key)
+        series.target_ms = target_ms
+        if value_ms is None:
+            series.bad += 1
+            return
+        series.counts[_rounded(value_ms)] += 1
+        if value_ms <= target_ms:
+            series.good += 1
+        else:
+            series.bad += 1
+
+    def page(self) -> BurnPage:
+        """Return everything that was observed, summed for each window."""
+        now = self._number()
+        found: list[BurnSeries] = []
+        for window_s in WINDOWS_S:
+            total: dict[SeriesKey, SlotSeries] = {}
+            for number in range(now - window_s // SLOT_S + 1, now + 1):
+                for key, series in self._slots.get(number, {}).items():
+                    total.setdefault(key, SlotSeries()).add(series)
+            found += [_burn_series(window_s, key, series) for key, series in total.items()]
+        return BurnPage(self._node, tuple(found))
+
+    def _series(self, key: SeriesKey) -> SlotSeries:
+        number = self._number()
+        if number not in self._slots:
+            self._slots[number] = {}
+            self._slots = {n: s for n, s in self._slots.items() if n > number - SLOTS_KEPT}
+        slot = self._slots[number]
+        if key not in slot and len(slot) >= MAX_SERIES_PER_SLOT:
+            key = attrs.evolve(key, workspace=OTHER_WORKSPACES)
+        return slot.setdefault(key, SlotSeries())
+
+    def _number(self) -> int:
+        return int(self._clock() // SLOT_S)
+
+
+def _rounded(value_ms: float) -> int:
+    """Return whole milliseconds with three significant digits at most."""
+    value = min(max(1, round(value_ms)), HIGHEST_MS)
+    step = 10 ** max(0, len(str(value)) - SIGNIFICANT_DIGITS - 1)
+    return value // step * step
+
+
+def _burn_series(window_s: int, key: SeriesKey, series: SlotSeries) -> BurnSeries:
+    histogram = HdrHistogram(1, HIGHEST_MS, SIGNIFICANT_DIGITS)
+    for value, count in series.counts.items():
+        histogram.record_value(value, count)
+    return BurnSeries(
+        window_s,
+        key.route,
+        key.workspace,
+        key.measure,
+        series.target_ms,
+        series.good,
+        series.bad,
+        histogram.encode().decode(),
+    )
--- a/packages/vanillashore-node/src/vanillashore_node/_calls.py
+++ b/packages/vanillashore-node/src/vanillashore_node/_calls.py
@@ -38,7 +38,8 @@
             await self._admission.admit(caller, route.cost_tokens)
             workspace = caller.name
         order = self._order(request, route, workspace, body)
-        return _response(await self._dispatch.run(order, partial(self._check, request, route)))
+        call = self._dispatch.run(order, partial(self._check, request, route))
+        return _response(await self._core.burn.watch_call(route, workspace, call))
 
     def _check(self, request: web.Request, route: RouteConfig) -> None:
         if not route.open:
--- a/packages/vanillashore-node/src/vanillashore_node/_completions.py
+++ b/packages/vanillashore-node/src/vanillashore_node/_completions.py
@@ -1,7 +1,7 @@
 """Handlers of ``/v1/completions``, ``/v1/chat/completions`` and ``/v1/models``."""
 
 import time
-from collections.abc import Callable
+from collections.abc import AsyncIterator, Callable
 
 from aiohttp import web
 
@@ -76,7 +76,7 @@
     async def _whole(
         self, generation: Generation, shape: AnswerShape, req: GenerationRequest
     ) -> web.Response:
-        async for _ in generation.run():
+        async for _ in self._watched(generation, req):
             pass
         answer = generation.assembly
         usage = Usage(req.prompt_tokens, answer.next_sequence)
@@ -90,7 +90,7 @@
         req: GenerationRequest,
         include_usage: bool,
     ) -> web.StreamResponse:
-        runs = generation.run()
+        runs = self._watched(generation, req)
         first = await anext(runs, [])
         response = web.StreamResponse(
             headers={
@@ -113,6 +113,9 @@
         await response.write_eof()
         return response
 
+    def _watched(self, generation: Generation, req: GenerationRequest) -> AsyncIterator[list[str]]:
+        return self._core.burn.watch_answer(req.model, req.workspace, generation.run())
+
     def _refund(self, admitted: Admitted, req: GenerationRequest, generation: Generation) -> None:
         unused = req.max_tokens - generation.assembly.next_sequence
         self._admission.refund(admitted, unused)
--- a/packages/vanillashore-node/src/vanillashore_node/_core.py
+++ b/packages/vanillashore-node/src/vanillashore_node/_core.py
@@ -8,6 +8,7 @@
 import attrs
 from aiohttp import web
 
+from vanillashore_node._burn import BurnBook
 from vanillashore_node._config_following import ConfigFollowing
 from vanillashore_node._decisions import DecisionLog
 from vanillashore_node._directory import Directory
@@ -49,6 +50,7 @@
         self.directory = Directory()
         self.tasks = TaskGroup()
         self.decisions = DecisionLog(cfg.node.name)
+        self.burn = BurnBook(cfg.node.name)
         self.session: aiohttp.ClientSession
         self.store: KeyValueStore
         self.hub: LinkHub
--- a/packages/vanillashore-node/src/vanillashore_node/_entry.py
+++ b/packages/vanillashore-node/src/vanillashore_node/_entry.py
@@ -12,7 +12,7 @@
 from vanillashore_node._completions import Completions
 from vanillashore_node._config_revision import CurrentBackEnds
 from vanillashore_node._core import NodeCore
-from vanillashore_node._faces import json_response, require_fleet_secret
+from vanillashore_node._faces import json_response, message_response, require_fleet_secret
 from vanillashore_node._generation import Generation
 from vanillashore_node._generation_request import GenerationRequest
 from vanillashore_node._placer import Placer
@@ -55,11 +55,16 @@
         app.router.add_post("/v1/chat/completions", completions.chat_completions)
         app.router.add_get("/v1/models", completions.models)
         app.router.add_get("/internal/status", self._status)
+        app.router.add_get("/internal/burn", self._burn)
         await core.start(app, calls.call)
 
     def _new_generation(self, req: GenerationRequest) -> Generation:
         return Generation(self.core, self._placer, self._back_ends, req)
 
+    async def _burn(self, request: web.Request) -> web.Response:
+        require_fleet_secret(request, self._cfg.node.fleet_secret)
+        return message_response(self.core.burn.page())
+
     async def _status(self, request: web.Request) -> web.Response:
         require_fleet_secret(request, self._cfg.node.fleet_secret)
         return json_response(
--- a/packages/vanillashore-standins/src/vanillashore_standins/demo/_checks.py
+++ b/packages/vanillashore-standins/src/vanillashore_standins/demo/_checks.py
@@ -28,6 +28,7 @@
         await checks.refused_key(fleet.entries[0])
     await fleet.run_tool("status")
     await fleet.run_tool("explain", checks.last_request_id)
+    await fleet.run_tool("burn", "--picture", str(fleet.folder / "burn.png"))
     return checks.failures
 
 
--- a/packages/vanillashore-wire/src/vanillashore_wire/__init__.py
+++ b/packages/vanillashore-wire/src/vanillashore_wire/__init__.py
@@ -3,6 +3,7 @@
 Import from this module only; the modules with a leading underscore are private.
 """
 
+from vanillashore_wire._burn_messages import BurnMeasure, BurnPage, BurnSeries
 from vanillashore_wire._codec import (
     Batch,
     Envelope,
@@ -55,6 +56,9 @@
 __all__ = [
     "Ack",
     "Batch",
+    "BurnMeasure",
+    "BurnPage",
+    "BurnSeries",
     "CallDone",
     "CallOrder",
     "ChunkData",
