--- a/packages/vanillashore-node/src/vanillashore_node/_generation.py
+++ b/packages/vanillashore-node/src/vanillashore_node/_generation.py
@@ -1,12 +1,21 @@
 """One generated answer: reserve, prefill, decode, and go on elsewhere after a failure."""
 
+import asyncio
 from collections.abc import AsyncIterator
+from contextlib import aclosing
 
 from vanillashore_node._back_ends import BackEnds
 from vanillashore_node._core import NodeCore
 from vanillashore_node._generation_request import GenerationRequest
 from vanillashore_node._placer import Place, Placer
-from vanillashore_outcome import Assembly
+from vanillashore_outcome import (
+    MAX_ATTEMPTS,
+    Assembly,
+    Failure,
+    RetryBudget,
+    RetryPolicy,
+    given_up,
+)
 from vanillashore_wire import (
     DecodeOrder,
     ErrorCode,
@@ -19,44 +28,53 @@
     Refused,
 )
 
-MAX_ATTEMPTS = 3
-RETRIED_CODES = frozenset(
-    {
-        ErrorCode.ENDPOINT_FAILED,
-        ErrorCode.PEER_UNREACHABLE,
-        ErrorCode.RESERVATION_UNKNOWN,
-        ErrorCode.ROLE_MISMATCH,
-        ErrorCode.SHUTTING_DOWN,
-    }
-)
-
 
 class Generation:
     """Produces one answer; `run` yields runs of tokens in order, each token exactly once."""
 
     def __init__(
-        self, core: NodeCore, placer: Placer, back_ends: BackEnds, req: GenerationRequest
+        self,
+        core: NodeCore,
+        placer: Placer,
+        back_ends: BackEnds,
+        budget: RetryBudget,
+        req: GenerationRequest,
     ) -> None:
         self._core = core
         self._placer = placer
         self._back_ends = back_ends
+        self._budget = budget
+        self._policy = RetryPolicy(budget)
         self._req = req
+        self._was_dispatched = False
         self.assembly = Assembly(req.request_id)
 
     async def run(self) -> AsyncIterator[list[str]]:
         """Yield the tokens that came in together; raise RefusalError if the answer breaks off."""
+        self._budget.earn()
         for attempt in range(1, MAX_ATTEMPTS + 1):
             self.assembly.begin_attempt(attempt)
             try:
-                async for texts in self._attempt(attempt):
-                    yield texts
+                async with aclosing(self._attempt(attempt)) as runs:
+                    async for texts in runs:
+                        yield texts
                 return
             except RefusalError as exc:
-                self._note(attempt, "failed", str(exc))
-                if exc.code not in RETRIED_CODES or attempt == MAX_ATTEMPTS:
-                    raise
+                refused = exc.refused
+            self._note(attempt, "failed", f"{refused.code.value}: {refused.text}")
+            if self.assembly.complete_at(self._req.max_tokens):
+                return
+            await self._pause_or_give_up(attempt, refused)
         raise AssertionError("unreachable")
 
+    async def _pause_or_give_up(self, attempt: int, refused: Refused) -> None:
+        emitted = self.assembly.next_sequence
+        failure = Failure(attempt, refused, emitted, self._req.time_left_s)
+        pause_s = self._policy.pause_s(failure)
+        if pause_s is None:
+            raise RefusalError(given_up(refused, self._was_dispatched))
+        await asyncio.sleep(pause_s)
+
     async def _attempt(self, attempt: int) -> AsyncIterator[list[str]]:
         place = await self._placer.decode_place(self._req, attempt)
         self._note(attempt, "decode place", place.endpoint.vm)
@@ -66,18 +84,33 @@
             self._placer.give_up(place, self._req, attempt)
             raise
         order = self._decode_order(attempt, place, done)
-        async for frames in self._back_ends.decode(place.endpoint.address, order):
-            position = self.assembly.next_sequence
-            failure = self._accept(frames)
-            texts = self.assembly.tokens_from(position)
-            if texts:
-                yield texts
-            if failure is not None:
-                raise failure
-            if self.assembly.is_complete:
-                return
+        async with aclosing(self._batches(place, order)) as batches:
+            async for frames in batches:
+                position = self.assembly.next_sequence
+                failure = self._accept(frames)
+                texts = self.assembly.tokens_from(position)
+                if texts:
+                    yield texts
+                if failure is not None:
+                    raise failure
+                if self.assembly.is_complete:
+                    return
         raise _broken("the decode stream ended early")
 
+    async def _batches(self, place: Place, order: DecodeOrder) -> AsyncIterator[list[Frame]]:
+        """Yield the frames of a stream as they come in; it must not pause for long."""
+        wait_s = self._core.cfg.timing.frame_wait_s
+        async with aclosing(self._back_ends.decode(place.endpoint.address, order)) as batches:
+            while True:
+                try:
+                    async with asyncio.timeout(wait_s):
+                        batch = await anext(batches, None)
+                except TimeoutError as exc:
+                    raise _broken(f"no frame within {wait_s:g} s") from exc
+                if batch is None:
+                    return
+                yield batch
+
     async def _prefill(self, attempt: int) -> PrefillDone:
         place = await self._placer.prefill_place(self._req, attempt)
         self._note(attempt, "prefill place", place.endpoint.vm)
@@ -89,9 +122,10 @@
             self._req.model.name,
             self._req.prompt + self.assembly.text,
             self._req.model.route_class,
-            self._req.time_left_s,
+            min(self._req.time_left_s, self._core.cfg.timing.prefill_wait_s),
             self._core.directory.revision,
         )
+        self._was_dispatched = True
         return await self._back_ends.prefill(place.endpoint.address, order)
 
     def _decode_order(self, attempt: int, place: Place, done: PrefillDone) -> DecodeOrder:
