Measure what following the configuration costs; tag the VM list

make bench-control measures 3 to 100 following nodes and a configuration of 22,000 workspaces. The client now sends the entity tag it has, and a list that is unchanged is neither sent nor read again.

--- /dev/null
+++ b/benches/control.py
@@ -0,0 +1,391 @@
+"""What following the configuration costs, from 3 to 100 nodes and at the size of the target.
+
+Nodes are whole entry processes' parts inside this process, each with its own listener and links.
+"""
+
+import argparse
+import asyncio
+import ctypes
+import gc
+import json
+import logging
+import random
+import resource
+import statistics
+import sys
+import time
+
+import attrs
+import uvloop
+from loguru import logger as log
+
+from vanillashore_platform import ConfigReplica
+from vanillashore_schema import (
+    Configuration,
+    KeyConfig,
+    ModelConfig,
+    TimingSettings,
+    WorkspaceConfig,
+    check_configuration,
+    hash_key,
+)
+from vanillashore_standins.testing import FleetPlan, SmallFleet
+from vanillashore_wire import ConfigHead, encode
+
+SCHEME = "vanillashore"
+NODE_COUNTS = (3, 10, 30, 100)
+CHANGES = 12
+QUICK_CHANGES = 4
+IDLE_S = 8.0
+QUICK_IDLE_S = 4.0
+FRAME_OVERHEAD_BYTES = 60
+FULL_WORKSPACES = 22_000
+FULL_MODELS = 29
+TARGET_NODES = 970
+TARGET_DATA_CENTRES = 5
+CHANGES_PER_DAY = 1_500
+SECONDS_PER_DAY = 86_400
+VM_LIST_POLL_S = 1.0
+TIMING = TimingSettings(balancer_delay_s=0.0, shutdown_wait_s=0.1)
+
+
+@attrs.frozen
+class Usage:
+    """What the process and the fleet had used at a moment."""
+
+    at: float
+    cpu_s: float
+    all_bytes: int
+    link_bytes: int
+    store_calls: int
+
+
+@attrs.frozen
+class Rates:
+    """What was used a second between two moments; bytes and processor time for each node."""
+
+    bytes_per_node_per_s: float
+    link_bytes_per_s: float
+    store_calls_per_s: float
+    cpu_share: float
+
+
+@attrs.frozen
+class NodesResult:
+    """Figures of one number of nodes."""
+
+    nodes: int
+    relays: int
+    in_force_s: list[float]
+    idle: Rates
+    bytes_per_node_per_change: float
+    store_calls_per_change: float
+    cpu_ms_per_node_per_change: float
+    memory_mb: float
+
+
+@attrs.frozen
+class FullResult:
+    """Figures of a configuration of the target's size."""
+
+    file_mb: float
+    check_s: float
+    apply_s: float
+    change_apply_s: float
+    in_force_s: list[float]
+    fetch_s: float
+    change_bytes: int
+    install_ms: float
+    memory_mb: float
+
+
+def configuration(workspaces: int, models: int) -> Configuration:
+    """Return a configuration with one key for each workspace."""
+    return Configuration(
+        workspace=tuple(
+            WorkspaceConfig(
+                f"workspace-{i:05}",
+                1_000.0 + i,
+                5_000.0,
+                key=(KeyConfig("main", hash_key(f"key-{i}"), "2026-01-01"),),
+            )
+            for i in range(workspaces)
+        ),
+        model=tuple(ModelConfig(f"model-{i}") for i in range(models)),
+    )
+
+
+def changed(config: Configuration, index: int, rate: float) -> Configuration:
+    """Return the configuration with one workspace's rate changed."""
+    rows = list(config.workspace)
+    rows[index] = attrs.evolve(rows[index], rate_tokens_per_s=rate)
+    return attrs.evolve(config, workspace=tuple(rows))
+
+
+def as_toml(config: Configuration) -> str:
+    """Return the configuration as an operator's file."""
+    lines: list[str] = []
+    for row in config.workspace:
+        key = row.key[0]
+        lines.append(
+            f'[[workspace]]\nname = "{row.name}"\nrate_tokens_per_s = {row.rate_tokens_per_s}\n'
+            f"burst_tokens = {row.burst_tokens}\n"
+            f'key = [{{ id = "{key.id}", sha256 = "{key.sha256}", granted = "{key.granted}" }}]\n'
+        )
+    lines += [f'[[model]]\nname = "{row.name}"\n' for row in config.model]
+    return "\n".join(lines)
+
+
+def usage(fleet: SmallFleet) -> Usage:
+    """Measure now."""
+    hubs = [entry.core.hub for entry in fleet.entries]
+    sent = sum(hub.stats.bytes_sent + hub.stats.bytes_received for hub in hubs)
+    frames = 2 * sum(hub.stats.frames_sent for hub in hubs)
+    own = resource.getrusage(resource.RUSAGE_SELF)
+    platform_bytes = fleet.kv.traffic_bytes + fleet.vm_list.traffic_bytes
+    link_bytes = sent + frames * FRAME_OVERHEAD_BYTES
+    calls = sum(fleet.kv.calls.values())
+    cpu_s = own.ru_utime + own.ru_stime
+    return Usage(time.monotonic(), cpu_s, link_bytes + platform_bytes, link_bytes, calls)
+
+
+def memory_mb() -> float:
+    """Return this process's resident memory."""
+    with open("/proc/self/statm") as statm:
+        return int(statm.read().split()[1]) * resource.getpagesize() / 1e6
+
+
+def rates(before: Usage, after: Usage, nodes: int) -> Rates:
+    """Return the use between two moments."""
+    seconds = after.at - before.at
+    return Rates(
+        (after.all_bytes - before.all_bytes) / seconds / nodes,
+        (after.link_bytes - before.link_bytes) / 2 / seconds,
+        (after.store_calls - before.store_calls) / seconds,
+        (after.cpu_s - before.cpu_s) / seconds / nodes,
+    )
+
+
+async def in_force(fleet: SmallFleet, revision: int) -> float:
+    """Return the seconds until every node has ``revision`` in force."""
+    started = time.monotonic()
+    await fleet.until(
+        lambda: all(entry.core.directory.revision >= revision for entry in fleet.entries), 30.0
+    )
+    return time.monotonic() - started
+
+
+async def measure_nodes(
+    nodes: int, changes: int, idle_s: float, rng: random.Random, base_mb: float
+) -> NodesResult:
+    """Measure a fleet that idles, and then takes changes of one line."""
+    plan = FleetPlan(
+        entries=nodes,
+        prefills=0,
+        decodes=0,
+        services=0,
+        timing=TIMING,
+        vm_list_poll_s=VM_LIST_POLL_S,
+    )
+    async with SmallFleet(plan) as fleet:
+        config = configuration(200, 3)
+        await fleet.apply(config, 1)
+        await asyncio.sleep(1.0)
+        before_idle = usage(fleet)
+        await asyncio.sleep(idle_s)
+        after_idle = usage(fleet)
+        idle = rates(before_idle, after_idle, nodes)
+        times = []
+        for number in range(changes):
+            config = changed(config, rng.randrange(200), 10.0 + number)
+            head = await fleet.config_store.apply(config, 2 + number)
+            times.append(await in_force(fleet, head.revision))
+        after = usage(fleet)
+        seconds = after.at - after_idle.at
+        used = after.all_bytes - after_idle.all_bytes
+        idle_bytes = idle.bytes_per_node_per_s * nodes * seconds
+        cpu_s = after.cpu_s - after_idle.cpu_s - idle.cpu_share * nodes * seconds
+        calls = after.store_calls - after_idle.store_calls - idle.store_calls_per_s * seconds
+        return NodesResult(
+            nodes,
+            sum(entry.core.following.is_relay for entry in fleet.entries),
+            times,
+            idle,
+            max(0.0, used - idle_bytes) / nodes / changes,
+            max(0.0, calls) / changes,
+            max(0.0, cpu_s) * 1_000 / nodes / changes,
+            (memory_mb() - base_mb) / nodes,
+        )
+
+
+async def measure_full(changes: int, rng: random.Random) -> FullResult:
+    """Measure a configuration of the target's size on three nodes."""
+    config = configuration(FULL_WORKSPACES, FULL_MODELS)
+    text = as_toml(config)
+    started = time.monotonic()
+    check_configuration("full.toml", text)
+    check_s = time.monotonic() - started
+    timing = attrs.evolve(TIMING, ask_timeout_s=10.0)
+    plan = FleetPlan(
+        entries=3, prefills=0, decodes=0, services=0, timing=timing, store_timeout_s=10.0
+    )
+    async with SmallFleet(plan) as fleet:
+        memory_before = memory_mb()
+        started = time.monotonic()
+        head = await fleet.config_store.apply(config, 1)
+        apply_s = time.monotonic() - started
+        fetch_s = await in_force(fleet, head.revision)
+        memory = (memory_mb() - memory_before) / len(fleet.entries)
+        times, apply_times = [], []
+        for number in range(changes):
+            config = changed(config, rng.randrange(FULL_WORKSPACES), 10.0 + number)
+            started = time.monotonic()
+            head = await fleet.config_store.apply(config, 2 + number)
+            apply_times.append(time.monotonic() - started)
+            times.append(await in_force(fleet, head.revision))
+        replica = fleet.entries[0].core.following.replica
+        update = encode(replica.update_since(head.revision - 1))
+        install_ms = measure_install(replica, head)
+        return FullResult(
+            len(text) / 1e6,
+            check_s,
+            apply_s,
+            statistics.median(apply_times),
+            times,
+            fetch_s,
+            len(update),
+            install_ms,
+            memory,
+        )
+
+
+def measure_install(replica: ConfigReplica, head: ConfigHead) -> float:
+    """Return the milliseconds that installing one changed chunk takes."""
+    newer = attrs.evolve(head, revision=head.revision + 1)
+    started = time.process_time()
+    replica.install(newer)
+    return (time.process_time() - started) * 1_000
+
+
+def print_tables(results: list[NodesResult], full: FullResult) -> None:
+    """Print everything for a reader."""
+    print(
+        f"{'nodes':>6} {'relays':>6} {'in force p50':>13} {'max':>8} {'idle B/s/node':>14}", end=""
+    )
+    print(f" {'store calls/s':>14} {'idle cpu/node':>14} {'B/node/change':>14}", end="")
+    print(f" {'calls/change':>13} {'cpu ms/node/change':>19} {'MB/node':>8}")
+    for r in results:
+        p50, most = statistics.median(r.in_force_s), max(r.in_force_s)
+        print(f"{r.nodes:>6} {r.relays:>6} {p50:>11.3f} s {most:>6.3f} s", end="")
+        print(f" {r.idle.bytes_per_node_per_s:>14.0f} {r.idle.store_calls_per_s:>14.2f}", end="")
+        print(f" {r.idle.cpu_share:>14.5f} {r.bytes_per_node_per_change:>14.0f}", end="")
+        print(f" {r.store_calls_per_change:>13.1f} {r.cpu_ms_per_node_per_change:>19.2f}", end="")
+        print(f" {r.memory_mb:>8.2f}")
+    print(
+        f"\n{FULL_WORKSPACES} workspaces, {FULL_MODELS} models: file {full.file_mb:.1f} MB,", end=""
+    )
+    print(f" check {full.check_s:.2f} s, first apply {full.apply_s:.2f} s,", end="")
+    print(f" on 3 nodes after {full.fetch_s:.2f} s more")
+    print(f"a one-line change: apply {full.change_apply_s:.2f} s, in force after", end="")
+    print(
+        f" {statistics.median(full.in_force_s):.2f} s more, update {full.change_bytes} bytes,",
+        end="",
+    )
+    print(f" install {full.install_ms:.1f} ms, {full.memory_mb:.0f} MB a node")
+
+
+def as_json(results: list[NodesResult], full: FullResult) -> str:
+    """Return the last line: fields of each case, and what follows for the target."""
+    rows = [nodes_row(result) for result in results]
+    rows.append(full_row(full))
+    return json.dumps({"bench": "control", "results": rows, "scale": scale(results, full)})
+
+
+def nodes_row(r: NodesResult) -> dict[str, object]:
+    """Return the fields of one number of nodes, with changes at the target's pace."""
+    per_s = CHANGES_PER_DAY / SECONDS_PER_DAY
+    return {
+        "scheme": SCHEME,
+        "case": f"nodes_{r.nodes}",
+        "in_force_s_p50": round(statistics.median(r.in_force_s), 4),
+        "in_force_s_max": round(max(r.in_force_s), 4),
+        "bytes_per_node_per_s": round(
+            r.idle.bytes_per_node_per_s + r.bytes_per_node_per_change * per_s, 1
+        ),
+        "store_calls_per_s": round(r.idle.store_calls_per_s + r.store_calls_per_change * per_s, 2),
+        "cpu_share": round(r.idle.cpu_share + r.cpu_ms_per_node_per_change / 1_000 * per_s, 6),
+        "memory_mb": round(r.memory_mb, 2),
+    }
+
+
+def full_row(full: FullResult) -> dict[str, object]:
+    """Return the fields of the configuration of the target's size."""
+    per_s = CHANGES_PER_DAY / SECONDS_PER_DAY
+    return {
+        "scheme": SCHEME,
+        "case": "full_configuration",
+        "in_force_s_p50": round(statistics.median(full.in_force_s), 4),
+        "in_force_s_max": round(max(full.in_force_s), 4),
+        "bytes_per_node_per_s": round(full.change_bytes * per_s, 1),
+        "cpu_share": round(full.install_ms / 1_000 * per_s, 6),
+        "memory_mb": round(full.memory_mb, 1),
+        "file_mb": round(full.file_mb, 2),
+        "check_s": round(full.check_s, 2),
+        "apply_s": round(full.apply_s, 2),
+        "change_apply_s": round(full.change_apply_s, 3),
+        "change_bytes": full.change_bytes,
+    }
+
+
+def scale(results: list[NodesResult], full: FullResult) -> dict[str, object]:
+    """Extrapolate to the target from the smallest and the largest number of nodes."""
+    small, large = results[0], results[-1]
+    span = large.nodes - small.nodes
+    slope = (statistics.median(large.in_force_s) - statistics.median(small.in_force_s)) / span
+    per_data_centre = TARGET_NODES // TARGET_DATA_CENTRES
+    relays = int(per_data_centre**0.5)
+    followers = per_data_centre // relays
+    per_s = CHANGES_PER_DAY / SECONDS_PER_DAY
+    per_follower = large.idle.link_bytes_per_s / (large.nodes - large.relays)
+    relay_bytes = small.idle.bytes_per_node_per_s + per_follower * followers
+    return {
+        "nodes": TARGET_NODES,
+        "relays": relays * TARGET_DATA_CENTRES,
+        "followers_per_relay": followers,
+        "in_force_s_per_node": round(slope, 6),
+        "in_force_s": round(statistics.median(large.in_force_s) + slope * (TARGET_NODES - 100), 3),
+        "relay_bytes_per_s": round(relay_bytes + full.change_bytes * (followers + 1) * per_s, 1),
+        "store_watches": relays * TARGET_DATA_CENTRES,
+        "store_reads_per_s": round(relays * TARGET_DATA_CENTRES / TIMING.config_probe_s, 1),
+        "install_ms": round(full.install_ms, 1),
+    }
+
+
+async def run(seed: int, quick: bool) -> None:
+    """Run all cases."""
+    rng = random.Random(seed)
+    changes = QUICK_CHANGES if quick else CHANGES
+    idle_s = QUICK_IDLE_S if quick else IDLE_S
+    full = await measure_full(changes, rng)
+    gc.collect()
+    ctypes.CDLL(None).malloc_trim(0)
+    base_mb = memory_mb()
+    results = [await measure_nodes(n, changes, idle_s, rng, base_mb) for n in NODE_COUNTS]
+    print_tables(results, full)
+    print(as_json(results, full))
+
+
+def main() -> None:
+    """Read the command line and run."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--quick", action="store_true", help="end within a minute")
+    args = parser.parse_args()
+    log.remove()
+    log.add(sys.stderr, level="ERROR")
+    logging.getLogger("aiohttp.server").setLevel(logging.CRITICAL)
+    uvloop.run(run(args.seed, args.quick))
+
+
+if __name__ == "__main__":
+    main()
--- a/packages/vanillashore-node/src/vanillashore_node/_directory.py
+++ b/packages/vanillashore-node/src/vanillashore_node/_directory.py
@@ -31,6 +31,7 @@
 
     def __init__(self) -> None:
         self._snapshot = ConfigSnapshot(0, Configuration())
+        self._vm_list: tuple[VmEntry, ...] = ()
         self._vms: dict[str, VmEntry] = {}
         self._workspaces: dict[str, WorkspaceConfig] = {}
         self._workspace_of_key: dict[str, str] = {}
@@ -70,7 +71,9 @@
 
     def take_vms(self, vms: tuple[VmEntry, ...]) -> None:
         """Replace the VM list."""
-        self._vms = {vm.name: vm for vm in vms}
+        if vms is not self._vm_list:
+            self._vm_list = vms
+            self._vms = {vm.name: vm for vm in vms}
 
     def workspace_of_key(self, key_hash: str) -> WorkspaceConfig | None:
         """Return the workspace that a key belongs to."""
--- a/packages/vanillashore-platform/src/vanillashore_platform/_vm_list.py
+++ b/packages/vanillashore-platform/src/vanillashore_platform/_vm_list.py
@@ -1,6 +1,7 @@
 """The platform's lagging list of live and leaving VMs."""
 
 from enum import StrEnum
+from http import HTTPStatus
 from typing import Protocol
 
 import aiohttp
@@ -41,18 +42,30 @@
 
 
 class HttpVmList:
-    """A `VmList` that is served as JSON on ``GET /v1/vms``."""
+    """A `VmList` that is served as JSON on ``GET /v1/vms``.
+
+    A list that has not changed since is not sent again where the platform knows entity tags.
+    """
 
     def __init__(self, session: aiohttp.ClientSession, address: str, timeout_s: float) -> None:
         self._session = session
         self._url = address.rstrip("/") + "/v1/vms"
         self._timeout = aiohttp.ClientTimeout(total=timeout_s)
+        self._tag = ""
+        self._last: tuple[VmEntry, ...] = ()
 
     async def fetch(self) -> tuple[VmEntry, ...]:
         """Return the list as it is now; raise VanillashoreError if it cannot be had."""
         try:
-            async with self._session.get(self._url, timeout=self._timeout) as response:
+            headers = {"If-None-Match": self._tag} if self._tag else {}
+            async with self._session.get(
+                self._url, headers=headers, timeout=self._timeout
+            ) as response:
+                if response.status == HTTPStatus.NOT_MODIFIED:
+                    return self._last
                 response.raise_for_status()
-                return decode(await response.read(), _VmListBody).vms
+                self._last = decode(await response.read(), _VmListBody).vms
+                self._tag = response.headers.get("ETag", "")
+                return self._last
         except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as exc:
             raise VanillashoreError(ErrorCode.STORE_UNAVAILABLE, f"VM list: {exc!r}") from exc
--- a/packages/vanillashore-standins/src/vanillashore_standins/_fleet_base.py
+++ b/packages/vanillashore-standins/src/vanillashore_standins/_fleet_base.py
@@ -62,6 +62,7 @@
     limits: LimitSettings = LimitSettings()
     timing: TimingSettings = TimingSettings(balancer_delay_s=0.0, shutdown_wait_s=5.0)
     store_timeout_s: float = 0.5
+    vm_list_poll_s: float = 0.05
 
 
 def small_configuration(plan: FleetPlan) -> Configuration:
@@ -186,7 +187,7 @@
         store = await self._serve(kv_app(self.kv, self.kv_faults))
         vm_list = await self._serve(vm_list_app(self.vm_list))
         timeout_s = self.plan.store_timeout_s
-        self._platform = PlatformSettings(store, vm_list, timeout_s, vm_list_poll_s=0.05)
+        self._platform = PlatformSettings(store, vm_list, timeout_s, self.plan.vm_list_poll_s)
         for i in range(self.plan.prefills):
             await self.start_engine(f"prefill-{i}")
         for i in range(self.plan.decodes):
--- a/packages/vanillashore-standins/src/vanillashore_standins/_kv_app.py
+++ b/packages/vanillashore-standins/src/vanillashore_standins/_kv_app.py
@@ -8,6 +8,7 @@
 import orjson
 from aiohttp import web
 
+from vanillashore_standins._exchange_bytes import exchange_bytes
 from vanillashore_standins._kv_state import KvItem, KvState
 
 STATE = web.AppKey("state", KvState)
@@ -54,6 +55,7 @@
     if faults.down:
         raise _disconnected(request)
     response = await handler(request)
+    request.app[STATE].traffic_bytes += exchange_bytes(request, response)
     if request.path == "/v3/kv/txn" and faults.lose_answers > 0:
         faults.lose_answers -= 1
         raise _disconnected(request)
@@ -152,7 +154,8 @@
     except TimeoutError:
         return
     events = [{"type": "PUT", "kv": _kv(key, item)}]
-    await response.write(orjson.dumps({"result": {"events": events}}) + b"\n")
+    line = orjson.dumps({"result": {"events": events}}) + b"\n"
+    await response.write(line)
 
 
 async def _stats(request: web.Request) -> web.Response:
--- a/packages/vanillashore-standins/src/vanillashore_standins/_kv_state.py
+++ b/packages/vanillashore-standins/src/vanillashore_standins/_kv_state.py
@@ -40,6 +40,7 @@
         self._watchers: dict[str, list[asyncio.Queue[KvItem]]] = {}
         self.revision = 0
         self.calls: Counter[str] = Counter()
+        self.traffic_bytes = 0
 
     def advance(self, seconds: float) -> None:
         """Let time pass for leases without waiting."""
--- a/packages/vanillashore-standins/src/vanillashore_standins/_vm_list_app.py
+++ b/packages/vanillashore-standins/src/vanillashore_standins/_vm_list_app.py
@@ -1,12 +1,17 @@
 """Stand-in for the platform's VM list, which shows changes only after a lag."""
 
+import hashlib
 import time
 from collections.abc import Callable
 from typing import Any
 
 import attrs
+import orjson
 from aiohttp import web
 
+from vanillashore_standins._exchange_bytes import exchange_bytes
+
+TAG_HEX_CHARS = 16
 STATE: web.AppKey["VmListState"] = web.AppKey("state")
 
 
@@ -24,6 +29,7 @@
         self.lag_s = lag_s
         self._clock = clock
         self._pending: list[_Change] = []
+        self.traffic_bytes = 0
         self._visible: dict[str, dict[str, Any]] = {}
 
     def put(self, entry: dict[str, Any]) -> None:
@@ -57,7 +63,15 @@
 
 
 async def _get(request: web.Request) -> web.Response:
-    return web.json_response({"vms": request.app[STATE].visible()})
+    state = request.app[STATE]
+    body = orjson.dumps({"vms": state.visible()})
+    tag = f'"{hashlib.sha256(body).hexdigest()[:TAG_HEX_CHARS]}"'
+    if request.headers.get("If-None-Match") == tag:
+        response = web.Response(status=304, headers={"ETag": tag})
+    else:
+        response = web.Response(body=body, content_type="application/json", headers={"ETag": tag})
+    state.traffic_bytes += exchange_bytes(request, response)
+    return response
 
 
 async def _post(request: web.Request) -> web.Response:
