--- a/benches/control.py
+++ b/benches/control.py
@@ -19,7 +19,7 @@
 import uvloop
 from loguru import logger as log
 
-from vanillashore_platform import ConfigReplica
+from vanillashore_node import EntryNode
 from vanillashore_schema import (
     Configuration,
     KeyConfig,
@@ -245,7 +245,7 @@
             times.append(await in_force(fleet, head.revision))
         replica = fleet.entries[0].core.following.replica
         update = encode(replica.update_since(head.revision - 1))
-        install_ms = measure_install(replica, head)
+        install_ms = measure_install(fleet.entries[0], head)
         return FullResult(
             len(text) / 1e6,
             check_s,
@@ -259,11 +259,12 @@
         )
 
 
-def measure_install(replica: ConfigReplica, head: ConfigHead) -> float:
-    """Return the milliseconds that installing one changed chunk takes."""
+def measure_install(entry: EntryNode, head: ConfigHead) -> float:
+    """Return the milliseconds that one more revision takes a process to put into force."""
     newer = attrs.evolve(head, revision=head.revision + 1)
     started = time.process_time()
-    replica.install(newer)
+    snapshot = entry.core.following.replica.install(newer)
+    entry.core.directory.take_snapshot(snapshot)
     return (time.process_time() - started) * 1_000
 
 
--- a/packages/vanillashore-node/src/vanillashore_node/_generation.py
+++ b/packages/vanillashore-node/src/vanillashore_node/_generation.py
@@ -52,6 +52,14 @@
     async def run(self) -> AsyncIterator[list[str]]:
         """Yield the tokens that came in together; raise RefusalError if the answer breaks off."""
         self._budget.earn()
+        try:
+            async with aclosing(self._attempts()) as runs:
+                async for texts in runs:
+                    yield texts
+        finally:
+            self._placer.forget(self._req.request_id)
+
+    async def _attempts(self) -> AsyncIterator[list[str]]:
         for attempt in range(1, MAX_ATTEMPTS + 1):
             self.assembly.begin_attempt(attempt)
             try:
@@ -61,6 +69,9 @@
                 return
             except RefusalError as exc:
                 refused = exc.refused
+                self._placer.note_failed(self._req, attempt, exc)
+            finally:
+                self._placer.end_attempt(self._req, attempt)
             self._note(attempt, "failed", f"{refused.code.value}: {refused.text}")
             if self.assembly.complete_at(self._req.max_tokens):
                 return
@@ -78,14 +89,13 @@
     async def _attempt(self, attempt: int) -> AsyncIterator[list[str]]:
         place = await self._placer.decode_place(self._req, attempt)
         self._note(attempt, "decode place", place.endpoint.vm)
-        try:
-            done = await self._prefill(attempt)
-        except BaseException:
-            self._placer.give_up(place, self._req, attempt)
-            raise
+        done = await self._prefill(attempt)
+        self._placer.note_prefilled(self._req, attempt)
         order = self._decode_order(attempt, place, done)
         async with aclosing(self._batches(place, order)) as batches:
             async for frames in batches:
+                if frames[0].kind is not FrameKind.FAILED:
+                    self._placer.note_imported(self._req, attempt)
                 position = self.assembly.next_sequence
                 failure = self._accept(frames)
                 texts = self.assembly.tokens_from(position)
--- a/packages/vanillashore-wire/src/vanillashore_wire/__init__.py
+++ b/packages/vanillashore-wire/src/vanillashore_wire/__init__.py
@@ -52,9 +52,11 @@
     Sampling,
 )
 from vanillashore_wire._outcome_messages import Claim, ClaimAsk, ClaimState, ClaimStatus
+from vanillashore_wire._placement_messages import AskRef, HoldEnd, HoldRenewal, HoldRenewed
 
 __all__ = [
     "Ack",
+    "AskRef",
     "Batch",
     "BurnMeasure",
     "BurnPage",
@@ -80,6 +82,9 @@
     "FrameSplitter",
     "Header",
     "KvHandle",
+    "HoldEnd",
+    "HoldRenewal",
+    "HoldRenewed",
     "Load",
     "PrefillDone",
     "PrefillOrder",
--- a/tests/node/test_config_following.py
+++ b/tests/node/test_config_following.py
@@ -11,8 +11,10 @@
 from vanillashore_platform import CHUNK_PREFIX, ConfigReplica
 from vanillashore_platform._config_chunks import split
 from vanillashore_schema import Configuration, TimingSettings, WorkspaceConfig
+from vanillashore_standins import EngineOptions, generate
 from vanillashore_standins.testing import (
     KEY,
+    MODEL,
     OTHER_KEY,
     FleetPlan,
     SmallFleet,
@@ -55,6 +57,18 @@
     return False
 
 
+def _with_rate(plan: FleetPlan, rate: float) -> Configuration:
+    config = small_configuration(plan)
+    first = attrs.evolve(config.workspace[0], rate_tokens_per_s=rate)
+    return attrs.evolve(config, workspace=(first, *config.workspace[1:]))
+
+
+async def _completion(fleet: SmallFleet, body: dict[str, object], key: str) -> tuple[int, str]:
+    async with fleet.post(0, "/v1/completions", body, key=key) as response:
+        answer = await response.json()
+    return response.status, answer["choices"][0]["text"] if response.status == 200 else ""
+
+
 async def _status_of(fleet: SmallFleet, path: str, key: str) -> int:
     async with fleet.get(0, path, key=key) as response:
         return response.status
@@ -182,6 +196,59 @@
         assert entry.directory.revision == 2
 
 
+async def test_a_request_that_waits_is_refused_when_its_key_is_withdrawn() -> None:
+    engine = EngineOptions(step_s=0.01, prefill_s_per_token=0.00001, slots=1)
+    plan = FleetPlan(decodes=1, services=0, engine=engine, timing=QUICK)
+    async with SmallFleet(plan) as fleet:
+        body = {"model": MODEL, "prompt": "a cake", "max_tokens": 100}
+        running = asyncio.create_task(_completion(fleet, body, OTHER_KEY))
+        ledger = fleet.engines["decode-0"].ledger
+        await fleet.until(lambda: ledger.decoded_tokens > 0)
+        waiting = asyncio.create_task(_completion(fleet, body, KEY))
+        await fleet.until(lambda: fleet.entries[0].core.state.active == 2)
+        await fleet.apply(_without_key(small_configuration(plan), 0), 1)
+        assert not running.done()
+        assert (await waiting)[0] == 401
+        assert await running == (200, generate("a cake", 100))
+
+
+@pytest.mark.parametrize("crash", [False, True])
+async def test_an_answer_that_was_begun_is_finished_when_its_key_is_withdrawn(crash: bool) -> None:
+    engine = EngineOptions(step_s=0.01, prefill_s_per_token=0.00001)
+    plan = FleetPlan(decodes=2, services=0, engine=engine, timing=QUICK)
+    async with SmallFleet(plan) as fleet:
+        body = {"model": MODEL, "prompt": "a cake", "max_tokens": 100}
+        running = asyncio.create_task(_completion(fleet, body, KEY))
+        engines = [fleet.engines[f"decode-{i}"] for i in range(2)]
+        await fleet.until(lambda: any(e.ledger.decoded_tokens for e in engines))
+        await fleet.apply(_without_key(small_configuration(plan), 0), 1)
+        if crash:
+            next(e for e in engines if e.ledger.decoded_tokens).crash()
+        assert await running == (200, generate("a cake", 100))
+
+
+async def test_an_open_route_needs_no_key_on_a_connection_that_carried_one() -> None:
+    async with SmallFleet(_plan(entries=1, services=1)) as fleet:
+        async with fleet.get(0, "/stock") as response:
+            assert response.status == 200
+        async with fleet.session.get(fleet.entry_address(0) + "/hours") as response:
+            assert response.status == 200
+
+
+async def test_a_flapping_list_of_vms_holds_nothing_up() -> None:
+    plan = _plan(entries=8)
+    async with SmallFleet(plan) as fleet:
+        listed = fleet.vm_list.visible()
+        rng = random.Random(1)
+        for revision in range(2, 8):
+            for vm in rng.sample(listed, 4):
+                fleet.vm_list.remove(vm["name"])
+            await fleet.config_store.apply(_with_rate(plan, 100.0 + revision), revision - 1)
+            await _in_force(fleet, revision)
+            for vm in listed:
+                fleet.vm_list.put(vm)
+
+
 @pytest.mark.parametrize("revision", ["", "0", "-1", "x"])
 async def test_a_side_process_refuses_an_order_of_an_older_revision(revision: str) -> None:
     async with SmallFleet(_plan(entries=1, services=1)) as fleet:
