--- a/packages/vanillashore-node/src/vanillashore_node/_link.py
+++ b/packages/vanillashore-node/src/vanillashore_node/_link.py
@@ -243,9 +243,9 @@
         return len(self._links)
 
     async def close(self) -> None:
-        """Close every link."""
+        """Close every link, those that peers opened too."""
+        await asyncio.gather(*(socket.close() for socket in list(self._accepted)))
         await self.tasks.close()
-        await asyncio.gather(*(socket.close() for socket in self._accepted))
 
     def _link(self, address: str) -> _Dialled:
         link = self._links.get(address)
--- a/packages/vanillashore-wire/src/vanillashore_wire/__init__.py
+++ b/packages/vanillashore-wire/src/vanillashore_wire/__init__.py
@@ -3,6 +3,7 @@
 Import from this module only; the modules with a leading underscore are private.
 """
 
+from vanillashore_wire._burn_messages import BurnMeasure, BurnPage, BurnSeries
 from vanillashore_wire._codec import (
     Batch,
     Envelope,
@@ -76,13 +77,16 @@
     "Ack",
     "AskRef",
     "Batch",
+    "BurnMeasure",
+    "BurnPage",
+    "BurnSeries",
     "CallDone",
     "CallOrder",
+    "ChunkData",
     "Claim",
     "ClaimAsk",
     "ClaimState",
     "ClaimStatus",
-    "ChunkData",
     "ConfigAsk",
     "ConfigChunkAsk",
     "ConfigChunks",
--- a/tests/platform/test_config_apply.py
+++ b/tests/platform/test_config_apply.py
@@ -141,7 +141,7 @@
     store = await _store()
     store.chunks_until_outage = chunks_written
     with pytest.raises(StoreUnavailableError):
-        await ConfigStore(store).apply(MINE, 1)
+        await ConfigStore(store, settle_pause_s=0.0).apply(MINE, 1)
     assert await ConfigStore(store).read_current() == await ConfigStore(store).read(
         await ConfigStore(store).read_head()
     )
