--- a/packages/vanillashore-node/src/vanillashore_node/_call_dispatch.py
+++ b/packages/vanillashore-node/src/vanillashore_node/_call_dispatch.py
@@ -1,7 +1,6 @@
 """Dispatch of calls to plain services: failover, and what can truly be said after a failure."""
 
 import time
-from collections.abc import Callable
 
 import attrs
 
@@ -55,23 +54,18 @@
         self._budget = budget
         self._placer = placer
 
-    async def run(
-        self, order: CallOrder, route: RouteConfig, check: Callable[[], None]
-    ) -> CallDone:
-        """Run a call; ``check`` raises RefusalError if the caller may no longer have it."""
+    async def run(self, order: CallOrder, route: RouteConfig) -> CallDone:
+        """Run a call; raise RefusalError with what is known of it."""
         self._budget.earn()
         try:
-            return await self._attempts(order, route, check)
+            return await self._attempts(order, route)
         finally:
             self._placer.forget(order.request_id)
 
-    async def _attempts(
-        self, order: CallOrder, route: RouteConfig, check: Callable[[], None]
-    ) -> CallDone:
+    async def _attempts(self, order: CallOrder, route: RouteConfig) -> CallDone:
         deadline = time.monotonic() + order.deadline_s
         ran = Ran.NO
         for attempt in range(1, MAX_ATTEMPTS + 1):
-            check()
             try:
                 return await self._attempt(attrs.evolve(order, attempt=attempt), route, deadline)
             except RefusalError as exc:
--- a/packages/vanillashore-node/src/vanillashore_node/_completions.py
+++ b/packages/vanillashore-node/src/vanillashore_node/_completions.py
@@ -88,7 +88,7 @@
         self, generation: Generation, shape: AnswerShape, req: GenerationRequest
     ) -> web.Response:
         async with _deadline(req):
-            async for _ in generation.run():
+            async for _ in self._watched(generation, req):
                 pass
         answer = generation.assembly
         usage = Usage(req.prompt_tokens, answer.next_sequence)
@@ -102,7 +102,7 @@
         req: GenerationRequest,
         include_usage: bool,
     ) -> web.StreamResponse:
-        runs = generation.run()
+        runs = self._watched(generation, req)
         async with _deadline(req):
             first = await anext(runs, [])
         response = _event_stream(request)
@@ -122,6 +122,9 @@
         await response.write_eof()
         return response
 
+    def _watched(self, generation: Generation, req: GenerationRequest) -> AsyncIterator[list[str]]:
+        return self._core.burn.watch_answer(req.model, req.workspace, generation.run())
+
     def _refund(self, admitted: Admitted, req: GenerationRequest, generation: Generation) -> None:
         unused = req.max_tokens - generation.assembly.next_sequence
         self._admission.refund(admitted, unused)
--- a/packages/vanillashore-node/src/vanillashore_node/_core.py
+++ b/packages/vanillashore-node/src/vanillashore_node/_core.py
@@ -8,6 +8,7 @@
 import attrs
 from aiohttp import web
 
+from vanillashore_node._burn import BurnBook
 from vanillashore_node._config_following import ConfigFollowing
 from vanillashore_node._decisions import DecisionLog
 from vanillashore_node._directory import Directory
@@ -50,6 +51,7 @@
         self.directory = Directory()
         self.tasks = TaskGroup()
         self.decisions = DecisionLog(cfg.node.name)
+        self.burn = BurnBook(cfg.node.name)
         self.session: aiohttp.ClientSession
         self.store: KeyValueStore
         self.hub: LinkHub
@@ -138,7 +140,8 @@
         return json_response({"status": "ok"})
 
     async def _readyz(self, request: web.Request) -> web.Response:
-        ready = self.state.ready and self.directory.revision > 0
+        is_informed = self.directory.revision > 0 and bool(self.directory.vms)
+        ready = self.state.ready and is_informed
         return json_response({"ready": ready}, 200 if ready else 503)
 
     async def _link(self, request: web.Request) -> web.StreamResponse:
--- /dev/null
+++ b/tests/node/test_config_following.py
@@ -0,0 +1,330 @@
+"""Fault cases of following the configuration, with real processes' parts on loopback."""
+
+import asyncio
+import random
+
+import attrs
+import pytest
+
+from vanillashore_node import EntryNode
+from vanillashore_node._core import NodeCore
+from vanillashore_platform import CHUNK_PREFIX, ConfigReplica
+from vanillashore_platform._config_chunks import split
+from vanillashore_schema import Configuration, TimingSettings, WorkspaceConfig
+from vanillashore_standins import EngineOptions, generate
+from vanillashore_standins.testing import (
+    KEY,
+    MODEL,
+    OTHER_KEY,
+    FleetPlan,
+    SmallFleet,
+    small_configuration,
+)
+from vanillashore_wire import Ack, ConfigHead, RefusalError
+
+QUICK = TimingSettings(
+    balancer_delay_s=0.0,
+    shutdown_wait_s=1.0,
+    config_wait_s=0.3,
+    config_probe_s=0.3,
+    cut_off_s=1.5,
+    ask_timeout_s=0.5,
+)
+IN_FORCE_S = 3.0
+
+
+def _plan(entries: int, services: int = 0) -> FleetPlan:
+    return FleetPlan(
+        entries=entries, prefills=0, decodes=0, services=services, timing=QUICK, store_timeout_s=0.2
+    )
+
+
+def _without_key(config: Configuration, workspace: int) -> Configuration:
+    workspaces = list(config.workspace)
+    workspaces[workspace] = attrs.evolve(workspaces[workspace], key=())
+    return attrs.evolve(config, workspace=tuple(workspaces))
+
+
+def _relays(fleet: SmallFleet) -> list[EntryNode]:
+    return [entry for entry in fleet.entries if entry.core.following.is_relay]
+
+
+def _is_cut_off(core: NodeCore) -> bool:
+    try:
+        core.following.check_contact()
+    except RefusalError:
+        return True
+    return False
+
+
+def _with_rate(plan: FleetPlan, rate: float) -> Configuration:
+    config = small_configuration(plan)
+    first = attrs.evolve(config.workspace[0], rate_tokens_per_s=rate)
+    return attrs.evolve(config, workspace=(first, *config.workspace[1:]))
+
+
+async def _completion(fleet: SmallFleet, body: dict[str, object], key: str) -> tuple[int, str]:
+    async with fleet.post(0, "/v1/completions", body, key=key) as response:
+        answer = await response.json()
+    return response.status, answer["choices"][0]["text"] if response.status == 200 else ""
+
+
+async def _status_of(fleet: SmallFleet, path: str, key: str) -> int:
+    async with fleet.get(0, path, key=key) as response:
+        return response.status
+
+
+async def _in_force(fleet: SmallFleet, revision: int) -> None:
+    nodes = [n for n in [*fleet.entries, *fleet.sides.values()] if not n.core.is_closed]
+    await fleet.until(lambda: all(n.core.directory.revision >= revision for n in nodes), IN_FORCE_S)
+
+
+async def test_only_relays_watch_the_store() -> None:
+    plan = _plan(entries=15)
+    async with SmallFleet(plan) as fleet:
+        await fleet.until(lambda: len(_relays(fleet)) == 6)
+        watches = fleet.kv.calls["/v3/watch"]
+        reads = fleet.kv.calls["/v3/kv/range"]
+        await fleet.apply(_without_key(small_configuration(plan), 0), 1)
+        assert fleet.kv.calls["/v3/watch"] == watches
+        assert fleet.kv.calls["/v3/kv/range"] - reads < 6 * 6
+
+
+async def test_killed_relays_are_passed_over_though_the_list_still_has_them() -> None:
+    plan = _plan(entries=12)
+    async with SmallFleet(plan) as fleet:
+        for relay in _relays(fleet):
+            await relay.core.close()
+        await fleet.config_store.apply(_without_key(small_configuration(plan), 0), 1)
+        await _in_force(fleet, 2)
+
+
+async def test_relays_that_leave_the_list_are_replaced() -> None:
+    plan = _plan(entries=12)
+    async with SmallFleet(plan) as fleet:
+        gone = _relays(fleet)
+        for relay in gone:
+            await relay.core.close()
+            fleet.vm_list.remove(relay.core.cfg.node.name)
+        await fleet.until(
+            lambda: any(relay not in gone and not relay.core.is_closed for relay in _relays(fleet))
+        )
+        await fleet.config_store.apply(_without_key(small_configuration(plan), 0), 1)
+        await _in_force(fleet, 2)
+
+
+async def test_a_fresh_node_takes_it_from_a_peer_while_the_store_is_down() -> None:
+    async with SmallFleet(_plan(entries=5)) as fleet:
+        fleet.kv_faults.down = True
+        await fleet.start_entry("entry-late")
+        late = fleet.entries[-1].core
+        await fleet.until(lambda: late.directory.revision == 1)
+        assert late.directory.snapshot == fleet.entries[0].core.directory.snapshot
+
+
+async def test_a_relay_that_missed_a_change_learns_it_from_a_message() -> None:
+    plan = _plan(entries=6)
+    async with SmallFleet(plan) as fleet:
+        behind = _relays(fleet)[0].core
+        async with behind.following._installing:
+            await fleet.config_store.apply(_without_key(small_configuration(plan), 0), 1)
+            others = [e.core for e in fleet.entries if e.core is not behind]
+            await fleet.until(lambda: all(o.directory.revision == 2 for o in others))
+            fleet.kv_faults.down = True
+            assert behind.directory.revision == 1
+        await fleet.until(lambda: behind.directory.revision == 2)
+
+
+async def test_any_message_tells_of_a_newer_revision() -> None:
+    plan = _plan(entries=2)
+    async with SmallFleet(plan) as fleet:
+        deaf, other = (entry.core for entry in fleet.entries)
+        for task in list(deaf.tasks._tasks):
+            if task.get_name().startswith("configuration"):
+                task.cancel()
+        await fleet.config_store.apply(_without_key(small_configuration(plan), 0), 1)
+        await fleet.until(lambda: other.directory.revision == 2)
+        assert deaf.directory.revision == 1
+        other.hub.send(deaf.address, Ack())
+        await fleet.until(lambda: deaf.directory.revision == 2)
+
+
+@pytest.mark.parametrize("fault", ["lose_answers", "delay_s", "outage"])
+async def test_in_force_through_faults_of_the_store(fault: str) -> None:
+    plan = _plan(entries=4, services=1)
+    async with SmallFleet(plan) as fleet:
+        if fault == "lose_answers":
+            fleet.kv_faults.lose_answers = 1
+        elif fault == "delay_s":
+            fleet.kv_faults.delay_s = 0.1
+        head = await fleet.config_store.apply(_without_key(small_configuration(plan), 0), 1)
+        if fault == "outage":
+            await fleet.until(lambda: any(e.core.directory.revision == 2 for e in fleet.entries))
+            fleet.kv_faults.down = True
+        await _in_force(fleet, head.revision)
+
+
+async def test_half_written_chunks_change_nothing() -> None:
+    plan = _plan(entries=3)
+    async with SmallFleet(plan) as fleet:
+        chunks = split(_without_key(small_configuration(plan), 0), 1).chunks
+        for name, data in chunks.items():
+            fleet.kv.compare_and_swap(CHUNK_PREFIX + name, 0, data, 0)
+        for entry in fleet.entries:
+            await entry.core.following.catch_up(fleet.entries[0].core.address)
+        assert {entry.core.directory.revision for entry in fleet.entries} == {1}
+
+
+@pytest.mark.parametrize(("key", "status", "runs"), [(KEY, 401, 0), (OTHER_KEY, 200, 1)])
+async def test_an_entry_that_is_behind_runs_nothing_for_a_withdrawn_key(
+    key: str, status: int, runs: int
+) -> None:
+    plan = _plan(entries=1, services=1)
+    async with SmallFleet(plan) as fleet:
+        entry, side = fleet.entries[0].core, fleet.sides["service-0"].core
+        lock = entry.following._installing
+        await lock.acquire()
+        await fleet.config_store.apply(_without_key(small_configuration(plan), 0), 1)
+        await fleet.until(lambda: side.directory.revision == 2)
+        assert entry.directory.revision == 1
+        task = asyncio.create_task(_status_of(fleet, "/stock", key))
+        await fleet.until(lambda: entry.state.active > 0)
+        lock.release()
+        assert await task == status
+        ran = sum(state.runs_of("/stock", b"") for state in fleet.service_states.values())
+        assert ran == runs
+        assert entry.directory.revision == 2
+
+
+async def test_a_request_that_waits_is_refused_when_its_key_is_withdrawn() -> None:
+    engine = EngineOptions(step_s=0.01, prefill_s_per_token=0.00001, slots=1)
+    plan = FleetPlan(decodes=1, services=0, engine=engine, timing=QUICK)
+    async with SmallFleet(plan) as fleet:
+        body = {"model": MODEL, "prompt": "a cake", "max_tokens": 100}
+        running = asyncio.create_task(_completion(fleet, body, OTHER_KEY))
+        ledger = fleet.engines["decode-0"].ledger
+        await fleet.until(lambda: ledger.decoded_tokens > 0)
+        waiting = asyncio.create_task(_completion(fleet, body, KEY))
+        await fleet.until(lambda: fleet.entries[0].core.state.active == 2)
+        await fleet.apply(_without_key(small_configuration(plan), 0), 1)
+        assert not running.done()
+        assert (await waiting)[0] == 401
+        assert await running == (200, generate("a cake", 100))
+
+
+@pytest.mark.parametrize("crash", [False, True])
+async def test_an_answer_that_was_begun_is_finished_when_its_key_is_withdrawn(crash: bool) -> None:
+    engine = EngineOptions(step_s=0.01, prefill_s_per_token=0.00001)
+    plan = FleetPlan(decodes=2, services=0, engine=engine, timing=QUICK)
+    async with SmallFleet(plan) as fleet:
+        body = {"model": MODEL, "prompt": "a cake", "max_tokens": 100}
+        running = asyncio.create_task(_completion(fleet, body, KEY))
+        engines = [fleet.engines[f"decode-{i}"] for i in range(2)]
+        await fleet.until(lambda: any(e.ledger.decoded_tokens for e in engines))
+        await fleet.apply(_without_key(small_configuration(plan), 0), 1)
+        if crash:
+            next(e for e in engines if e.ledger.decoded_tokens).crash()
+        assert await running == (200, generate("a cake", 100))
+
+
+async def test_an_open_route_needs_no_key_on_a_connection_that_carried_one() -> None:
+    async with SmallFleet(_plan(entries=1, services=1)) as fleet:
+        async with fleet.get(0, "/stock") as response:
+            assert response.status == 200
+        async with fleet.session.get(fleet.entry_address(0) + "/hours") as response:
+            assert response.status == 200
+
+
+async def test_a_flapping_list_of_vms_holds_nothing_up() -> None:
+    plan = _plan(entries=8)
+    async with SmallFleet(plan) as fleet:
+        listed = fleet.vm_list.visible()
+        rng = random.Random(1)
+        for revision in range(2, 8):
+            for vm in rng.sample(listed, 4):
+                fleet.vm_list.remove(vm["name"])
+            await fleet.config_store.apply(_with_rate(plan, 100.0 + revision), revision - 1)
+            await _in_force(fleet, revision)
+            for vm in listed:
+                fleet.vm_list.put(vm)
+
+
+@pytest.mark.parametrize("revision", ["", "0", "-1", "x"])
+async def test_a_side_process_refuses_an_order_of_an_older_revision(revision: str) -> None:
+    async with SmallFleet(_plan(entries=1, services=1)) as fleet:
+        side = fleet.sides["service-0"].core
+        headers = {"X-Fleet-Secret": side.cfg.node.fleet_secret, "X-Config-Revision": revision}
+        url = side.address + "/internal/call"
+        async with fleet.session.post(url, data=b"{}", headers=headers) as response:
+            answer = await response.json()
+        assert (answer["code"], answer.get("ran", "no")) == ("revision_stale", "no")
+
+
+async def test_a_process_cut_off_from_all_refuses_as_not_run() -> None:
+    async with SmallFleet(_plan(entries=4, services=1)) as fleet:
+        last = fleet.entries[0].core
+        fleet.kv_faults.down = True
+        for entry in fleet.entries[1:]:
+            await entry.core.close()
+        await fleet.sides["service-0"].core.close()
+
+        await fleet.until(lambda: _is_cut_off(last))
+        async with fleet.get(0, "/stock") as response:
+            error = (await response.json())["error"]
+        assert (error["code"], error["ran"]) == ("cut_off", "no")
+        fleet.kv_faults.down = False
+        await fleet.until(lambda: not _is_cut_off(last))
+
+
+async def test_an_outage_of_the_store_alone_refuses_nothing() -> None:
+    async with SmallFleet(_plan(entries=4, services=1)) as fleet:
+        fleet.kv_faults.down = True
+        for _ in range(10):
+            for number in range(4):
+                async with fleet.get(number, "/stock") as response:
+                    assert response.status == 200
+            await asyncio.sleep(QUICK.cut_off_s / 5)
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_doubled_and_reordered_updates_never_revert(seed: int) -> None:
+    rng = random.Random(seed)
+    configs = [_numbered(number) for number in range(1, 13)]
+    peers = [_replica(configs[:count]) for count in range(1, 13)]
+    replica = ConfigReplica()
+    updates = []
+    last = 0
+    for _ in range(120):
+        asked = rng.choice([0, replica.revision, rng.randint(0, 12)])
+        updates.append(rng.choice(peers).update_since(asked))
+        update = rng.choice(updates)
+        missing = replica.take_update(update)
+        for chunk in peers[-1].chunks_for(missing) if rng.random() < 0.7 else ():
+            replica.take_chunk(chunk)
+        if update.head is None or replica.missing(update.head):
+            continue
+        snapshot = replica.install(update.head)
+        assert replica.revision >= last
+        last = replica.revision
+        if snapshot is not None:
+            assert _rates(snapshot.configuration) == _rates(configs[snapshot.revision - 1])
+    assert last > 1
+
+
+def _numbered(number: int) -> Configuration:
+    return Configuration(
+        workspace=tuple(WorkspaceConfig(f"w-{i}", float(number + i), 1.0) for i in range(30))
+    )
+
+
+def _rates(config: Configuration) -> dict[str, float]:
+    return {w.name: w.rate_tokens_per_s for w in config.workspace}
+
+
+def _replica(configs: list[Configuration]) -> ConfigReplica:
+    replica = ConfigReplica()
+    for revision, config in enumerate(configs, start=1):
+        chunk_set = split(config, 4)
+        replica.stage(chunk_set.chunks)
+        replica.install(ConfigHead(revision, chunk_set.index, f"apply-{revision}"))
+    return replica
