Hold readiness until the share table is known

An entry that was asked before it had read the table refused with share_unreachable, also with the store down from the first second on: test_claims.py::test_without_the_store_nothing_runs was red with the share tasks until the fleet's start waited for it.

--- a/packages/vanillashore-node/src/vanillashore_node/_core.py
+++ b/packages/vanillashore-node/src/vanillashore_node/_core.py
@@ -48,6 +48,7 @@
         self.lifecycle = Lifecycle()
         self.directory = Directory()
         self.tasks = TaskGroup()
+        self.readiness: list[Callable[[], bool]] = []
         self.decisions = DecisionLog(cfg.node.name)
         self.session: aiohttp.ClientSession
         self.store: KeyValueStore
@@ -95,6 +96,12 @@
         host, port = self._runner.addresses[0][:2]
         return f"http://{host}:{port}"
 
+    @property
+    def is_ready(self) -> bool:
+        """Whether the balancer may send requests here."""
+        has_parts = all(check() for check in self.readiness)
+        return self.state.ready and self.directory.revision > 0 and has_parts
+
     @property
     def is_closed(self) -> bool:
         """Whether the process has stopped."""
@@ -136,7 +143,7 @@
         return json_response({"status": "ok"})
 
     async def _readyz(self, request: web.Request) -> web.Response:
-        ready = self.state.ready and self.directory.revision > 0
+        ready = self.is_ready
         return json_response({"ready": ready}, 200 if ready else 503)
 
     async def _link(self, request: web.Request) -> web.StreamResponse:
--- a/packages/vanillashore-node/src/vanillashore_node/_directory.py
+++ b/packages/vanillashore-node/src/vanillashore_node/_directory.py
@@ -74,11 +74,6 @@
         self._vms = {vm.name: vm for vm in vms}
         self._last_addresses |= {vm.name: vm.address for vm in vms}
 
-    def address_of(self, vm: str) -> str | None:
-        """Return the address of a listed VM's process."""
-        entry = self._vms.get(vm)
-        return entry.address if entry else None
-
     def last_address_of(self, vm: str) -> str | None:
         """Return the address that a VM was last listed with, also after it left the list."""
         return self._last_addresses.get(vm)
--- a/packages/vanillashore-node/src/vanillashore_node/_share_ownership.py
+++ b/packages/vanillashore-node/src/vanillashore_node/_share_ownership.py
@@ -34,6 +34,7 @@
 
 ENTRY_KIND = "entry"
 FOLLOW_RETRY_S = 0.5
+FIRST_RETRY_S = 0.05
 MAINTAIN_S = 0.5
 RECALL_WAIT_S = 1.5
 RECALL_POLL_S = 0.05
@@ -82,7 +83,7 @@
                 log.bind(error=str(exc)).debug("following the share table was interrupted")
                 if self._table is None:
                     await self._ask_peers()
-            await asyncio.sleep(FOLLOW_RETRY_S)
+            await asyncio.sleep(FOLLOW_RETRY_S if self._table else FIRST_RETRY_S)
 
     async def maintain(self) -> None:
         """Look after the table until cancelled."""
--- a/packages/vanillashore-node/src/vanillashore_node/_shares.py
+++ b/packages/vanillashore-node/src/vanillashore_node/_shares.py
@@ -37,6 +37,7 @@
         core.tasks.start(self._ownership.follow(), "share table follower")
         core.tasks.start(self._ownership.maintain(), "share table keeper")
         core.tasks.start(self.admission.run(), "refunds")
+        core.readiness.append(lambda: self._ownership.table is not None)
         core.lifecycle.on(LifecycleEvent.DRAINED, self._leave)
 
     def status(self) -> ShareStatus:
--- a/packages/vanillashore-standins/src/vanillashore_standins/testing.py
+++ b/packages/vanillashore-standins/src/vanillashore_standins/testing.py
@@ -65,10 +65,12 @@
         await self._run(node)
 
     async def wait_until_serving(self, revision: int) -> None:
-        """Wait until every node has a configuration and the VM list."""
+        """Wait until every node has a configuration, the VM list and what else it needs."""
         nodes = [n for n in [*self.entries, *self.sides.values()] if not n.core.is_closed]
         await self.until(lambda: all(n.core.directory.revision >= revision for n in nodes))
         await self.until(lambda: all(len(e.core.directory.vms) >= len(nodes) for e in nodes))
+        checks = [check for node in nodes for check in node.core.readiness]
+        await self.until(lambda: all(check() for check in checks))
 
     def entry_address(self, entry: int) -> str:
         """Return the address of an entry."""
