--- a/packages/vanillashore-node/src/vanillashore_node/_link.py
+++ b/packages/vanillashore-node/src/vanillashore_node/_link.py
@@ -27,6 +27,7 @@
 LINK_PATH = "/internal/link"
 FLEET_HEADER = "X-Fleet-Secret"
 MAX_FRAME_BYTES = 4_194_304
+CLOSE_TIMEOUT_S = 0.2
 
 Handler = Callable[[Any, str], Awaitable[Any]]
 
@@ -175,6 +176,7 @@
         self._session = session
         self._secret = cfg.node.fleet_secret
         self._links: dict[str, _Dialled] = {}
+        self._accepted: set[web.WebSocketResponse] = set()
         self._handlers: dict[type, Handler] = {}
         self._revision_listeners: list[Callable[[int, str], None]] = []
 
@@ -203,8 +205,9 @@
 
     async def accept(self, request: web.Request) -> web.WebSocketResponse:
         """Serve a link that a peer opened."""
-        socket = web.WebSocketResponse(max_msg_size=MAX_FRAME_BYTES)
+        socket = web.WebSocketResponse(timeout=CLOSE_TIMEOUT_S, max_msg_size=MAX_FRAME_BYTES)
         await socket.prepare(request)
+        self._accepted.add(socket)
         outbox = _Outbox(self, socket)
         sender = self.tasks.start(outbox.run(), "link sender")
         try:
@@ -215,6 +218,7 @@
         except ValueError as exc:
             log.bind(error=str(exc)).warning("a peer sent a damaged frame")
         finally:
+            self._accepted.discard(socket)
             sender.cancel()
         return socket
 
@@ -240,6 +244,7 @@
 
     async def close(self) -> None:
         """Close every link."""
+        await asyncio.gather(*(socket.close() for socket in list(self._accepted)))
         await self.tasks.close()
 
     def _link(self, address: str) -> _Dialled:
