--- a/packages/vanillashore-node/src/vanillashore_node/_directory.py
+++ b/packages/vanillashore-node/src/vanillashore_node/_directory.py
@@ -78,6 +78,10 @@
         """Return the address that a VM was last listed with, also after it left the list."""
         return self._last_addresses.get(vm)
 
+    def vm(self, name: str) -> VmEntry | None:
+        """Return a VM as it was last listed."""
+        return self._vms.get(name)
+
     def workspace_of_key(self, key_hash: str) -> WorkspaceConfig | None:
         """Return the workspace that a key belongs to."""
         name = self._workspace_of_key.get(key_hash)
--- a/packages/vanillashore-node/src/vanillashore_node/_entry.py
+++ b/packages/vanillashore-node/src/vanillashore_node/_entry.py
@@ -4,19 +4,21 @@
 
 from aiohttp import web
 
-from vanillashore_node._back_ends import BackEnds
 from vanillashore_node._call_dispatch import CallDispatch
 from vanillashore_node._callers import CallerGuard
 from vanillashore_node._calls import Calls
 from vanillashore_node._claim_desk import ClaimDesk
 from vanillashore_node._completions import Completions
+from vanillashore_node._config_revision import CurrentBackEnds
 from vanillashore_node._core import NodeCore
 from vanillashore_node._faces import json_response, require_fleet_secret
 from vanillashore_node._generation import Generation
 from vanillashore_node._generation_request import GenerationRequest
+from vanillashore_node._holds import HoldBook
 from vanillashore_node._placer import Placer
 from vanillashore_node._shares import Shares
-from vanillashore_placement import Chooser, SeenLoads
+from vanillashore_outcome import RetryBudget
+from vanillashore_placement import Breaker, Chooser, SeenLoads
 from vanillashore_platform import ClaimStore
 from vanillashore_schema import NodeSettings
 from vanillashore_wire import unstructure
@@ -42,13 +44,18 @@
         await core.open()
         rng = random.Random()
         loads = SeenLoads()
-        self._back_ends = BackEnds(core.session, self._cfg)
-        self._placer = Placer(core, Chooser(loads, rng), loads)
         self._shares = Shares(core, rng)
         admission = self._shares.admission
+        breaker = Breaker()
+        book = HoldBook(core, loads)
+        core.tasks.start(book.run(), "hold renewals")
+        self._budget = RetryBudget()
+        self._back_ends = CurrentBackEnds(core)
+        self._placer = Placer(core, Chooser(loads, rng, breaker), breaker, loads, book)
         completions = Completions(core, admission, self._new_generation)
         desk = ClaimDesk(ClaimStore(core.store))
-        calls = Calls(core, admission, CallDispatch(core, self._back_ends, desk, rng))
+        dispatch = CallDispatch(core, self._back_ends, desk, self._budget, self._placer)
+        calls = Calls(core, admission, dispatch)
         app = web.Application(
             client_max_size=self._cfg.limits.body_bytes, middlewares=[CallerGuard(core).guard]
         )
@@ -59,7 +66,7 @@
         await core.start(app, calls.call)
 
     def _new_generation(self, req: GenerationRequest) -> Generation:
-        return Generation(self.core, self._placer, self._back_ends, req)
+        return Generation(self.core, self._placer, self._back_ends, self._budget, req)
 
     async def _status(self, request: web.Request) -> web.Response:
         require_fleet_secret(request, self._cfg.node.fleet_secret)
--- a/packages/vanillashore-wire/src/vanillashore_wire/__init__.py
+++ b/packages/vanillashore-wire/src/vanillashore_wire/__init__.py
@@ -14,6 +14,15 @@
     structure,
     unstructure,
 )
+from vanillashore_wire._config_messages import (
+    ChunkData,
+    ConfigAsk,
+    ConfigChunkAsk,
+    ConfigChunks,
+    ConfigHead,
+    ConfigUpdate,
+    EarlierHead,
+)
 from vanillashore_wire._errors import (
     ErrorCode,
     Ran,
@@ -42,6 +51,7 @@
     Sampling,
 )
 from vanillashore_wire._outcome_messages import Claim, ClaimAsk, ClaimState, ClaimStatus
+from vanillashore_wire._placement_messages import AskRef, HoldEnd, HoldRenewal, HoldRenewed
 from vanillashore_wire._share_messages import (
     Grant,
     GrantAsk,
@@ -64,6 +74,7 @@
 
 __all__ = [
     "Ack",
+    "AskRef",
     "Batch",
     "CallDone",
     "CallOrder",
@@ -71,7 +82,14 @@
     "ClaimAsk",
     "ClaimState",
     "ClaimStatus",
+    "ChunkData",
+    "ConfigAsk",
+    "ConfigChunkAsk",
+    "ConfigChunks",
+    "ConfigHead",
+    "ConfigUpdate",
     "DecodeOrder",
+    "EarlierHead",
     "Envelope",
     "ErrorCode",
     "Frame",
@@ -83,6 +101,9 @@
     "GrantWait",
     "Header",
     "KvHandle",
+    "HoldEnd",
+    "HoldRenewal",
+    "HoldRenewed",
     "Load",
     "LoanAnswer",
     "LoanAnswers",
