--- a/packages/vanillashore-node/src/vanillashore_node/_share_admission.py
+++ b/packages/vanillashore-node/src/vanillashore_node/_share_admission.py
@@ -161,6 +161,7 @@
         address = self._core.directory.address_of(holder)
         if address is None:
             raise RefusalError(Refused(ErrorCode.PEER_UNREACHABLE, f"{holder} is not listed"))
+        self._send_refunds(holder)
         return await self._core.hub.ask(address, ask, self._cfg.ask_timeout_s)
 
     def _give_back(self, holder: str, grant: int, tokens: float) -> None:
--- a/packages/vanillashore-share/src/vanillashore_share/_borrowed.py
+++ b/packages/vanillashore-share/src/vanillashore_share/_borrowed.py
@@ -50,7 +50,7 @@
         self.buckets(now)
         self._forget_old_asks(now)
         self._asked[ask_id] = _Asked(now, self._loan)
-        self._ask_due = now + (self._cfg.renewal_s if self._loan else RETRY_S)
+        self._ask_due = self._next_renewal(now) if self._loan else now + RETRY_S
         return LoanAsk(self._partition, self._index, self.epoch, ask_id, self._loan, order)
 
     def take_answer(self, answer: LoanAnswer, now: float) -> LoanReturn | None:
@@ -85,9 +85,13 @@
         self._loan = loan
         self._ends_at = ends_at
         self._buckets = ShareBuckets(self._book, levels, now)
-        self._ask_due = now + self._cfg.renewal_s
+        self._ask_due = self._next_renewal(now)
         self.buckets(now)
 
+    def _next_renewal(self, now: float) -> float:
+        """Return the next time at which all loans are renewed, so that asks share messages."""
+        return (now // self._cfg.renewal_s + 1) * self._cfg.renewal_s
+
     def _has_ended(self, now: float) -> bool:
         return now >= self._ends_at
 
