--- a/packages/vanillashore-node/src/vanillashore_node/_share_admission.py
+++ b/packages/vanillashore-node/src/vanillashore_node/_share_admission.py
@@ -28,6 +28,7 @@
 ROW_POLL_S = 0.02
 UNREACHED_RETRY_S = 1.0
 MAX_REPEAT_S = 0.6
+REFUND_POLL_S = 0.5
 REPEAT_EARLY_PART = 0.8
 RowOf = Callable[[int], ShareRow | None]
 
@@ -58,8 +59,9 @@
         self._holder = holder
         self._row_of = row_of
         self._choice = HolderChoice()
-        self._grants = itertools.count(incarnation * 1_000_000 + 1)
+        self._grants = itertools.count(incarnation)
         self._refunds: dict[str, list[GrantRefund]] = {}
+        self._refunds_due: dict[str, float] = {}
 
     async def admit(
         self,
@@ -84,15 +86,16 @@
     def refund(self, admitted: Admitted, tokens: float) -> None:
         """Take back tokens that a request did not use."""
         if tokens > 0 and admitted.grant:
-            refund = GrantRefund(admitted.grant, tokens)
-            self._refunds.setdefault(admitted.holder, []).append(refund)
+            self._keep_refund(admitted.holder, GrantRefund(admitted.grant, _lean(tokens)))
 
     async def run(self) -> None:
-        """Send refunds until cancelled; those that gather meanwhile travel together."""
+        """Send, until cancelled, the refunds that no ask to their holder has taken along."""
         while True:
-            await asyncio.sleep(self._cfg.refund_delay_s)
-            for holder in list(self._refunds):
-                self._send_refunds(holder)
+            await asyncio.sleep(REFUND_POLL_S)
+            now = time.monotonic()
+            for holder, due in list(self._refunds_due.items()):
+                if now >= due:
+                    self._send_refunds(holder)
 
     def flush(self) -> None:
         """Send all refunds now."""
@@ -142,8 +145,8 @@
     ) -> Admitted | None:
         asked_at = time.monotonic()
         while True:
-            patience_s = round(max(0.0, gives_up_at - time.monotonic()), 2)
-            ask = GrantAsk(grant, workspace.name, tokens, patience_s)
+            patience_s = round(max(0.0, gives_up_at - time.monotonic()), 1)
+            ask = GrantAsk(grant, workspace.name, _lean(tokens), patience_s)
             answer = await self._ask_once(holder, ask)
             if isinstance(answer, Grant):
                 break
@@ -165,11 +168,17 @@
         return await self._core.hub.ask(address, ask, self._cfg.ask_timeout_s)
 
     def _give_back(self, holder: str, grant: int, tokens: float) -> None:
-        self._refunds.setdefault(holder, []).append(GrantRefund(grant, tokens))
+        self._keep_refund(holder, GrantRefund(grant, _lean(tokens)))
         self._send_refunds(holder)
 
+    def _keep_refund(self, holder: str, refund: GrantRefund) -> None:
+        self._refunds.setdefault(holder, []).append(refund)
+        due = time.monotonic() + self._cfg.refund_delay_s
+        self._refunds_due.setdefault(holder, due)
+
     def _send_refunds(self, holder: str) -> None:
         refunds = self._refunds.pop(holder, [])
+        self._refunds_due.pop(holder, None)
         address = self._core.directory.address_of(holder)
         for refund in refunds:
             if holder == self._name:
@@ -195,6 +204,11 @@
     return result
 
 
+def _lean(tokens: float) -> float:
+    """Return a whole number as an int, which is shorter in JSON."""
+    return int(tokens) if tokens == int(tokens) else tokens
+
+
 def _unreached(what: str) -> RefusalError:
     text = f"no holder of the rate can be reached: {what}"
     refused = Refused(ErrorCode.SHARE_UNREACHABLE, text, retry_after_s=UNREACHED_RETRY_S)
--- a/packages/vanillashore-node/src/vanillashore_node/_shares.py
+++ b/packages/vanillashore-node/src/vanillashore_node/_shares.py
@@ -11,7 +11,7 @@
 from vanillashore_node._share_ownership import ShareOwnership
 from vanillashore_share import HolderStatus
 
-INCARNATION_BITS = 24
+INCARNATION_BITS = 30
 
 
 @attrs.frozen
--- a/packages/vanillashore-schema/src/vanillashore_schema/_settings.py
+++ b/packages/vanillashore-schema/src/vanillashore_schema/_settings.py
@@ -127,16 +127,16 @@
     """
 
     loan_s: float = option(positive, default=2.0)
-    renewal_s: float = option(positive, default=0.8)
+    renewal_s: float = option(positive, default=0.9)
     clock_rate_bound: float = option(_clock_rate_bound, default=0.001)
     grant_valid_s: float = option(positive, default=0.5)
     interactive_patience_s: float = option(at_least_zero, default=4.0)
     batch_patience_s: float = option(at_least_zero, default=30.0)
     ask_hold_s: float = option(positive, default=0.3)
     ask_timeout_s: float = option(positive, default=0.8)
-    demand_s: float = option(positive, default=2.0)
+    demand_s: float = option(positive, default=4.0)
     grace_s: float = option(positive, default=20.0)
-    refund_delay_s: float = option(at_least_zero, default=5.0)
+    refund_delay_s: float = option(at_least_zero, default=20.0)
 
 
 @attrs.frozen
--- a/packages/vanillashore-share/src/vanillashore_share/_holder.py
+++ b/packages/vanillashore-share/src/vanillashore_share/_holder.py
@@ -62,7 +62,7 @@
         self._rows: tuple[ShareRow, ...] = ()
         self._version = 0
         self._saw_absence = False
-        self._ids = itertools.count(incarnation * 1_000_000 + 1)
+        self._ids = itertools.count(incarnation)
         self._handovers: dict[tuple[int, int, int], ShareLevels] = {}
         self._confirmed_at = now
         self._fenced_at: float | None = None
--- a/packages/vanillashore-standins/src/vanillashore_standins/_service_app.py
+++ b/packages/vanillashore-standins/src/vanillashore_standins/_service_app.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import base64
+import time
 from typing import Any
 
 import attrs
@@ -22,12 +23,13 @@
 
 @attrs.define
 class ServiceRun:
-    """One call that was run, with everything that was received."""
+    """One call that was run, with everything that was received and when."""
 
     method: str
     path: str
     headers: dict[str, str]
     body: bytes
+    at: float = attrs.Factory(time.monotonic)
 
 
 class ServiceState:
--- a/packages/vanillashore-wire/src/vanillashore_wire/_share_messages.py
+++ b/packages/vanillashore-wire/src/vanillashore_wire/_share_messages.py
@@ -1,7 +1,8 @@
 """Messages between entries that keep the workspaces' fleet-wide rates.
 
 A partition's rate is divided into shares, each named by its partition and its index. All of these
-messages travel in numbers on links, so they are encoded without the names of their fields.
+messages travel in numbers on links, so they are encoded without the names of their fields and under
+short kinds.
 """
 
 import attrs
@@ -9,7 +10,7 @@
 from vanillashore_wire._codec import compact, message
 
 
-@message("grant_ask")
+@message("ga")
 @compact
 @attrs.frozen
 class GrantAsk:
@@ -24,7 +25,7 @@
     patience_s: float
 
 
-@message("grant")
+@message("g")
 @compact
 @attrs.frozen
 class Grant:
@@ -33,7 +34,7 @@
     waited_s: float
 
 
-@message("grant_wait")
+@message("gw")
 @compact
 @attrs.frozen
 class GrantWait:
@@ -42,7 +43,7 @@
     wait_s: float
 
 
-@message("grant_refund")
+@message("gr")
 @compact
 @attrs.frozen
 class GrantRefund:
@@ -116,7 +117,7 @@
     levels: ShareLevels
 
 
-@message("loan_asks")
+@message("la")
 @compact
 @attrs.frozen
 class LoanAsks:
@@ -126,7 +127,7 @@
     asks: tuple[LoanAsk, ...]
 
 
-@message("loan_answers")
+@message("ln")
 @compact
 @attrs.frozen
 class LoanAnswers:
@@ -135,7 +136,7 @@
     answers: tuple[LoanAnswer, ...]
 
 
-@message("loan_returns")
+@message("lr")
 @compact
 @attrs.frozen
 class LoanReturns:
