--- a/packages/vanillashore-node/src/vanillashore_node/_completions.py
+++ b/packages/vanillashore-node/src/vanillashore_node/_completions.py
@@ -1,12 +1,16 @@
 """Handlers of ``/v1/completions``, ``/v1/chat/completions`` and ``/v1/models``."""
 
+import asyncio
+import socket
 import time
-from collections.abc import Callable
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
 
 from aiohttp import web
 
 from vanillashore_node._admission import Admission, Admitted
 from vanillashore_node._callers import (
+    ECHOED_ID,
     REQUEST_ID,
     REQUEST_ID_HEADER,
     authenticate,
@@ -24,7 +28,7 @@
     parse_body,
 )
 from vanillashore_schema import LimitSettings, ModelConfig, WorkspaceConfig
-from vanillashore_wire import ErrorCode, RefusalError, Refused
+from vanillashore_wire import ErrorCode, Ran, RefusalError, Refused
 
 GenerationFactory = Callable[[GenerationRequest], Generation]
 
@@ -56,6 +60,11 @@
         ]
         return json_response({"object": "list", "data": models})
 
+    async def not_allowed(self, request: web.Request) -> web.Response:
+        """Refuse any other method on these paths."""
+        text = f"{request.method} is not allowed here"
+        raise RefusalError(Refused(ErrorCode.METHOD_NOT_ALLOWED, text))
+
     async def _serve(self, request: web.Request, is_chat: bool) -> web.StreamResponse:
         limits = self._core.cfg.limits
         workspace = authenticate(self._core, request)
@@ -78,8 +87,9 @@
     async def _whole(
         self, generation: Generation, shape: AnswerShape, req: GenerationRequest
     ) -> web.Response:
-        async for _ in generation.run():
-            pass
+        async with _deadline(req):
+            async for _ in self._watched(generation, req):
+                pass
         answer = generation.assembly
         usage = Usage(req.prompt_tokens, answer.next_sequence)
         return json_response(shape.whole(answer.text, answer.finish_reason, usage))
@@ -92,22 +102,19 @@
         req: GenerationRequest,
         include_usage: bool,
     ) -> web.StreamResponse:
-        runs = generation.run()
-        first = await anext(runs, [])
-        response = web.StreamResponse(
-            headers={
-                "Content-Type": "text/event-stream",
-                "Cache-Control": "no-cache",
-                REQUEST_ID_HEADER: req.request_id,
-            }
-        )
+        runs = self._watched(generation, req)
+        async with _deadline(req):
+            first = await anext(runs, [])
+        response = _event_stream(request)
         await response.prepare(request)
-        await response.write(shape.opening() + shape.chunks(first))
+        _bound_buffers(request, self._core.cfg.limits.write_buffer_bytes)
         try:
-            async for texts in runs:
-                await response.write(shape.chunks(texts))
+            async with _deadline(req):
+                await response.write(shape.opening() + shape.chunks(first))
+                async for texts in runs:
+                    await response.write(shape.chunks(texts))
         except RefusalError as exc:
-            await response.write(shape.error(exc.refused))
+            await _break_off(request, response, shape.error(exc.refused))
             return response
         answer = generation.assembly
         usage = Usage(req.prompt_tokens, answer.next_sequence) if include_usage else None
@@ -115,11 +122,51 @@
         await response.write_eof()
         return response
 
+    def _watched(self, generation: Generation, req: GenerationRequest) -> AsyncIterator[list[str]]:
+        return self._core.burn.watch_answer(req.model, req.workspace, generation.run())
+
     def _refund(self, admitted: Admitted, req: GenerationRequest, generation: Generation) -> None:
         unused = req.max_tokens - generation.assembly.next_sequence
         self._admission.refund(admitted, unused)
 
 
+@asynccontextmanager
+async def _deadline(req: GenerationRequest) -> AsyncIterator[None]:
+    """Raise RefusalError as soon as the request's time is over."""
+    try:
+        async with asyncio.timeout(req.time_left_s):
+            yield
+    except TimeoutError as exc:
+        text = "the request did not finish within its time"
+        raise RefusalError(Refused(ErrorCode.DEADLINE_EXCEEDED, text, Ran.UNKNOWN)) from exc
+
+
+def _event_stream(request: web.Request) -> web.StreamResponse:
+    headers = {
+        "Content-Type": "text/event-stream",
+        "Cache-Control": "no-cache",
+        REQUEST_ID_HEADER: request[ECHOED_ID],
+    }
+    return web.StreamResponse(headers=headers)
+
+
+def _bound_buffers(request: web.Request, size_bytes: int) -> None:
+    """Limit what waits for a slow reader, here and in the kernel, which would grow to megabytes."""
+    if request.transport is None:
+        return
+    request.transport.set_write_buffer_limits(size_bytes)
+    sock = request.transport.get_extra_info("socket")
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, size_bytes)
+
+
+async def _break_off(request: web.Request, response: web.StreamResponse, error: bytes) -> None:
+    """End a stream that failed; a caller that does not read is cut off, or it would stay."""
+    if request.transport is not None and request.transport.get_write_buffer_size() > 0:
+        request.transport.abort()
+    else:
+        await response.write(error)
+
+
 def _generation_request(
     request_id: str,
     workspace: WorkspaceConfig,
--- a/packages/vanillashore-node/src/vanillashore_node/_core.py
+++ b/packages/vanillashore-node/src/vanillashore_node/_core.py
@@ -8,6 +8,7 @@
 import attrs
 from aiohttp import web
 
+from vanillashore_node._burn import BurnBook
 from vanillashore_node._config_following import ConfigFollowing
 from vanillashore_node._decisions import DecisionLog
 from vanillashore_node._directory import Directory
@@ -25,6 +26,7 @@
 from vanillashore_wire import unstructure
 
 DRAIN_POLL_S = 0.05
+PARSED_HEADERS = 4  # Times the limit that is still read, so that its refusal has a code.
 WebHandler = Callable[[web.Request], Awaitable[web.StreamResponse]]
 
 
@@ -50,6 +52,7 @@
         self.tasks = TaskGroup()
         self.readiness: list[Callable[[], bool]] = []
         self.decisions = DecisionLog(cfg.node.name)
+        self.burn = BurnBook(cfg.node.name)
         self.session: aiohttp.ClientSession
         self.store: KeyValueStore
         self.hub: LinkHub
@@ -78,8 +81,8 @@
             access_log=None,
             handler_cancellation=True,
             shutdown_timeout=1.0,
-            max_field_size=self.cfg.limits.header_bytes,
-            max_line_size=self.cfg.limits.header_bytes,
+            max_field_size=PARSED_HEADERS * self.cfg.limits.header_bytes,
+            max_line_size=PARSED_HEADERS * self.cfg.limits.header_bytes,
         )
         await self._runner.setup()
         await web.TCPSite(self._runner, self.cfg.node.host, self.cfg.node.port).start()
@@ -101,7 +104,8 @@
     def is_ready(self) -> bool:
         """Whether the balancer may send requests here."""
         has_parts = all(check() for check in self.readiness)
-        return self.state.ready and self.directory.revision > 0 and has_parts
+        is_informed = self.directory.revision > 0 and bool(self.directory.vms)
+        return self.state.ready and is_informed and has_parts
 
     @property
     def is_closed(self) -> bool:
--- a/packages/vanillashore-node/src/vanillashore_node/_entry.py
+++ b/packages/vanillashore-node/src/vanillashore_node/_entry.py
@@ -11,7 +11,7 @@
 from vanillashore_node._completions import Completions
 from vanillashore_node._config_revision import CurrentBackEnds
 from vanillashore_node._core import NodeCore
-from vanillashore_node._faces import json_response, require_fleet_secret
+from vanillashore_node._faces import json_response, message_response, require_fleet_secret
 from vanillashore_node._generation import Generation
 from vanillashore_node._generation_request import GenerationRequest
 from vanillashore_node._holds import HoldBook
@@ -44,14 +44,14 @@
         await core.open()
         rng = random.Random()
         loads = SeenLoads()
-        self._shares = Shares(core, rng)
-        admission = self._shares.admission
         breaker = Breaker()
         book = HoldBook(core, loads)
         core.tasks.start(book.run(), "hold renewals")
         self._budget = RetryBudget()
         self._back_ends = CurrentBackEnds(core)
         self._placer = Placer(core, Chooser(loads, rng, breaker), breaker, loads, book)
+        self.shares = Shares(core, rng)
+        admission = self.shares.admission
         completions = Completions(core, admission, self._new_generation)
         desk = ClaimDesk(ClaimStore(core.store))
         dispatch = CallDispatch(core, self._back_ends, desk, self._budget, self._placer)
@@ -62,12 +62,19 @@
         app.router.add_post("/v1/completions", completions.completions)
         app.router.add_post("/v1/chat/completions", completions.chat_completions)
         app.router.add_get("/v1/models", completions.models)
+        for path in ("/v1/completions", "/v1/chat/completions", "/v1/models"):
+            app.router.add_route("*", path, completions.not_allowed)
         app.router.add_get("/internal/status", self._status)
+        app.router.add_get("/internal/burn", self._burn)
         await core.start(app, calls.call)
 
     def _new_generation(self, req: GenerationRequest) -> Generation:
         return Generation(self.core, self._placer, self._back_ends, self._budget, req)
 
+    async def _burn(self, request: web.Request) -> web.Response:
+        require_fleet_secret(request, self._cfg.node.fleet_secret)
+        return message_response(self.core.burn.page())
+
     async def _status(self, request: web.Request) -> web.Response:
         require_fleet_secret(request, self._cfg.node.fleet_secret)
         return json_response(
@@ -76,8 +83,9 @@
                 "role": self._cfg.node.role.value,
                 "data_centre": self._cfg.node.data_centre,
                 "revision": self.core.directory.revision,
+                "relay": self.core.following.is_relay,
                 "active": self.core.state.active,
                 "links": unstructure(self.core.hub.stats),
-                "shares": unstructure(self._shares.status()),
+                "shares": unstructure(self.shares.status()),
             }
         )
--- a/packages/vanillashore-node/src/vanillashore_node/_link.py
+++ b/packages/vanillashore-node/src/vanillashore_node/_link.py
@@ -27,7 +27,7 @@
 LINK_PATH = "/internal/link"
 FLEET_HEADER = "X-Fleet-Secret"
 MAX_FRAME_BYTES = 4_194_304
-CLOSE_TIMEOUT_S = 0.2
+CLOSE_TIMEOUT_S = 0.5
 
 Handler = Callable[[Any, str], Awaitable[Any]]
 
@@ -205,7 +205,7 @@
 
     async def accept(self, request: web.Request) -> web.WebSocketResponse:
         """Serve a link that a peer opened."""
-        socket = web.WebSocketResponse(timeout=CLOSE_TIMEOUT_S, max_msg_size=MAX_FRAME_BYTES)
+        socket = web.WebSocketResponse(max_msg_size=MAX_FRAME_BYTES, timeout=CLOSE_TIMEOUT_S)
         await socket.prepare(request)
         self._accepted.add(socket)
         outbox = _Outbox(self, socket)
@@ -218,8 +218,8 @@
         except ValueError as exc:
             log.bind(error=str(exc)).warning("a peer sent a damaged frame")
         finally:
-            self._accepted.discard(socket)
             sender.cancel()
+            self._accepted.discard(socket)
         return socket
 
     def connect(self, address: str) -> Any:
@@ -243,7 +243,7 @@
         return len(self._links)
 
     async def close(self) -> None:
-        """Close every link."""
+        """Close every link, those that peers opened too."""
         await asyncio.gather(*(socket.close() for socket in list(self._accepted)))
         await self.tasks.close()
 
--- a/packages/vanillashore-platform/src/vanillashore_platform/_config_store.py
+++ b/packages/vanillashore-platform/src/vanillashore_platform/_config_store.py
@@ -38,6 +38,7 @@
 CHUNK_PREFIX = "vanillashore/config/chunk/"
 EARLIER_HEADS = 4
 CHUNK_CALLS_AT_ONCE = 8
+CHUNK_TRIES = 3
 SETTLE_TRIES = 20
 SETTLE_PAUSE_S = 0.5
 
@@ -141,11 +142,22 @@
 
         async def write(name: str) -> None:
             async with limit:
-                data = pack(chunk_set.chunks[name])
-                await self._store.compare_and_swap(CHUNK_PREFIX + name, 0, data)
+                await self._write_chunk(name, pack(chunk_set.chunks[name]))
 
         await asyncio.gather(*(write(name) for name in set(chunk_set.chunks) - set(present)))
 
+    async def _write_chunk(self, name: str, data: bytes) -> None:
+        """Write a chunk; to write it again after a lost answer changes nothing."""
+        for tries_left in reversed(range(CHUNK_TRIES)):
+            try:
+                await self._store.compare_and_swap(CHUNK_PREFIX + name, 0, data)
+            except StoreUnavailableError:
+                if not tries_left:
+                    raise
+                await asyncio.sleep(self._settle_pause_s)
+            else:
+                return
+
     async def _swap_head(self, version: int, head: ConfigHead) -> bool:
         """Swap the head; after a lost answer repeat the same swap until one is answered.
 
--- a/packages/vanillashore-schema/src/vanillashore_schema/_settings.py
+++ b/packages/vanillashore-schema/src/vanillashore_schema/_settings.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from vanillashore_schema._findings import Finding, FindingsError
+from vanillashore_schema._findings import Finding, FindingsError, Severity
 from vanillashore_schema._table import (
     TableReader,
     at_least_zero,
@@ -208,3 +208,6 @@
         reader.report("share.renewal_s", "must be below share.loan_s")
     if settings.share.grace_s <= 2 * settings.share.loan_s:
         reader.report("share.grace_s", "must be above twice share.loan_s")
+    if settings.timing.shutdown_wait_s < settings.limits.request_timeout_s:
+        text = "is below limits.request_timeout_s; a shutdown may cut requests"
+        reader.report("timing.shutdown_wait_s", text, Severity.WARNING)
