--- a/benches/share.py
+++ b/benches/share.py
@@ -117,13 +117,12 @@
         sim = Sim(plan, Vanillashore(), seed).run()
         bytes_per_s[nodes] = round(sum(sim.bytes.values()) / nodes / (SCALE_S - SETTLED_S))
         frames_per_s[nodes] = round(sum(sim.frames.values()) / nodes / (SCALE_S - SETTLED_S), 1)
-    slope, start = statistics.linear_regression(sizes[-2:], [bytes_per_s[n] for n in sizes[-2:]])
+    slope, _ = statistics.linear_regression(sizes[-2:], [bytes_per_s[n] for n in sizes[-2:]])
     return {
         "bytes_per_s_per_node": bytes_per_s,
         "frames_per_s_per_node": frames_per_s,
         "slope_bytes_per_s_per_node": round(slope, 2),
-        "at_370_nodes_bytes_per_s": round(start + slope * TARGET_NODES),
-        "is_measured_at_370_nodes": TARGET_NODES in sizes,
+        "at_370_nodes_bytes_per_s": bytes_per_s.get(TARGET_NODES),
         "limit_bytes_per_s": LIMIT_BYTES_PER_S,
     }
 
--- a/benches/share_schemes.py
+++ b/benches/share_schemes.py
@@ -136,7 +136,9 @@
         for outcome in actions.outcomes:
             self._send_answer(node, int(outcome.sender), outcome.grant, outcome.answer)
         for owner, asks in actions.asks.items():
-            self._ask_loans(node, int(owner), LoanAsks(_incarnation(node), tuple(asks)))
+            self._ask_loans(
+                node, int(owner), LoanAsks(actions.ask_id, _incarnation(node), tuple(asks))
+            )
         for owner, returns in actions.returns.items():
             message = LoanReturns(tuple(returns))
             self._send_returns(node, int(owner), message)
--- a/benches/share_sim.py
+++ b/benches/share_sim.py
@@ -138,7 +138,7 @@
 
     def _flush(self, source: int, target: int) -> None:
         box = self._outboxes.pop((source, target))
-        batch = Batch(f"entry-{source:03}", 123, tuple(envelope for envelope, _ in box))
+        batch = Batch("", 123, tuple(envelope for envelope, _ in box))
         size = len(encode_batch(batch)) + IP_TCP_HEADER_BYTES + WEBSOCKET_HEADER_BYTES
         is_counted = self.plan.counted_from <= self.now < self.plan.seconds
         for node in (source, target) if is_counted else ():
--- a/packages/vanillashore-node/src/vanillashore_node/_link.py
+++ b/packages/vanillashore-node/src/vanillashore_node/_link.py
@@ -43,6 +43,13 @@
     messages_received: int = 0
 
 
+@attrs.define
+class _Peer:
+    """Who is at the other end of a link; it states its name in its first frame only."""
+
+    name: str = ""
+
+
 class _Outbox:
     """Owns the sending side of one WebSocket.
 
@@ -54,6 +61,7 @@
         self._hub = hub
         self._socket = socket
         self._queue: asyncio.Queue[Envelope] = asyncio.Queue()
+        self._name = hub.name
 
     def put(self, envelope: Envelope) -> None:
         """Queue a message."""
@@ -73,7 +81,8 @@
             next_frame_at = time.monotonic() + self._hub.coalesce_s
 
     async def _send(self, envelopes: tuple[Envelope, ...]) -> None:
-        data = encode_batch(Batch(self._hub.name, self._hub.revision(), envelopes))
+        data = encode_batch(Batch(self._name, self._hub.revision(), envelopes))
+        self._name = ""
         stats = self._hub.stats
         stats.bytes_sent += len(data)
         stats.frames_sent += 1
@@ -132,6 +141,7 @@
             self._fail_waiting()
 
     async def _read(self, socket: aiohttp.ClientWebSocketResponse) -> None:
+        peer = _Peer()
         while True:
             try:
                 incoming = await socket.receive(self._hub.idle_s)
@@ -141,7 +151,7 @@
                 return
             if incoming.type is not aiohttp.WSMsgType.BINARY:
                 return
-            for envelope in self._hub.received(incoming.data):
+            for envelope in self._hub.received(incoming.data, peer):
                 fut = self._waiting.get(envelope.reply_to)
                 if fut is not None and not fut.done():
                     fut.set_result(envelope.body)
@@ -209,12 +219,13 @@
         await socket.prepare(request)
         self._accepted.add(socket)
         outbox = _Outbox(self, socket)
+        peer = _Peer()
         sender = self.tasks.start(outbox.run(), "link sender")
         try:
             async for incoming in socket:
                 if incoming.type is not aiohttp.WSMsgType.BINARY:
                     break
-                self._dispatch(incoming.data, outbox)
+                self._dispatch(incoming.data, peer, outbox)
         except ValueError as exc:
             log.bind(error=str(exc)).warning("a peer sent a damaged frame")
         finally:
@@ -228,9 +239,9 @@
         url = address + LINK_PATH
         return self._session.ws_connect(url, headers=headers, max_msg_size=MAX_FRAME_BYTES)
 
-    def received(self, data: bytes) -> tuple[Envelope, ...]:
+    def received(self, data: bytes, peer: _Peer) -> tuple[Envelope, ...]:
         """Count a frame, note the sender's revision and return the frame's messages."""
-        return self._decode(data).envelopes
+        return self._decode(data, peer).envelopes
 
     def forget(self, address: str, link: _Dialled) -> None:
         """Drop a link that has closed."""
@@ -255,18 +266,19 @@
             self.tasks.start(link.run(), "link")
         return link
 
-    def _decode(self, data: bytes) -> Batch:
+    def _decode(self, data: bytes, peer: _Peer) -> Batch:
         batch = decode_batch(data)
+        peer.name = batch.sender or peer.name
         self.stats.bytes_received += len(data)
         self.stats.messages_received += len(batch.envelopes)
         for listener in self._revision_listeners:
-            listener(batch.revision, batch.sender)
+            listener(batch.revision, peer.name)
         return batch
 
-    def _dispatch(self, data: bytes, outbox: _Outbox) -> None:
-        batch = self._decode(data)
+    def _dispatch(self, data: bytes, peer: _Peer, outbox: _Outbox) -> None:
+        batch = self._decode(data, peer)
         for envelope in batch.envelopes:
-            self.tasks.start(self._handle(envelope, batch.sender, outbox), "link handler")
+            self.tasks.start(self._handle(envelope, peer.name, outbox), "link handler")
 
     async def _handle(self, envelope: Envelope, sender: str, outbox: _Outbox) -> None:
         try:
--- a/packages/vanillashore-node/src/vanillashore_node/_share_holder.py
+++ b/packages/vanillashore-node/src/vanillashore_node/_share_holder.py
@@ -16,7 +16,6 @@
     GrantAsk,
     GrantRefund,
     GrantWait,
-    LoanAsk,
     LoanAsks,
     LoanReturn,
     LoanReturns,
@@ -103,7 +102,8 @@
             if fut is not None and not fut.done():
                 fut.set_result(outcome.answer)
         for owner, asks in actions.asks.items():
-            self._core.tasks.start(self._borrow(owner, tuple(asks)), "loan ask")
+            message = LoanAsks(actions.ask_id, self._incarnation, tuple(asks))
+            self._core.tasks.start(self._borrow(owner, message), "loan ask")
         for owner, returns in actions.returns.items():
             self._return(owner, tuple(returns))
 
@@ -124,11 +124,10 @@
         elif isinstance(answer, Refused):
             self.stats.refused += 1
 
-    async def _borrow(self, owner: str, asks: tuple[LoanAsk, ...]) -> None:
+    async def _borrow(self, owner: str, message: LoanAsks) -> None:
         address = self._core.directory.address_of(owner)
         if address is None:
             return
-        message = LoanAsks(self._incarnation, asks)
         try:
             answers = await self._core.hub.ask(address, message, self._core.cfg.share.loan_s)
         except RefusalError as exc:
--- a/packages/vanillashore-share/src/vanillashore_share/_borrowed.py
+++ b/packages/vanillashore-share/src/vanillashore_share/_borrowed.py
@@ -43,7 +43,7 @@
             self._end()
         return self._buckets
 
-    def next_ask(self, ask_id: int, order: int, now: float) -> LoanAsk | None:
+    def next_ask(self, ask_id: int, now: float) -> LoanAsk | None:
         """Return the ask that is due now, if one is."""
         if now < self._ask_due:
             return None
@@ -51,14 +51,14 @@
         self._forget_old_asks(now)
         self._asked[ask_id] = _Asked(now, self._loan)
         self._ask_due = self._next_renewal(now) if self._loan else now + RETRY_S
-        return LoanAsk(self._partition, self._index, self.epoch, ask_id, self._loan, order)
+        return LoanAsk(self._partition, self._index, self.epoch, self._loan)
 
-    def take_answer(self, answer: LoanAnswer, now: float) -> LoanReturn | None:
+    def take_answer(self, ask_id: int, answer: LoanAnswer, now: float) -> LoanReturn | None:
         """Start, renew or end the loan; an answer counts once.
 
         Returns the loan if its owner wants it back.
         """
-        asked = self._asked.pop(answer.ask, None)
+        asked = self._asked.pop(ask_id, None)
         if asked is None:
             return None
         has_loan = self.buckets(now) is not None
--- a/packages/vanillashore-share/src/vanillashore_share/_holder.py
+++ b/packages/vanillashore-share/src/vanillashore_share/_holder.py
@@ -7,7 +7,7 @@
 from vanillashore_share._borrowed import BorrowedShare
 from vanillashore_share._buckets import EMPTY, FULL
 from vanillashore_share._ledger import GrantLedger
-from vanillashore_share._owned import OwnedShare
+from vanillashore_share._owned import Borrower, OwnedShare
 from vanillashore_share._partition import GrantOutcome, PartitionHolder
 from vanillashore_share._rates import RateBook, partition_of
 from vanillashore_share._timing import RatedWorkspace, ShareTiming
@@ -34,9 +34,13 @@
 
 @attrs.define
 class HolderActions:
-    """What a call to a `ShareHolder` asks its owner to do; messages are keyed by their receiver."""
+    """What a call to a `ShareHolder` asks its owner to do; messages are keyed by their receiver.
+
+    ``ask_id`` goes with all ``asks``.
+    """
 
     outcomes: list[GrantOutcome] = attrs.Factory(list)
+    ask_id: int = 0
     asks: dict[str, list[LoanAsk]] = attrs.Factory(dict)
     returns: dict[str, list[LoanReturn]] = attrs.Factory(dict)
 
@@ -130,7 +134,7 @@
             refused = Refused(ErrorCode.SHARE_UNREACHABLE, f"{self.name} holds no share of it")
             return HolderActions([GrantOutcome(sender, ask.grant, refused)])
         self._active.add(partition)
-        actions = HolderActions(holder.ask(sender, ask, now))
+        actions = HolderActions(holder.ask(sender, ask, now), next(self._ids))
         self._add_loan_asks(partition, holder, actions, now)
         return actions
 
@@ -151,7 +155,7 @@
         """Answer a borrower's asks."""
         self._check_pause(now)
         answers = (self._lend(borrower, message.incarnation, ask, now) for ask in message.asks)
-        return LoanAnswers(tuple(answers))
+        return LoanAnswers(message.ask, tuple(answers))
 
     def take_answers(self, owner: str, message: LoanAnswers, now: float) -> HolderActions:
         """Start, renew or end loans as their owner answered."""
@@ -161,7 +165,7 @@
             share = holder.borrowed.get(answer.index) if holder else None
             if share is None:
                 continue
-            returned = share.take_answer(answer, now)
+            returned = share.take_answer(message.ask, answer, now)
             if returned is not None:
                 actions.returns.setdefault(owner, []).append(returned)
             actions.outcomes += self._serve(holder, now)
@@ -226,7 +230,7 @@
         """Let time pass: serve waiting asks, renew loans, return those without demand."""
         self._check_pause(now)
         self.ledger.forget_old(now)
-        actions = HolderActions()
+        actions = HolderActions(ask_id=next(self._ids))
         if self.is_fenced:
             return actions
         for partition in list(self._active):
@@ -280,12 +284,14 @@
         holder = self.partitions.get(ask.partition)
         share = holder.owned.get(ask.index) if holder else None
         if share is None or self.is_fenced:
-            return LoanAnswer(ask.partition, ask.index, ask.ask, 0)
+            return LoanAnswer(ask.partition, ask.index, 0)
         if holder.has_demand(now) and not ask.loan and share.buckets(now) is not None:
-            return LoanAnswer(ask.partition, ask.index, ask.ask, 0)
+            return LoanAnswer(ask.partition, ask.index, 0)
         if holder.has_demand(now) and ask.loan:
             share.recall_loan(ask.loan)
-        return share.lend(ask, borrower, incarnation, next(self._ids), now)
+        owners = self._rows[ask.partition].owners
+        order = owners.index(borrower) if borrower in owners else len(owners)
+        return share.lend(ask, Borrower(borrower, incarnation, order), next(self._ids), now)
 
     def _check_pause(self, now: float) -> None:
         limit_s = self._cfg.grace_s * UNCONFIRMED_PART_OF_GRACE
@@ -300,8 +306,7 @@
         self, partition: int, holder: PartitionHolder, actions: HolderActions, now: float
     ) -> None:
         owners = self._rows[partition].owners
-        order = owners.index(self.name)
-        for ask in holder.loan_asks(self._ids, order, now):
+        for ask in holder.loan_asks(actions.ask_id, now):
             actions.asks.setdefault(owners[ask.index], []).append(ask)
 
     def _add_returns(
--- a/packages/vanillashore-share/src/vanillashore_share/_owned.py
+++ b/packages/vanillashore-share/src/vanillashore_share/_owned.py
@@ -8,12 +8,23 @@
 from vanillashore_wire import LoanAnswer, LoanAsk, LoanReturn, ShareLevels
 
 
+@attrs.frozen
+class Borrower:
+    """A process that borrows; ``order`` is its place among the partition's holders."""
+
+    name: str
+    incarnation: int
+    order: int
+
+    def is_process(self, other: "Borrower") -> bool:
+        """Whether this is the same process, not another one under the same name."""
+        return (self.name, self.incarnation) == (other.name, other.incarnation)
+
+
 @attrs.define
 class _Loan:
     id: int
-    borrower: str
-    incarnation: int
-    order: int
+    borrower: Borrower
     lapses_at: float
     recalled: bool = False
 
@@ -61,22 +72,20 @@
     def borrower(self, now: float) -> str:
         """Return who has the share on loan; empty if nobody."""
         self.buckets(now)
-        return self._loan.borrower if self._loan else ""
+        return self._loan.borrower.name if self._loan else ""
 
-    def lend(
-        self, ask: LoanAsk, borrower: str, incarnation: int, loan_id: int, now: float
-    ) -> LoanAnswer:
+    def lend(self, ask: LoanAsk, borrower: Borrower, loan_id: int, now: float) -> LoanAnswer:
         """Lend the share or renew its loan, unless another has it or it was recalled."""
         buckets = self.buckets(now)
         if self.suspended or ask.epoch != self.epoch:
             return _refused(ask)
         if self._loan is not None:
-            return self._renew(ask, borrower, incarnation, now)
+            return self._renew(ask, borrower, now)
         if buckets is None or self.recalled or ask.loan:
             return _refused(ask)
         self._buckets = None
-        self._loan = _Loan(loan_id, borrower, incarnation, ask.order, self._lapse_after(now))
-        return LoanAnswer(ask.partition, ask.index, ask.ask, loan_id, buckets.export(now))
+        self._loan = _Loan(loan_id, borrower, self._lapse_after(now))
+        return LoanAnswer(ask.partition, ask.index, loan_id, buckets.export(now))
 
     def take_back(self, returned: LoanReturn, now: float) -> bool:
         """Take a loan back with its levels; return whether it was still running."""
@@ -108,20 +117,20 @@
             self._usable_at = now
         self._awaits_handover = False
 
-    def _renew(self, ask: LoanAsk, borrower: str, incarnation: int, now: float) -> LoanAnswer:
+    def _renew(self, ask: LoanAsk, borrower: Borrower, now: float) -> LoanAnswer:
         loan = self._loan
-        is_same = (loan.id, loan.borrower, loan.incarnation) == (ask.loan, borrower, incarnation)
+        is_same = loan.id == ask.loan and loan.borrower.is_process(borrower)
         if not is_same:
-            loan.recalled = loan.recalled or ask.order < loan.order
+            loan.recalled = loan.recalled or borrower.order < loan.borrower.order
             return _refused(ask)
         if self.recalled or loan.recalled:
             return _refused(ask)
         loan.lapses_at = max(loan.lapses_at, self._lapse_after(now))
-        return LoanAnswer(ask.partition, ask.index, ask.ask, loan.id)
+        return LoanAnswer(ask.partition, ask.index, loan.id)
 
     def _lapse_after(self, now: float) -> float:
         return now + self._cfg.loan_s * (1 + self._cfg.clock_rate_bound)
 
 
 def _refused(ask: LoanAsk) -> LoanAnswer:
-    return LoanAnswer(ask.partition, ask.index, ask.ask, 0)
+    return LoanAnswer(ask.partition, ask.index, 0)
--- a/packages/vanillashore-share/src/vanillashore_share/_partition.py
+++ b/packages/vanillashore-share/src/vanillashore_share/_partition.py
@@ -111,11 +111,11 @@
                 due = min(due, waiting.answer_by)
         return due
 
-    def loan_asks(self, ask_id: Iterator[int], order: int, now: float) -> list[LoanAsk]:
+    def loan_asks(self, ask_id: int, now: float) -> list[LoanAsk]:
         """Return the asks for loans that are due."""
         found = []
         for share in self.borrowed.values():
-            ask = share.next_ask(next(ask_id), order, now)
+            ask = share.next_ask(ask_id, now)
             if ask is not None:
                 found.append(ask)
         return found
--- a/packages/vanillashore-standins/src/vanillashore_standins/share_model.py
+++ b/packages/vanillashore-standins/src/vanillashore_standins/share_model.py
@@ -258,7 +258,7 @@
             if isinstance(outcome.answer, Grant):
                 self._answer_grant(node, outcome.sender, outcome.grant, outcome.answer)
         for owner, asks in actions.asks.items():
-            self._ask_loans(node, owner, LoanAsks(node.incarnation, tuple(asks)))
+            self._ask_loans(node, owner, LoanAsks(actions.ask_id, node.incarnation, tuple(asks)))
         for owner, returns in actions.returns.items():
             message = LoanReturns(tuple(returns))
             self._send(node.name, owner, self._taking_returns(message))
--- a/packages/vanillashore-wire/src/vanillashore_wire/_codec.py
+++ b/packages/vanillashore-wire/src/vanillashore_wire/_codec.py
@@ -87,7 +87,10 @@
 
 @attrs.frozen
 class Batch:
-    """What one link frame carries: messages, and the sender's name and configuration revision."""
+    """What one link frame carries: messages, and the sender's name and configuration revision.
+
+    The name is empty in all frames of a link but the first.
+    """
 
     sender: str
     revision: int
--- a/packages/vanillashore-wire/src/vanillashore_wire/_share_messages.py
+++ b/packages/vanillashore-wire/src/vanillashore_wire/_share_messages.py
@@ -77,18 +77,12 @@
 @compact
 @attrs.frozen
 class LoanAsk:
-    """Ask a share's owner for a loan, or to renew the one with the id ``loan``; 0 is none.
-
-    ``ask`` is unique for the borrowing process and comes back with the answer. ``order`` is the
-    borrower's place among the partition's holders.
-    """
+    """Ask a share's owner for a loan, or to renew the one with the id ``loan``; 0 is none."""
 
     partition: int
     index: int
     epoch: int
-    ask: int
     loan: int
-    order: int
 
 
 @compact
@@ -101,7 +95,6 @@
 
     partition: int
     index: int
-    ask: int
     loan: int
     levels: ShareLevels | None = None
 
@@ -121,8 +114,12 @@
 @compact
 @attrs.frozen
 class LoanAsks:
-    """All asks of one borrower to one owner that are due together."""
+    """All asks of one borrower to one owner that are due together.
 
+    ``ask`` is unique for the borrowing process and comes back with the answers.
+    """
+
+    ask: int
     incarnation: int
     asks: tuple[LoanAsk, ...]
 
@@ -133,6 +130,7 @@
 class LoanAnswers:
     """Answers to `LoanAsks`."""
 
+    ask: int
     answers: tuple[LoanAnswer, ...]
 
 
