--- a/packages/vanillashore-standins/src/vanillashore_standins/__init__.py
+++ b/packages/vanillashore-standins/src/vanillashore_standins/__init__.py
@@ -14,6 +14,7 @@
 from vanillashore_standins._service_app import ServiceOptions, ServiceState, service_app
 from vanillashore_standins._serving import ServedApp, serve
 from vanillashore_standins._vm_list_app import VmListState, vm_list_app
+from vanillashore_standins._waiting import wait_until
 from vanillashore_standins._weight_store_app import WeightStoreState, weight_store_app
 
 __all__ = [
@@ -36,5 +37,6 @@
     "serve",
     "service_app",
     "vm_list_app",
+    "wait_until",
     "weight_store_app",
 ]
