--- a/packages/vanillashore-node/src/vanillashore_node/_entry.py
+++ b/packages/vanillashore-node/src/vanillashore_node/_entry.py
@@ -4,7 +4,6 @@
 
 from aiohttp import web
 
-from vanillashore_node._admission import LocalAdmission
 from vanillashore_node._call_dispatch import CallDispatch
 from vanillashore_node._callers import CallerGuard
 from vanillashore_node._calls import Calls
@@ -17,6 +16,7 @@
 from vanillashore_node._generation_request import GenerationRequest
 from vanillashore_node._holds import HoldBook
 from vanillashore_node._placer import Placer
+from vanillashore_node._shares import Shares
 from vanillashore_outcome import RetryBudget
 from vanillashore_placement import Breaker, Chooser, SeenLoads
 from vanillashore_platform import ClaimStore
@@ -50,7 +50,8 @@
         self._budget = RetryBudget()
         self._back_ends = CurrentBackEnds(core)
         self._placer = Placer(core, Chooser(loads, rng, breaker), breaker, loads, book)
-        admission = LocalAdmission()
+        self.shares = Shares(core, rng)
+        admission = self.shares.admission
         completions = Completions(core, admission, self._new_generation)
         desk = ClaimDesk(ClaimStore(core.store))
         dispatch = CallDispatch(core, self._back_ends, desk, self._budget, self._placer)
@@ -79,5 +80,6 @@
                 "revision": self.core.directory.revision,
                 "active": self.core.state.active,
                 "links": unstructure(self.core.hub.stats),
+                "shares": unstructure(self.shares.status()),
             }
         )
