--- a/packages/vanillashore-node/src/vanillashore_node/_calls.py
+++ b/packages/vanillashore-node/src/vanillashore_node/_calls.py
@@ -1,19 +1,18 @@
 """Handler of service routes: calls to plain services."""
 
 import base64
+import secrets
+from functools import partial
 
-import attrs
 from aiohttp import web
 
 from vanillashore_node._admission import Admission
-from vanillashore_node._back_ends import BackEnds
-from vanillashore_node._callers import REQUEST_ID, authenticate, read_body
+from vanillashore_node._call_dispatch import CallDispatch
+from vanillashore_node._callers import IDEMPOTENCY_HEADER, REQUEST_ID, authenticate, read_body
 from vanillashore_node._core import NodeCore
-from vanillashore_node._placer import ENDPOINT_FAULTS, Placer
 from vanillashore_schema import RouteConfig
-from vanillashore_wire import CallDone, CallOrder, Header, RefusalError
+from vanillashore_wire import CallDone, CallOrder, Header
 
-IDEMPOTENCY_HEADER = "Idempotency-Key"
 ENDPOINT_HEADER = "X-Endpoint"
 REPLAYED_HEADER = "Idempotency-Replayed"
 OPEN_WORKSPACE = ""
@@ -23,19 +22,15 @@
 class Calls:
     """Serves the routes that lead to plain services."""
 
-    def __init__(
-        self, core: NodeCore, admission: Admission, back_ends: BackEnds, placer: Placer
-    ) -> None:
+    def __init__(self, core: NodeCore, admission: Admission, dispatch: CallDispatch) -> None:
         self._core = core
         self._admission = admission
-        self._back_ends = back_ends
-        self._placer = placer
+        self._dispatch = dispatch
 
     async def call(self, request: web.Request) -> web.Response:
         """Handle any path that a route declares."""
         route = self._core.directory.route(request.method, request.path)
-        if not route.open:
-            authenticate(self._core, request)
+        self._check(request, route)
         body = await read_body(request, self._core.cfg.limits.body_timeout_s)
         workspace = OPEN_WORKSPACE
         if not route.open:
@@ -43,21 +38,12 @@
             await self._admission.admit(caller, route.cost_tokens)
             workspace = caller.name
         order = self._order(request, route, workspace, body)
-        return _response(await self._dispatch(route, order))
+        check = partial(self._check, request, route)
+        return _response(await self._dispatch.run(order, route.target_ms, check))
 
-    async def _dispatch(self, route: RouteConfig, order: CallOrder) -> CallDone:
-        place = await self._placer.call_place(order.request_id, order.workspace, route)
-        self._core.decisions.note(order.request_id, "call place", place.endpoint.vm)
-        order = attrs.evolve(order, reservation=place.grant.reservation)
-        failed = False
-        try:
-            return await self._back_ends.call(place.endpoint.address, order)
-        except RefusalError as exc:
-            failed = exc.code in ENDPOINT_FAULTS
-            raise
-        finally:
-            self._placer.note_call(place, failed)
-            self._placer.end(place)
+    def _check(self, request: web.Request, route: RouteConfig) -> None:
+        if not route.open:
+            authenticate(self._core, request)
 
     def _order(
         self, request: web.Request, route: RouteConfig, workspace: str, body: bytes
@@ -81,6 +67,7 @@
             route.route_class,
             self._core.cfg.limits.request_timeout_s,
             self._core.directory.revision,
+            secrets.token_hex(12),
         )
 
 
--- a/packages/vanillashore-node/src/vanillashore_node/_placer.py
+++ b/packages/vanillashore-node/src/vanillashore_node/_placer.py
@@ -11,9 +11,10 @@
 from vanillashore_node._generation_request import GenerationRequest
 from vanillashore_node._holds import HoldBook
 from vanillashore_placement import PIECE_TOKENS, Breaker, Chooser, SeenLoads
-from vanillashore_schema import EndpointRole, RouteConfig
+from vanillashore_schema import EndpointRole
 from vanillashore_wire import (
     ErrorCode,
+    Ran,
     RefusalError,
     Refused,
     ReservationKind,
@@ -75,9 +76,10 @@
         """Ask two decode endpoints for a place; the first grant wins."""
         pieces = -(-(req.prompt_tokens + req.max_tokens) // PIECE_TOKENS)
         ask = _ask(req, attempt, ReservationKind.DECODE, pieces, req.max_tokens)
-        endpoints = self._endpoints(ask)
+        endpoints = self._endpoints(ask, self._avoided[req.request_id])
         names = self._chooser.candidates(list(endpoints), time.monotonic())
-        place = await self._first_grant([endpoints[name] for name in names], ask)
+        avoided = self._avoided[req.request_id]
+        place = await self._first_grant([endpoints[name] for name in names], ask, avoided)
         self._attempts[req.request_id, attempt].decode = place
         return place
 
@@ -85,34 +87,26 @@
         """Ask for a prefill turn where the prompt's prefix is most likely cached."""
         pieces = -(-req.prompt_tokens // PIECE_TOKENS)
         ask = _ask(req, attempt, ReservationKind.PREFILL, pieces, req.prompt_tokens)
-        endpoints = self._endpoints(ask)
+        endpoints = self._endpoints(ask, self._avoided[req.request_id])
         names = self._chooser.prefill_candidates(
             list(endpoints), req.workspace, req.prompt, time.monotonic()
         )
-        place = await self._first_grant([endpoints[name] for name in names], ask)
+        avoided = self._avoided[req.request_id]
+        place = await self._first_grant([endpoints[name] for name in names], ask, avoided)
         noted = self._attempts[req.request_id, attempt]
         noted.prefill = place
         noted.suspects = [place.endpoint.vm]
         return place
 
-    async def call_place(self, request_id: str, workspace: str, route: RouteConfig) -> Place:
-        """Ask two endpoints of a plain service for a place; the first grant wins."""
-        time_left_s = self._core.cfg.limits.request_timeout_s
-        patience_s = _patience_s(route.route_class, route.target_ms, time_left_s)
-        ask = ReserveAsk(
-            request_id,
-            1,
-            ReservationKind.CALL,
-            workspace,
-            route.service,
-            0,
-            route.route_class,
-            patience_s,
-            time_left_s,
-        )
-        endpoints = self._endpoints(ask)
+    async def call_place(self, ask: ReserveAsk, tried: set[str]) -> Place:
+        """Ask two endpoints for a place for a call; ``tried`` takes in those that do not answer."""
+        endpoints = self._endpoints(ask, tried)
         names = self._chooser.candidates(list(endpoints), time.monotonic())
-        return await self._first_grant([endpoints[name] for name in names], ask)
+        return await self._first_grant([endpoints[name] for name in names], ask, tried)
+
+    def call_endpoints(self, service: str) -> set[str]:
+        """Return the VMs of the live endpoints of a plain service."""
+        return {e.vm for e in self._core.directory.endpoints(EndpointRole.SERVICE, service)}
 
     def note_prefilled(self, req: GenerationRequest, attempt: int) -> None:
         """Note that an attempt's cache waits to be imported: either side may fail it now."""
@@ -160,17 +154,18 @@
     def _note_success(self, place: Place) -> None:
         self._breaker.note(place.endpoint.vm, True, time.monotonic())
 
-    def _endpoints(self, ask: ReserveAsk) -> dict[str, Endpoint]:
+    def _endpoints(self, ask: ReserveAsk, avoided: set[str]) -> dict[str, Endpoint]:
         role = ROLE_OF_KIND[ask.kind]
         endpoints = {e.vm: e for e in self._core.directory.endpoints(role, ask.model)}
         if not endpoints:
             text = f"no {role.value} endpoint of {ask.model!r} is live"
             refused = Refused(ErrorCode.NO_ENDPOINT, text, retry_after_s=NO_ENDPOINT_RETRY_S)
             raise RefusalError(refused)
-        avoided = self._avoided.get(ask.request_id, set())
         return {vm: e for vm, e in endpoints.items() if vm not in avoided} or endpoints
 
-    async def _first_grant(self, endpoints: list[Endpoint], ask: ReserveAsk) -> Place:
+    async def _first_grant(
+        self, endpoints: list[Endpoint], ask: ReserveAsk, avoided: set[str]
+    ) -> Place:
         tasks = {
             asyncio.ensure_future(self._reserve(endpoint, ask)): endpoint for endpoint in endpoints
         }
@@ -188,6 +183,8 @@
                     if not isinstance(exc, RefusalError):
                         raise exc
                     refusals.append(exc)
+                    if exc.code in ENDPOINT_FAULTS:
+                        avoided.add(tasks[task].vm)
             raise min(refusals, key=lambda exc: exc.refused.retry_after_s or 0.0)
         finally:
             self._withdraw_rest(tasks, ask)
@@ -200,7 +197,7 @@
         except RefusalError as exc:
             if exc.code in ENDPOINT_FAULTS:
                 self._breaker.note(endpoint.vm, False, time.monotonic())
-            raise
+            raise RefusalError(attrs.evolve(exc.refused, ran=Ran.NO)) from exc
         finally:
             self._book.drop_ask(endpoint, ask)
         self._loads.note(endpoint.vm, grant.load)
@@ -226,10 +223,10 @@
 def _ask(
     req: GenerationRequest, attempt: int, kind: ReservationKind, pieces: int, tokens: int
 ) -> ReserveAsk:
-    patience_s = req.time_left_s
+    waits_s = req.time_left_s
     if attempt == 1:
         target_ms = req.model.first_token_target_ms
-        patience_s = _patience_s(req.model.route_class, target_ms, req.time_left_s)
+        waits_s = patience_s(req.model.route_class, target_ms, req.time_left_s)
     return ReserveAsk(
         req.request_id,
         attempt,
@@ -238,13 +235,14 @@
         req.model.name,
         pieces,
         req.model.route_class,
-        patience_s,
+        waits_s,
         req.time_left_s,
         tokens,
     )
 
 
-def _patience_s(route_class: RouteClass, target_ms: float, time_left_s: float) -> float:
+def patience_s(route_class: RouteClass, target_ms: float, time_left_s: float) -> float:
+    """Return how long work of a class may wait for a place: past its target it is refused."""
     if route_class is RouteClass.BATCH:
         return time_left_s
     return min(time_left_s, target_ms / 1_000)
--- a/packages/vanillashore-wire/src/vanillashore_wire/__init__.py
+++ b/packages/vanillashore-wire/src/vanillashore_wire/__init__.py
@@ -41,6 +41,7 @@
     RouteClass,
     Sampling,
 )
+from vanillashore_wire._outcome_messages import Claim, ClaimAsk, ClaimState, ClaimStatus
 from vanillashore_wire._placement_messages import AskRef, HoldEnd, HoldRenewal, HoldRenewed
 
 __all__ = [
@@ -49,6 +50,10 @@
     "Batch",
     "CallDone",
     "CallOrder",
+    "Claim",
+    "ClaimAsk",
+    "ClaimState",
+    "ClaimStatus",
     "DecodeOrder",
     "Envelope",
     "ErrorCode",
