--- a/packages/vanillashore-node/src/vanillashore_node/_call_dispatch.py
+++ b/packages/vanillashore-node/src/vanillashore_node/_call_dispatch.py
@@ -42,13 +42,18 @@
     """Sends calls to side processes until one has answered for good."""
 
     def __init__(
-        self, core: NodeCore, back_ends: BackEnds, desk: ClaimDesk, placer: Placer
+        self,
+        core: NodeCore,
+        back_ends: BackEnds,
+        desk: ClaimDesk,
+        budget: RetryBudget,
+        placer: Placer,
     ) -> None:
         self._core = core
         self._back_ends = back_ends
         self._desk = desk
         self._placer = placer
-        self._budget = RetryBudget()
+        self._budget = budget
 
     async def run(self, order: CallOrder, target_ms: float, check: Callable[[], None]) -> CallDone:
         """Run a call; ``check`` raises RefusalError if the caller may no longer have it."""
