--- a/packages/vanillashore-node/src/vanillashore_node/_call_dispatch.py
+++ b/packages/vanillashore-node/src/vanillashore_node/_call_dispatch.py
@@ -6,13 +6,13 @@
 import attrs
 
 from vanillashore_node._back_ends import BackEnds
-from vanillashore_node._call_search import CallSearch
 from vanillashore_node._claim_desk import ClaimDesk, ClaimResult
 from vanillashore_node._claims import answer_of
 from vanillashore_node._core import NodeCore
 from vanillashore_node._placer import Place, Placer
 from vanillashore_outcome import Bar, ClaimVerdict, RetryBudget, call_fingerprint, claim_name
 from vanillashore_platform import StoreUnavailableError
+from vanillashore_schema import RouteConfig
 from vanillashore_wire import CallDone, CallOrder, ErrorCode, Ran, RefusalError, Refused
 
 MAX_ATTEMPTS = 3
@@ -24,7 +24,6 @@
     {
         ErrorCode.ENDPOINT_FAILED,
         ErrorCode.PEER_UNREACHABLE,
-        ErrorCode.RESERVATION_UNKNOWN,
         ErrorCode.ROLE_MISMATCH,
         ErrorCode.SHUTTING_DOWN,
         ErrorCode.STORE_UNAVAILABLE,
@@ -52,47 +51,56 @@
         self._core = core
         self._back_ends = back_ends
         self._desk = desk
-        self._placer = placer
         self._budget = budget
+        self._placer = placer
 
-    async def run(self, order: CallOrder, target_ms: float, check: Callable[[], None]) -> CallDone:
+    async def run(
+        self, order: CallOrder, route: RouteConfig, check: Callable[[], None]
+    ) -> CallDone:
         """Run a call; ``check`` raises RefusalError if the caller may no longer have it."""
-        deadline = time.monotonic() + order.deadline_s
         self._budget.earn()
-        search = CallSearch(self._placer, order, target_ms, deadline)
+        try:
+            return await self._attempts(order, route, check)
+        finally:
+            self._placer.forget(order.request_id)
+
+    async def _attempts(
+        self, order: CallOrder, route: RouteConfig, check: Callable[[], None]
+    ) -> CallDone:
+        deadline = time.monotonic() + order.deadline_s
         ran = Ran.NO
         for attempt in range(1, MAX_ATTEMPTS + 1):
             check()
             try:
-                return await self._attempt(order, attempt, search, deadline)
+                return await self._attempt(attrs.evolve(order, attempt=attempt), route, deadline)
             except RefusalError as exc:
                 self._core.decisions.note(order.request_id, "call failed", str(exc))
                 ran = Ran.UNKNOWN if exc.refused.ran is Ran.UNKNOWN else ran
-                is_last = (
-                    attempt == MAX_ATTEMPTS or search.is_over or not self._may_go_on(order, exc)
-                )
+                is_last = attempt == MAX_ATTEMPTS or not self._may_go_on(order, exc)
                 if is_last or time.monotonic() >= deadline or not self._budget.spend():
-                    refused = attrs.evolve(search.cause or exc.refused, ran=ran)
+                    refused = attrs.evolve(exc.refused, ran=ran)
                     return await self._end(order, refused)
         raise AssertionError("unreachable")
 
-    async def _attempt(
-        self, order: CallOrder, attempt: int, search: CallSearch, deadline: float
-    ) -> CallDone:
-        place = await search.next_place(attempt)
+    async def _attempt(self, order: CallOrder, route: RouteConfig, deadline: float) -> CallDone:
+        place = await self._place(order, route, deadline)
+        code = None
         try:
-            done = await self._send(order, attempt, place, deadline)
+            return await self._send(order, place, deadline)
         except RefusalError as exc:
-            search.note_failed(place, exc)
+            code = exc.code
             raise
         finally:
-            self._placer.end(place)
-        search.note_answered(place)
-        return done
+            self._placer.end_call(order.request_id, place, code)
 
-    async def _send(
-        self, order: CallOrder, attempt: int, place: Place, deadline: float
-    ) -> CallDone:
+    async def _place(self, order: CallOrder, route: RouteConfig, deadline: float) -> Place:
+        """Get a place; a call that got none certainly did not run."""
+        try:
+            return await self._placer.call_place(order, route, deadline - time.monotonic())
+        except RefusalError as exc:
+            raise RefusalError(attrs.evolve(exc.refused, ran=Ran.NO)) from exc
+
+    async def _send(self, order: CallOrder, place: Place, deadline: float) -> CallDone:
         left_s = deadline - time.monotonic()
         if left_s <= 0:
             text = "the deadline passed before the call was sent"
@@ -100,7 +108,6 @@
         self._core.decisions.note(order.request_id, "call place", place.endpoint.vm)
         order = attrs.evolve(
             order,
-            attempt=attempt,
             reservation=place.grant.reservation,
             deadline_s=max(left_s / 2, left_s - SETTLE_RESERVE_S),
             revision=self._core.directory.revision,
--- a/packages/vanillashore-node/src/vanillashore_node/_calls.py
+++ b/packages/vanillashore-node/src/vanillashore_node/_calls.py
@@ -38,8 +38,9 @@
             await self._admission.admit(caller, route.cost_tokens)
             workspace = caller.name
         order = self._order(request, route, workspace, body)
-        check = partial(self._check, request, route)
-        return _response(await self._dispatch.run(order, route.target_ms, check))
+        return _response(
+            await self._dispatch.run(order, route, partial(self._check, request, route))
+        )
 
     def _check(self, request: web.Request, route: RouteConfig) -> None:
         if not route.open:
--- a/packages/vanillashore-node/src/vanillashore_node/_generation.py
+++ b/packages/vanillashore-node/src/vanillashore_node/_generation.py
@@ -57,7 +57,7 @@
                 async for texts in runs:
                     yield texts
         finally:
-            self._placer.forget(self._req)
+            self._placer.forget(self._req.request_id)
 
     async def _attempts(self) -> AsyncIterator[list[str]]:
         for attempt in range(1, MAX_ATTEMPTS + 1):
--- a/packages/vanillashore-node/src/vanillashore_node/_placer.py
+++ b/packages/vanillashore-node/src/vanillashore_node/_placer.py
@@ -11,10 +11,10 @@
 from vanillashore_node._generation_request import GenerationRequest
 from vanillashore_node._holds import HoldBook
 from vanillashore_placement import PIECE_TOKENS, Breaker, Chooser, SeenLoads
-from vanillashore_schema import EndpointRole
+from vanillashore_schema import EndpointRole, RouteConfig
 from vanillashore_wire import (
+    CallOrder,
     ErrorCode,
-    Ran,
     RefusalError,
     Refused,
     ReservationKind,
@@ -76,10 +76,9 @@
         """Ask two decode endpoints for a place; the first grant wins."""
         pieces = -(-(req.prompt_tokens + req.max_tokens) // PIECE_TOKENS)
         ask = _ask(req, attempt, ReservationKind.DECODE, pieces, req.max_tokens)
-        endpoints = self._endpoints(ask, self._avoided[req.request_id])
+        endpoints = self._endpoints(ask)
         names = self._chooser.candidates(list(endpoints), time.monotonic())
-        avoided = self._avoided[req.request_id]
-        place = await self._first_grant([endpoints[name] for name in names], ask, avoided)
+        place = await self._first_grant([endpoints[name] for name in names], ask)
         self._attempts[req.request_id, attempt].decode = place
         return place
 
@@ -87,26 +86,36 @@
         """Ask for a prefill turn where the prompt's prefix is most likely cached."""
         pieces = -(-req.prompt_tokens // PIECE_TOKENS)
         ask = _ask(req, attempt, ReservationKind.PREFILL, pieces, req.prompt_tokens)
-        endpoints = self._endpoints(ask, self._avoided[req.request_id])
+        endpoints = self._endpoints(ask)
         names = self._chooser.prefill_candidates(
             list(endpoints), req.workspace, req.prompt, time.monotonic()
         )
-        avoided = self._avoided[req.request_id]
-        place = await self._first_grant([endpoints[name] for name in names], ask, avoided)
+        place = await self._first_grant([endpoints[name] for name in names], ask)
         noted = self._attempts[req.request_id, attempt]
         noted.prefill = place
         noted.suspects = [place.endpoint.vm]
         return place
 
-    async def call_place(self, ask: ReserveAsk, tried: set[str]) -> Place:
-        """Ask two endpoints for a place for a call; ``tried`` takes in those that do not answer."""
-        endpoints = self._endpoints(ask, tried)
+    async def call_place(self, order: CallOrder, route: RouteConfig, time_left_s: float) -> Place:
+        """Ask two endpoints of a plain service for a place; the first grant wins."""
+        ask = ReserveAsk(
+            order.request_id,
+            order.attempt,
+            ReservationKind.CALL,
+            order.workspace,
+            order.service,
+            0,
+            route.route_class,
+            _patience_s(route.route_class, route.target_ms, time_left_s),
+            time_left_s,
+        )
+        endpoints = self._endpoints(ask)
         names = self._chooser.candidates(list(endpoints), time.monotonic())
-        return await self._first_grant([endpoints[name] for name in names], ask, tried)
-
-    def call_endpoints(self, service: str) -> set[str]:
-        """Return the VMs of the live endpoints of a plain service."""
-        return {e.vm for e in self._core.directory.endpoints(EndpointRole.SERVICE, service)}
+        try:
+            return await self._first_grant([endpoints[name] for name in names], ask)
+        except RefusalError:
+            self._avoided[order.request_id].update(names)
+            raise
 
     def note_prefilled(self, req: GenerationRequest, attempt: int) -> None:
         """Note that an attempt's cache waits to be imported: either side may fail it now."""
@@ -139,33 +148,35 @@
             if place is not None:
                 self.end(place)
 
-    def forget(self, req: GenerationRequest) -> None:
+    def forget(self, request_id: str) -> None:
         """Forget a request that is over."""
-        self._avoided.pop(req.request_id, None)
+        self._avoided.pop(request_id, None)
 
     def end(self, place: Place) -> None:
         """Give back a place."""
         self._book.end(place.endpoint, place.grant.reservation)
 
-    def note_call(self, place: Place, failed: bool) -> None:
-        """Note how a call on a place went."""
-        self._breaker.note(place.endpoint.vm, not failed, time.monotonic())
+    def end_call(self, request_id: str, place: Place, code: ErrorCode | None) -> None:
+        """Give back a call's place; ``code`` tells why the call failed there, if it did."""
+        self._breaker.note(place.endpoint.vm, code not in ENDPOINT_FAULTS, time.monotonic())
+        if code is not None:
+            self._avoided[request_id].add(place.endpoint.vm)
+        self.end(place)
 
     def _note_success(self, place: Place) -> None:
         self._breaker.note(place.endpoint.vm, True, time.monotonic())
 
-    def _endpoints(self, ask: ReserveAsk, avoided: set[str]) -> dict[str, Endpoint]:
+    def _endpoints(self, ask: ReserveAsk) -> dict[str, Endpoint]:
         role = ROLE_OF_KIND[ask.kind]
         endpoints = {e.vm: e for e in self._core.directory.endpoints(role, ask.model)}
         if not endpoints:
             text = f"no {role.value} endpoint of {ask.model!r} is live"
             refused = Refused(ErrorCode.NO_ENDPOINT, text, retry_after_s=NO_ENDPOINT_RETRY_S)
             raise RefusalError(refused)
+        avoided = self._avoided.get(ask.request_id, set())
         return {vm: e for vm, e in endpoints.items() if vm not in avoided} or endpoints
 
-    async def _first_grant(
-        self, endpoints: list[Endpoint], ask: ReserveAsk, avoided: set[str]
-    ) -> Place:
+    async def _first_grant(self, endpoints: list[Endpoint], ask: ReserveAsk) -> Place:
         tasks = {
             asyncio.ensure_future(self._reserve(endpoint, ask)): endpoint for endpoint in endpoints
         }
@@ -184,7 +195,7 @@
                         raise exc
                     refusals.append(exc)
                     if exc.code in ENDPOINT_FAULTS:
-                        avoided.add(tasks[task].vm)
+                        self._avoided[ask.request_id].add(tasks[task].vm)
             raise min(refusals, key=lambda exc: exc.refused.retry_after_s or 0.0)
         finally:
             self._withdraw_rest(tasks, ask)
@@ -197,7 +208,7 @@
         except RefusalError as exc:
             if exc.code in ENDPOINT_FAULTS:
                 self._breaker.note(endpoint.vm, False, time.monotonic())
-            raise RefusalError(attrs.evolve(exc.refused, ran=Ran.NO)) from exc
+            raise
         finally:
             self._book.drop_ask(endpoint, ask)
         self._loads.note(endpoint.vm, grant.load)
@@ -223,10 +234,10 @@
 def _ask(
     req: GenerationRequest, attempt: int, kind: ReservationKind, pieces: int, tokens: int
 ) -> ReserveAsk:
-    waits_s = req.time_left_s
+    patience_s = req.time_left_s
     if attempt == 1:
         target_ms = req.model.first_token_target_ms
-        waits_s = patience_s(req.model.route_class, target_ms, req.time_left_s)
+        patience_s = _patience_s(req.model.route_class, target_ms, req.time_left_s)
     return ReserveAsk(
         req.request_id,
         attempt,
@@ -235,14 +246,13 @@
         req.model.name,
         pieces,
         req.model.route_class,
-        waits_s,
+        patience_s,
         req.time_left_s,
         tokens,
     )
 
 
-def patience_s(route_class: RouteClass, target_ms: float, time_left_s: float) -> float:
-    """Return how long work of a class may wait for a place: past its target it is refused."""
+def _patience_s(route_class: RouteClass, target_ms: float, time_left_s: float) -> float:
     if route_class is RouteClass.BATCH:
         return time_left_s
     return min(time_left_s, target_ms / 1_000)
