--- /dev/null
+++ b/benches/_placement_parts.py
@@ -0,0 +1,150 @@
+"""Entries and side processes of the placement bench, around the real decision classes."""
+
+import random
+from collections import defaultdict
+from collections.abc import Callable
+
+import attrs
+
+from _placement_fakes import Clock, FakeDecode, FakePrefill, FakeService, Job
+from _placement_load import SHARES, Request
+from _placement_policies import World
+from vanillashore_placement import (
+    Breaker,
+    Chooser,
+    Granted,
+    Keeper,
+    KeeperSettings,
+    Lapsed,
+    Outcome,
+    SeenLoads,
+    TransferPacer,
+)
+from vanillashore_wire import ReservationKind, ReserveAsk, ReserveWithdraw
+
+MESSAGE_S = 0.001
+TICK_S = 0.1
+LINK_PIECES_PER_S = 500.0
+Answer = Callable[[Outcome], None]
+
+
+class Side:
+    """A keeper beside a fake endpoint; it frees on the endpoint what lapses."""
+
+    def __init__(self, world: World, endpoint: FakePrefill | FakeDecode | FakeService) -> None:
+        slots = world.deployment.slots
+        if isinstance(endpoint, FakeService):
+            slots = world.deployment.service_slots
+        self.endpoint = endpoint
+        self.keeper = Keeper(KeeperSettings(endpoint.name, slots=slots), SHARES.__getitem__)
+        self.pacer = TransferPacer(LINK_PIECES_PER_S)
+        self.jobs: dict[str, Job] = {}
+        self._clock = world.clock
+        self._answers: dict[tuple[str, int], Answer] = {}
+        world.clock.after(TICK_S, self._tick)
+
+    def ask(self, ask: ReserveAsk, sender: str, answer: Answer) -> None:
+        """Queue an ask and send the answer when there is one."""
+        self._answers[ask.request_id, ask.attempt] = answer
+        self.settle(self.keeper.ask(ask, sender, self._clock.now))
+
+    def settle(self, outcomes: list[Outcome]) -> None:
+        """Send the answers, and free what lapsed."""
+        for outcome in outcomes:
+            if isinstance(outcome, Lapsed):
+                self._abort(outcome.hold.reservation)
+                continue
+            answer = self._answers.pop((outcome.ask.request_id, outcome.ask.attempt), None)
+            if answer is not None:
+                self._clock.after(MESSAGE_S, lambda a=answer, o=outcome: a(o))
+
+    def end(self, reservation: str) -> None:
+        """Free a hold that its entry gives up."""
+        self._abort(reservation)
+        self.settle(self.keeper.release(reservation, self._clock.now))
+
+    def _abort(self, reservation: str) -> None:
+        job = self.jobs.pop(reservation, None)
+        if job is None:
+            return
+        job.aborted = True
+        if isinstance(self.endpoint, FakeDecode):
+            self.endpoint.abort(job)
+
+    def _tick(self) -> None:
+        self.settle(self.keeper.tick(self._clock.now))
+        self._clock.after(TICK_S, self._tick)
+
+
+@attrs.define(eq=False)
+class Place:
+    """A granted place."""
+
+    side: Side
+    reservation: str
+
+
+class Entry:
+    """An entry's choices and its book of places."""
+
+    def __init__(self, world: World, number: int) -> None:
+        self.name = f"entry-{number}"
+        self.loads = SeenLoads()
+        self.breaker = Breaker()
+        rng = random.Random(world.rng.random())
+        self.chooser = Chooser(self.loads, rng, self.breaker)
+        self.places: dict[Request, list[Place]] = defaultdict(list)
+        self.asks: dict[tuple[str, int, ReservationKind], list[Side]] = {}
+        self.frozen = False
+
+
+class Search:
+    """One ask at one or two keepers; the first grant wins and the rest is withdrawn."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        entry: Entry,
+        on_refused: Callable[[Request], None],
+        req: Request,
+        ask: ReserveAsk,
+        sides: list[Side],
+        on_place: Callable[[Place], None],
+    ) -> None:
+        self.open = sides
+        self._clock = clock
+        self._on_refused = on_refused
+        self._entry = entry
+        self._req = req
+        self._ask = ask
+        self._on_place = on_place
+        self._key = (ask.request_id, ask.attempt, ask.kind)
+
+    def send(self) -> None:
+        """Send the ask."""
+        for side in list(self.open):
+            side.ask(self._ask, self._entry.name, lambda o, side=side: self._take(side, o))
+
+    def _take(self, side: Side, outcome: Outcome) -> None:
+        if side in self.open:
+            self.open.remove(side)
+        if not isinstance(outcome, Granted):
+            if not self.open and self._key in self._entry.asks:
+                del self._entry.asks[self._key]
+                self._req.refused = not self._req.is_over
+                self._on_refused(self._req)
+            return
+        self._entry.loads.note(side.endpoint.name, outcome.grant.load)
+        if self._entry.asks.pop(self._key, None) is None or self._req.is_over:
+            self._withdraw(side)
+            return
+        for other in self.open:
+            self._withdraw(other)
+        place = Place(side, outcome.grant.reservation)
+        self._entry.places[self._req].append(place)
+        self._on_place(place)
+
+    def _withdraw(self, side: Side) -> None:
+        message = ReserveWithdraw(self._ask.request_id, self._ask.attempt, self._ask.kind)
+        clock = self._clock
+        clock.after(MESSAGE_S, lambda: side.settle(side.keeper.withdraw(message, clock.now)))
--- /dev/null
+++ b/benches/placement.py
@@ -0,0 +1,241 @@
+"""How placement policies fare: goodput, wasted prefill, fairness and what stays held.
+
+A seeded load runs against fakes in one process, with the real decision classes and a simulated
+clock, at the sizes of both deployments.
+"""
+
+import argparse
+import json
+import statistics
+import time
+import tracemalloc
+from random import Random
+
+import attrs
+
+from _placement_load import (
+    CASES,
+    DEPLOYMENTS,
+    OVER_ITS_RATE,
+    WORKSPACES,
+    Deployment,
+    Request,
+    make_load,
+)
+from _placement_policies import LeastLagged, Policy, RoundRobin, StaticPairs, new_world
+from _placement_reserved import Reserved
+from vanillashore_placement import Breaker, Chooser, SeenLoads
+from vanillashore_wire import Load, RouteClass
+
+SECONDS = 60.0
+QUICK_SECONDS = 12.0
+WARM_S = 5.0
+DRAIN_S = 60.0
+GONE_CHECK_S = 5.0
+FIRST_TOKEN_TARGET_S = 1.6
+TOKEN_GAP_TARGET_S = 0.032
+POLICIES = (Reserved, RoundRobin, LeastLagged, StaticPairs)
+FLEET_REPLICAS = 600
+FLEET_MODELS = 29
+DECISIONS = 2_000
+
+
+@attrs.define
+class Measured:
+    """The fields of one policy in one case."""
+
+    scheme: str
+    case: str
+    goodput: float
+    goodput_of_capacity: float
+    wasted_prefill_share: float
+    worst_workspace_goodput: float
+    quick_p95_ms: float
+    wrongly_refused_share: float
+    prefix_hit_share: float
+    held_after_gone: int
+    unanswered: int
+
+
+class Run:
+    """One policy in one case."""
+
+    def __init__(
+        self,
+        policy_type: type[Policy],
+        deployment: Deployment,
+        case: str,
+        seed: int,
+        seconds: float,
+    ) -> None:
+        self._world = new_world(deployment, seed)
+        self._policy = policy_type(self._world)
+        self._deployment = deployment
+        self._case = case
+        self._seconds = seconds
+        self._requests = make_load(deployment, case, seed, seconds)
+        self._held_after_gone = 0
+
+    def measure(self) -> Measured:
+        """Run it all and sum it up."""
+        clock = self._world.clock
+        for req in self._requests:
+            clock.after(req.arrives, lambda req=req: self._policy.start(req))
+            if req.cancels_at is not None:
+                clock.after(req.cancels_at, lambda req=req: self._cancel(req))
+        if self._case == "deaths":
+            clock.after(self._seconds / 2, self._kill)
+            clock.after(self._seconds / 4, self._freeze)
+        clock.run(self._seconds + DRAIN_S)
+        return self._sum_up()
+
+    def _cancel(self, req: Request) -> None:
+        if not req.is_over:
+            req.gone_at = self._world.clock.now
+            self._policy.cancel(req)
+            self._check_later(req)
+
+    def _kill(self) -> None:
+        self._world.decodes[0].die()
+        self._world.prefills[0].die()
+
+    def _freeze(self) -> None:
+        """Freeze the last entry; the balancer sends what comes later to the others."""
+        now = self._world.clock.now
+        frozen = 2
+        self._policy.freeze_entry(frozen)
+        for req in self._requests:
+            if req.entry != frozen:
+                continue
+            if req.arrives > now:
+                req.entry = int(req.arrives * 1_000) % frozen
+            elif not req.is_over:
+                req.gone_at = now
+                self._check_later(req)
+
+    def _check_later(self, req: Request) -> None:
+        def check() -> None:
+            self._held_after_gone += self._policy.held().get(req.id, 0)
+
+        self._world.clock.after(GONE_CHECK_S, check)
+
+    def _sum_up(self) -> Measured:
+        counted = [r for r in self._requests if r.arrives >= WARM_S and r.gone_at is None]
+        answers = [r for r in counted if not r.is_call]
+        good = [r for r in answers if _is_good(r)]
+        inside = [w for w in WORKSPACES if w not in OVER_ITS_RATE.get(self._case, ())]
+        of_inside = [r for r in counted if r.workspace in inside]
+        worst = min(_share_good([r for r in answers if r.workspace == w]) for w in inside)
+        in_time = [
+            r
+            for r in self._requests
+            if not r.is_call and _is_good(r) and WARM_S <= r.done_at <= self._seconds
+        ]
+        could = self._deployment.requests_per_s * (self._seconds - WARM_S)
+        prefills = self._world.prefills
+        prefixes = sum(p.prefix_pieces for p in prefills)
+        quick = [
+            (r.done_at - r.arrives) * 1_000
+            for r in counted
+            if r.is_call and r.route_class is RouteClass.INTERACTIVE and r.done_at is not None
+        ]
+        return Measured(
+            self._policy.name,
+            f"{self._deployment.name}_{self._case}",
+            len(good) / len(answers),
+            len(in_time) / min(could, len(answers)),
+            _wasted(self._requests),
+            worst,
+            statistics.quantiles(quick, n=20)[-1],
+            sum(r.refused for r in of_inside) / len(of_inside),
+            sum(p.hit_pieces for p in prefills) / max(1, prefixes),
+            self._held_after_gone,
+            sum(r.done_at is None for r in counted),
+        )
+
+
+def _is_good(req: Request) -> bool:
+    if req.done_at is None or req.first_at is None:
+        return False
+    if req.route_class is RouteClass.BATCH:
+        return True
+    gap_s = (req.done_at - req.first_at) / max(1, req.output - 1)
+    return req.first_at - req.arrives <= FIRST_TOKEN_TARGET_S and gap_s <= TOKEN_GAP_TARGET_S
+
+
+def _share_good(requests: list[Request]) -> float:
+    return sum(map(_is_good, requests)) / max(1, len(requests))
+
+
+def _wasted(requests: list[Request]) -> float:
+    """Return the share of prefilled tokens that led to no answer, callers that left not counted."""
+    stayed = [r for r in requests if r.gone_at is None and r.prefills]
+    useful = sum(r.prompt_tokens for r in stayed if r.done_at is not None)
+    return 1 - useful / sum(r.prompt_tokens * r.prefills for r in stayed)
+
+
+def measure_decision(seed: int) -> dict[str, float]:
+    """Time one entry's choice of decode and prefill candidates at the target's size."""
+    rng = Random(seed)
+    tracemalloc.start()
+    loads = SeenLoads()
+    chooser = Chooser(loads, rng, Breaker())
+    names = [f"replica-{i:03}" for i in range(FLEET_REPLICAS)]
+    for name in names:
+        loads.note(name, Load(rng.randrange(20), rng.randrange(4), 20, 100))
+    state_kb = tracemalloc.get_traced_memory()[0] / 1_000
+    tracemalloc.stop()
+    pools = [names[i::FLEET_MODELS] for i in range(FLEET_MODELS - 1)] + [names]
+    prompts = [f"{i} " + "x" * 40_000 for i in range(20)]
+    spent: dict[bool, list[float]] = {False: [], True: []}
+    for i in range(DECISIONS):
+        whole = i % 2 == 1
+        pool = pools[-1] if whole else pools[i % (FLEET_MODELS - 1)]
+        started = time.perf_counter()
+        chooser.candidates(pool, float(i))
+        chooser.prefill_candidates(pool, "workspace", prompts[i % 20], float(i))
+        spent[whole].append((time.perf_counter() - started) * 1e6)
+    return {
+        "decision_us": statistics.median(spent[False]),
+        "decision_p95_us": statistics.quantiles(spent[False], n=20)[-1],
+        "decision_one_model_us": statistics.median(spent[True]),
+        "entry_kb": state_kb,
+    }
+
+
+def main() -> None:
+    """Run all policies in all cases."""
+    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--quick", action="store_true")
+    args = parser.parse_args()
+    seconds = QUICK_SECONDS if args.quick else SECONDS
+    results = []
+    fields = [f.name for f in attrs.fields(Measured)]
+    print(" ".join(f"{name[:13]:>13}" for name in fields))
+    for deployment in DEPLOYMENTS:
+        for case in CASES:
+            for policy in POLICIES:
+                measured = Run(policy, deployment, case, args.seed, seconds).measure()
+                results.append(_rounded(attrs.asdict(measured)))
+                print(" ".join(f"{value!s:>13}" for value in results[-1].values()), flush=True)
+    decision = _rounded(
+        {"scheme": "vanillashore", "case": "decision"} | measure_decision(args.seed)
+    )
+    results.append(decision)
+    print(decision)
+    scale = {
+        "seconds": seconds,
+        "seed": args.seed,
+        "replicas_of_decision": FLEET_REPLICAS,
+        "models_of_decision": FLEET_MODELS,
+    }
+    print(json.dumps({"bench": "placement", "results": results, "scale": scale}))
+
+
+def _rounded(row: dict[str, object]) -> dict[str, object]:
+    return {k: round(v, 4) if isinstance(v, float) else v for k, v in row.items()}
+
+
+if __name__ == "__main__":
+    main()
--- a/packages/vanillashore-node/src/vanillashore_node/_side.py
+++ b/packages/vanillashore-node/src/vanillashore_node/_side.py
@@ -87,7 +87,7 @@
 
     def _weight_of(self, workspace: str) -> float:
         declared = self.core.directory.workspace(workspace)
-        return declared.weight if declared is not None else 1.0
+        return declared.weight * declared.rate_tokens_per_s if declared is not None else 1.0
 
     @web.middleware
     async def _guard(self, request: web.Request, handler: Any) -> web.StreamResponse:
--- a/packages/vanillashore-placement/src/vanillashore_placement/_estimates.py
+++ b/packages/vanillashore-placement/src/vanillashore_placement/_estimates.py
@@ -1,5 +1,7 @@
 """What a keeper learns from finished work: how long places are held, and how far to grant ahead."""
 
+import math
+
 _SMOOTHING = 0.05
 
 
@@ -68,6 +70,11 @@
         self._bound = self._max / 2
         self._lead_s = Average()
 
+    @property
+    def lead_s(self) -> float:
+        """Mean time between a grant and the arrival of its work; 0 while nothing is known."""
+        return self._lead_s.value or 0.0
+
     def note_used(self, lead_s: float) -> None:
         """Take in the time between a grant and the arrival of its work."""
         self._lead_s.add(lead_s)
@@ -87,4 +94,4 @@
         """Return how many places may be granted ahead now."""
         if hold_s is None or not hold_s or self._lead_s.value is None:
             return 0
-        return int(min(self._bound, in_use * self._lead_s.value / hold_s))
+        return math.ceil(min(self._bound, in_use * self._lead_s.value / hold_s))
--- a/packages/vanillashore-placement/src/vanillashore_placement/_fair_queue.py
+++ b/packages/vanillashore-placement/src/vanillashore_placement/_fair_queue.py
@@ -1,5 +1,6 @@
 """Start-time fair queuing over workspaces, with the earliest deadline first inside each."""
 
+import math
 from collections.abc import Iterator
 
 import attrs
@@ -7,6 +8,8 @@
 
 from vanillashore_wire import ReserveAsk
 
+BURST_ASKS = 4
+
 
 @attrs.define(eq=False)
 class Waiting:
@@ -23,10 +26,16 @@
     cost: float
     weight: float = 1.0
 
+    @property
+    def credit(self) -> float:
+        """Virtual time that its workspace may be ahead after a pause."""
+        return BURST_ASKS * self.cost / self.weight
+
 
 @attrs.define(eq=False)
 class _Flow:
     start: float
+    credit: float = 0.0
     items: SortedKeyList = attrs.field(
         factory=lambda: SortedKeyList(key=lambda w: (w.patience_ends, w.arrived))
     )
@@ -36,8 +45,9 @@
     """Asks of one class; a workspace is served in proportion to its weight.
 
     Each backlogged workspace has a start tag in virtual time, and the smallest tag is served next.
-    A workspace that comes back after a pause starts at the present virtual time, so it neither
-    saves up service nor pays for what others used::
+    A workspace that comes back after a pause starts at most `BURST_ASKS` asks behind the present
+    virtual time. So a short burst of a small workspace is not spread over the long time in which
+    its weight earns that much, and yet a pause saves up no more than that::
 
         queue.add(waiting)
         served = queue.take(queue.head())
@@ -46,9 +56,10 @@
     def __init__(self) -> None:
         self._virtual = 0.0
         self._flows: dict[str, _Flow] = {}
+        self._size = 0
 
     def __len__(self) -> int:
-        return sum(len(flow.items) for flow in self._flows.values())
+        return self._size
 
     def __iter__(self) -> Iterator[Waiting]:
         for flow in self._flows.values():
@@ -56,7 +67,11 @@
 
     def add(self, waiting: Waiting) -> None:
         """Queue an ask."""
-        flow = self._flows.setdefault(waiting.ask.workspace, _Flow(self._virtual))
+        flow = self._flows.setdefault(waiting.ask.workspace, _Flow(-math.inf))
+        if not flow.items:
+            flow.start = self._start_of(flow, waiting)
+            flow.credit = waiting.credit
+        self._size += 1
         flow.items.add(waiting)
 
     def head(self) -> Waiting | None:
@@ -70,6 +85,7 @@
         """Serve an ask: remove it and charge its workspace."""
         flow = self._flows[waiting.ask.workspace]
         flow.items.remove(waiting)
+        self._size -= 1
         self._virtual = max(self._virtual, flow.start)
         flow.start += waiting.cost / waiting.weight
         self._forget_idle()
@@ -78,12 +94,13 @@
     def remove(self, waiting: Waiting) -> None:
         """Remove an ask that was not served."""
         self._flows[waiting.ask.workspace].items.remove(waiting)
+        self._size -= 1
         self._forget_idle()
 
     def ahead_of(self, waiting: Waiting) -> int:
         """Return how many asks would be served before ``waiting`` if it were queued now."""
-        own = self._flows.get(waiting.ask.workspace, _Flow(self._virtual))
-        tag = max(own.start, self._virtual) if not own.items else own.start
+        own = self._flows.get(waiting.ask.workspace, _Flow(-math.inf))
+        tag = own.start if own.items else self._start_of(own, waiting)
         ahead = 0
         for item in own.items:
             if item.patience_ends > waiting.patience_ends:
@@ -93,11 +110,14 @@
         others = (flow for flow in self._flows.values() if flow is not own)
         return ahead + sum(_served_before(flow, tag) for flow in others)
 
+    def _start_of(self, flow: _Flow, waiting: Waiting) -> float:
+        return max(flow.start, self._virtual - waiting.credit)
+
     def _forget_idle(self) -> None:
         idle = [
             name
             for name, flow in self._flows.items()
-            if not flow.items and flow.start <= self._virtual
+            if not flow.items and flow.start + flow.credit <= self._virtual
         ]
         for name in idle:
             del self._flows[name]
--- a/packages/vanillashore-placement/src/vanillashore_placement/_keeper.py
+++ b/packages/vanillashore-placement/src/vanillashore_placement/_keeper.py
@@ -25,6 +25,7 @@
 
 INTERACTIVE_HEADROOM = 0.1
 HEADROOM_KEPT_S = 60.0
+LEAD_MARGIN = 1.5
 LEAVING_USE_S = 1.5
 MIN_RETRY_AFTER_S = 0.1
 
@@ -197,7 +198,9 @@
         """Drop what has lapsed, and turn away asks whose patience is over."""
         outcomes: list[Outcome] = [Lapsed(hold) for hold in self._holds.pop_over(now)]
         for waiting in list(self._queue):
-            if now - waiting.renewed_at >= self._cfg.hold_valid_s:
+            if waiting.patience_ends <= now:
+                outcomes.append(self._turn_away(waiting))
+            elif now - waiting.renewed_at >= self._cfg.hold_valid_s:
                 self._queue.remove(waiting)
                 text = "the entry no longer renews this"
                 outcomes.append(TurnedAway(waiting.ask, Refused(ErrorCode.CANCELLED, text)))
@@ -221,33 +224,37 @@
         self._leaving = False
 
     def _waiting(self, ask: ReserveAsk, sender: str, now: float) -> Waiting:
-        patience_ends = now + min(ask.patience_s, ask.deadline_s)
+        patience_ends = now + self._patience_s(ask)
         cost = float(max(1, ask.tokens))
         weight = self._weight_of(ask.workspace)
         return Waiting(ask, sender, now, patience_ends, now, cost, weight)
 
+    def _patience_s(self, ask: ReserveAsk) -> float:
+        """Return how long an ask may wait here and still have its first token in time."""
+        patience_s = min(ask.patience_s, ask.deadline_s)
+        if ask.kind is not ReservationKind.DECODE:
+            return patience_s
+        return max(patience_s / 4, patience_s - LEAD_MARGIN * self._ahead.lead_s)
+
     def _shed(self, waiting: Waiting) -> list[Outcome]:
         if self._may_grant(waiting) and not len(self._queue):
             return []
         ahead = self._queue.ahead_of(waiting)
         wait_s = self._pace.wait_s(ahead, self._places(waiting.ask.kind))
-        patience_s = min(waiting.ask.patience_s, waiting.ask.deadline_s)
+        patience_s = self._patience_s(waiting.ask)
         if wait_s <= patience_s:
             return []
         return [TurnedAway(waiting.ask, _overloaded(wait_s, wait_s - patience_s))]
 
     def _settle(self, now: float) -> list[Outcome]:
         outcomes: list[Outcome] = []
-        for waiting in list(self._queue):
-            if waiting.patience_ends <= now:
-                self._queue.remove(waiting)
-                wait_s = self._pace.wait_s(len(self._queue), self._places(waiting.ask.kind))
-                outcomes.append(TurnedAway(waiting.ask, _overloaded(wait_s, wait_s)))
-        return outcomes + self._grant_next(now)
-
-    def _grant_next(self, now: float) -> list[Outcome]:
-        outcomes: list[Outcome] = []
-        while (head := self._queue.head(self._batch_may_run(now))) is not None:
+        while len(self._queue):
+            head = self._queue.head(self._batch_may_run(now))
+            if head is None:
+                break
+            if head.patience_ends <= now:
+                outcomes.append(self._turn_away(head))
+                continue
             if not self._may_grant(head):
                 break
             self._queue.take(head)
@@ -255,6 +262,11 @@
             outcomes.append(self._grant(head, now))
         return outcomes
 
+    def _turn_away(self, waiting: Waiting) -> TurnedAway:
+        self._queue.remove(waiting)
+        wait_s = self._pace.wait_s(len(self._queue), self._places(waiting.ask.kind))
+        return TurnedAway(waiting.ask, _overloaded(wait_s, wait_s))
+
     def _grant(self, waiting: Waiting, now: float) -> Granted:
         name = f"{self._cfg.name}-{next(self._numbers)}"
         lapses_at = now + self._cfg.reservation_valid_s
--- a/tests/placement/test_keeper.py
+++ b/tests/placement/test_keeper.py
@@ -197,3 +197,16 @@
         batch_served += sum(o.ask.route_class is RouteClass.BATCH for o in outcomes)
         running += [o.grant.reservation for o in outcomes]
     assert batch_served == 1
+
+
+def test_the_wait_leaves_time_for_prefill_and_transfer() -> None:
+    keeper = Keeper(SETTINGS)
+    for number in range(20):
+        name = grant(keeper, f"warm-{number}", now=float(number))
+        keeper.use(name, number + 0.5)
+        keeper.release(name, number + 0.6)
+    places = [grant(keeper, f"r{i}", now=30.0, deadline_s=9.0) for i in range(2)]
+    keeper.ask(ask("late", patience_s=1.6), "entry", 30.0)
+    assert keeper.tick(30.8) == []
+    [outcome] = keeper.release(places[0], 30.9)
+    assert outcome.refused.code is ErrorCode.OVERLOADED
