--- a/packages/vanillashore-standins/src/vanillashore_standins/_kv_app.py
+++ b/packages/vanillashore-standins/src/vanillashore_standins/_kv_app.py
@@ -13,6 +13,7 @@
 STATE = web.AppKey("state", KvState)
 FAULTS: web.AppKey["KvFaults"] = web.AppKey("faults")
 OUTAGE_POLL_S = 0.05
+TXN_PATH = "/v3/kv/txn"
 
 
 @attrs.define
@@ -20,12 +21,14 @@
     """Faults to inject; set the fields in a test or ``POST /control`` them.
 
     ``down`` closes every call and watch, ``delay_s`` slows calls, ``lose_answers`` is the number
-    of writes whose answer is lost after the write took effect.
+    of writes whose answer is lost after the write took effect, among the writes of keys that begin
+    with ``lose_prefix``.
     """
 
     down: bool = False
     delay_s: float = 0.0
     lose_answers: int = 0
+    lose_prefix: str = ""
 
 
 def kv_app(state: KvState, faults: KvFaults | None = None) -> web.Application:
@@ -34,7 +37,7 @@
     app[STATE] = state
     app[FAULTS] = faults or KvFaults()
     app.router.add_post("/v3/kv/range", _range)
-    app.router.add_post("/v3/kv/txn", _txn)
+    app.router.add_post(TXN_PATH, _txn)
     app.router.add_post("/v3/lease/grant", _lease_grant)
     app.router.add_post("/v3/lease/keepalive", _lease_keepalive)
     app.router.add_post("/v3/watch", _watch)
@@ -49,17 +52,27 @@
         return await handler(request)
     faults = request.app[FAULTS]
     request.app[STATE].calls[request.path] += 1
+    key = await _written_key(request)
+    if key:
+        request.app[STATE].writes_asked[key] += 1
     if faults.delay_s:
         await asyncio.sleep(faults.delay_s)
     if faults.down:
         raise _disconnected(request)
     response = await handler(request)
-    if request.path == "/v3/kv/txn" and faults.lose_answers > 0:
+    if key and key.startswith(faults.lose_prefix) and faults.lose_answers > 0:
         faults.lose_answers -= 1
         raise _disconnected(request)
     return response
 
 
+async def _written_key(request: web.Request) -> str:
+    if request.path != TXN_PATH:
+        return ""
+    body = orjson.loads(await request.read())
+    return _unb64(body["compare"][0]["key"]).decode()
+
+
 def _disconnected(request: web.Request) -> Exception:
     if request.transport is not None:
         request.transport.abort()
