--- a/packages/vanillashore-node/src/vanillashore_node/_core.py
+++ b/packages/vanillashore-node/src/vanillashore_node/_core.py
@@ -50,6 +50,7 @@
         self.lifecycle = Lifecycle()
         self.directory = Directory()
         self.tasks = TaskGroup()
+        self.readiness: list[Callable[[], bool]] = []
         self.decisions = DecisionLog(cfg.node.name)
         self.burn = BurnBook(cfg.node.name)
         self.session: aiohttp.ClientSession
@@ -99,6 +100,13 @@
         host, port = self._runner.addresses[0][:2]
         return f"http://{host}:{port}"
 
+    @property
+    def is_ready(self) -> bool:
+        """Whether the balancer may send requests here."""
+        has_parts = all(check() for check in self.readiness)
+        is_informed = self.directory.revision > 0 and bool(self.directory.vms)
+        return self.state.ready and is_informed and has_parts
+
     @property
     def is_closed(self) -> bool:
         """Whether the process has stopped."""
@@ -140,8 +148,7 @@
         return json_response({"status": "ok"})
 
     async def _readyz(self, request: web.Request) -> web.Response:
-        is_informed = self.directory.revision > 0 and bool(self.directory.vms)
-        ready = self.state.ready and is_informed
+        ready = self.is_ready
         return json_response({"ready": ready}, 200 if ready else 503)
 
     async def _link(self, request: web.Request) -> web.StreamResponse:
--- a/packages/vanillashore-node/src/vanillashore_node/_placer.py
+++ b/packages/vanillashore-node/src/vanillashore_node/_placer.py
@@ -194,6 +194,8 @@
                     if not isinstance(exc, RefusalError):
                         raise exc
                     refusals.append(exc)
+                    if exc.code in ENDPOINT_FAULTS:
+                        self._avoided[ask.request_id].add(tasks[task].vm)
             raise min(refusals, key=lambda exc: exc.refused.retry_after_s or 0.0)
         finally:
             self._withdraw_rest(tasks, ask)
--- a/packages/vanillashore-wire/src/vanillashore_wire/_share_messages.py
+++ b/packages/vanillashore-wire/src/vanillashore_wire/_share_messages.py
@@ -1,7 +1,8 @@
 """Messages between entries that keep the workspaces' fleet-wide rates.
 
 A partition's rate is divided into shares, each named by its partition and its index. All of these
-messages travel in numbers on links, so they are encoded without the names of their fields.
+messages travel in numbers on links, so they are encoded without the names of their fields and under
+short kinds.
 """
 
 import attrs
@@ -9,7 +10,7 @@
 from vanillashore_wire._codec import compact, message
 
 
-@message("grant_ask")
+@message("ga")
 @compact
 @attrs.frozen
 class GrantAsk:
@@ -24,7 +25,7 @@
     patience_s: float
 
 
-@message("grant")
+@message("g")
 @compact
 @attrs.frozen
 class Grant:
@@ -33,7 +34,7 @@
     waited_s: float
 
 
-@message("grant_wait")
+@message("gw")
 @compact
 @attrs.frozen
 class GrantWait:
@@ -42,7 +43,7 @@
     wait_s: float
 
 
-@message("grant_refund")
+@message("gr")
 @compact
 @attrs.frozen
 class GrantRefund:
@@ -76,18 +77,12 @@
 @compact
 @attrs.frozen
 class LoanAsk:
-    """Ask a share's owner for a loan, or to renew the one with the id ``loan``; 0 is none.
-
-    ``ask`` is unique for the borrowing process and comes back with the answer. ``order`` is the
-    borrower's place among the partition's holders.
-    """
+    """Ask a share's owner for a loan, or to renew the one with the id ``loan``; 0 is none."""
 
     partition: int
     index: int
     epoch: int
-    ask: int
     loan: int
-    order: int
 
 
 @compact
@@ -100,7 +95,6 @@
 
     partition: int
     index: int
-    ask: int
     loan: int
     levels: ShareLevels | None = None
 
@@ -116,26 +110,31 @@
     levels: ShareLevels
 
 
-@message("loan_asks")
+@message("la")
 @compact
 @attrs.frozen
 class LoanAsks:
-    """All asks of one borrower to one owner that are due together."""
+    """All asks of one borrower to one owner that are due together.
 
+    ``ask`` is unique for the borrowing process and comes back with the answers.
+    """
+
+    ask: int
     incarnation: int
     asks: tuple[LoanAsk, ...]
 
 
-@message("loan_answers")
+@message("ln")
 @compact
 @attrs.frozen
 class LoanAnswers:
     """Answers to `LoanAsks`."""
 
+    ask: int
     answers: tuple[LoanAnswer, ...]
 
 
-@message("loan_returns")
+@message("lr")
 @compact
 @attrs.frozen
 class LoanReturns:
