Let make run the benches

Make looks for no pattern rule for a phony target, so that 'make bench-path' and its like said 'Nothing to be done' and ran nothing. The bench targets are phony no more; no file has their names.

--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 BIN := $(VENV)/bin
 PACKAGES := $(wildcard packages/*)
 
-.PHONY: venv demo test lint format ci bench-path bench-share bench-placement bench-control bench-outcomes
+.PHONY: venv demo test lint format ci
 
 venv: $(VENV)/.ready
 
