--- a/packages/vanillashore-cli/src/vanillashore_cli/_watching.py
+++ b/packages/vanillashore-cli/src/vanillashore_cli/_watching.py
@@ -2,6 +2,7 @@
 
 from collections import Counter
 from pathlib import Path
+from typing import Any
 
 from vanillashore_cli._fleet import Fleet, NodeAnswer
 from vanillashore_cli._report import Report
@@ -52,4 +53,11 @@
     if body is None:
         return f"{head} no answer"
     relay = " relay" if body.get("relay") else ""
-    return f"{head} {body['role']:<6} revision {body['revision']} active {body['active']}{relay}"
+    line = f"{head} {body['role']:<6} revision {body['revision']} active {body['active']}{relay}"
+    return line + _shares_text(body["shares"]["holder"]) if "shares" in body else line
+
+
+def _shares_text(holder: dict[str, Any]) -> str:
+    text = f" shares {holder['owned']} lent {holder['lent']} borrowed {holder['borrowed']}"
+    fenced = " FENCED" if holder["fenced"] else ""
+    return f"{text} refused-short {holder['refused_short']}{fenced}"
--- a/packages/vanillashore-node/src/vanillashore_node/_shares.py
+++ b/packages/vanillashore-node/src/vanillashore_node/_shares.py
@@ -3,11 +3,13 @@
 import random
 
 import attrs
+from opentelemetry.metrics import get_meter
 
 from vanillashore_node._core import NodeCore
 from vanillashore_node._lifecycle import LifecycleEvent
 from vanillashore_node._share_admission import AdmissionStats, ShareAdmission
 from vanillashore_node._share_holder import HolderStats, ShareHolderTask
+from vanillashore_node._share_metrics import observe_shares
 from vanillashore_node._share_ownership import ShareOwnership
 from vanillashore_share import HolderStatus
 
@@ -37,6 +39,7 @@
         core.tasks.start(self._ownership.follow(), "share table follower")
         core.tasks.start(self._ownership.maintain(), "share table keeper")
         core.tasks.start(self.admission.run(), "refunds")
+        observe_shares(get_meter("vanillashore.share"), core.cfg.node.name, self._task.status)
         core.readiness.append(lambda: self._ownership.table is not None)
         core.lifecycle.on(LifecycleEvent.DRAINED, self._leave)
 
