Put refunds back at last, and catch six mutations of the rate's guards

A refund's own take counted as a peak, so it never put anything back; found by a unit test. Peaks now count after the grant.

--- a/packages/vanillashore-share/src/vanillashore_share/_peaks.py
+++ b/packages/vanillashore-share/src/vanillashore_share/_peaks.py
@@ -28,13 +28,13 @@
         self._normalize()
 
     def since(self, at: float) -> float:
-        """Return the highest level that was noted since ``at``."""
-        return max((peak.level for peak in self._peaks if peak.at >= at), default=0.0)
+        """Return the highest level that was noted after ``at``."""
+        return max((peak.level for peak in self._peaks if peak.at > at), default=0.0)
 
     def raise_since(self, at: float, tokens: float) -> None:
         """Account for a refund of a grant that was given at ``at``."""
         for peak in self._peaks:
-            if peak.at >= at:
+            if peak.at > at:
                 peak.level += tokens
         self._normalize()
 
--- a/packages/vanillashore-standins/src/vanillashore_standins/share_model.py
+++ b/packages/vanillashore-standins/src/vanillashore_standins/share_model.py
@@ -233,7 +233,7 @@
 
     def _load(self, node: Node) -> None:
         owners = self._table.rows[0].owners
-        owner = self._rng.choice(owners) if self._active("spread") else self._first(node, owners)
+        owner = self._rng.choice(NODES) if self._active("spread") else self._first(node, owners)
         node.grants += 1
         grant = node.incarnation + node.grants
         tokens = self._rng.choice([2.0, 5.0, 5.0, 10.0, 30.0])
--- a/tests/share/test_fleet_rate.py
+++ b/tests/share/test_fleet_rate.py
@@ -6,9 +6,11 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from vanillashore_share import _holder, _ledger
+from vanillashore_share import _holder, _ledger, _owned
 from vanillashore_share._borrowed import BorrowedShare
+from vanillashore_share._buckets import FULL
 from vanillashore_standins.share_model import END_S, KINDS, Disturbance, FleetModel
+from vanillashore_wire import ShareLevels
 
 MUTATION_SEEDS = 60
 disturbances = st.builds(
@@ -51,12 +53,29 @@
     patch.setattr(_ledger.GrantLedger, "settle", _ledger.GrantLedger.find)
 
 
+def with_full_buckets_after_a_lapse(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(_owned, "EMPTY", FULL)
+
+
+def without_fence(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(_holder.ShareHolder, "_check_pause", lambda holder, now: None)
+
+
+def without_stop_at_gift(patch: pytest.MonkeyPatch) -> None:
+    def suspend(share: _owned.OwnedShare, now: float) -> ShareLevels | None:
+        buckets = share.buckets(now)
+        return buckets.export(now) if buckets else None
+
+    patch.setattr(_owned.OwnedShare, "suspend", suspend)
+
+
 A, B, C = range(3)
 MUTATIONS = {
     without_clock_check: [
-        Disturbance("pause", 8, 4, A, B),
-        Disturbance("idle", 9, 2.9, A, B),
-        Disturbance("spread", 12, 4, A, B),
+        Disturbance("pause", 8, 2.9, A, B),
+        Disturbance("cut", 8.5, 5, A, B),
+        Disturbance("cut", 8.5, 5, A, C),
+        Disturbance("spread", 10.8, 4, A, B),
     ],
     without_restart_wait: [
         Disturbance("kill", 10, 0.1, B, A),
@@ -66,6 +85,22 @@
         Disturbance("spread", 10.05, 4, A, B),
     ],
     with_doubled_refunds: [Disturbance("idle", 5, 3, A, B)],
+    with_full_buckets_after_a_lapse: [
+        Disturbance("idle", 3, 5, A, B),
+        Disturbance("one-way cut", 8.8, 5, A, B),
+        Disturbance("one-way cut", 8.8, 5, A, C),
+        Disturbance("spread", 10, 4, A, B),
+    ],
+    without_fence: [
+        Disturbance("pause", 3, 9.5, A, B),
+        Disturbance("idle", 5, 7.45, A, B),
+        Disturbance("spread", 12.4, 3, A, B),
+    ],
+    without_stop_at_gift: [
+        Disturbance("idle", 4, 6, A, B),
+        Disturbance("gift", 9.9, 0.1, B, C),
+        Disturbance("spread", 9.95, 3, A, B),
+    ],
 }
 
 
