Give shares only to processes that answer and are not leaving

An entry that had stopped, but was still listed as live, was given shares back to even out the spread; they were of no use until the takeover.

--- a/packages/vanillashore-node/src/vanillashore_node/_share_holder.py
+++ b/packages/vanillashore-node/src/vanillashore_node/_share_holder.py
@@ -155,6 +155,8 @@
     async def _probe(self, message: ShareProbe, sender: str) -> Ack:
         if message.vm != self._name:
             raise RefusalError(Refused(ErrorCode.ROLE_MISMATCH, f"this is {self._name}"))
+        if not self._core.state.ready:
+            raise RefusalError(Refused(ErrorCode.SHUTTING_DOWN, f"{self._name} is leaving"))
         return Ack()
 
     def _take_rates(self) -> None:
--- a/packages/vanillashore-node/src/vanillashore_node/_share_ownership.py
+++ b/packages/vanillashore-node/src/vanillashore_node/_share_ownership.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 import time
+from enum import Enum
 
 import attrs
 from loguru import logger as log
@@ -42,6 +43,12 @@
 JITTER_S = 1.0
 
 
+class _Probed(Enum):
+    RUNS = "runs"
+    LEAVING = "leaving"
+    GONE = "gone"
+
+
 @attrs.frozen
 class _Gift:
     """Shares that are not used here any more and are to be given away from ``table`` on."""
@@ -190,20 +197,26 @@
             self._missing_since.setdefault(name, now)
         limit_s = self._core.cfg.share.grace_s * (1 + self._core.cfg.share.clock_rate_bound)
         late = {name for name in missing if now - self._missing_since[name] > limit_s}
-        return {name for name in late if not await self._answers(name)}
+        return {name for name in late if await self._probe(name) is _Probed.GONE}
 
-    async def _answers(self, name: str) -> bool:
+    async def _probe(self, name: str) -> _Probed:
         address = self._core.directory.last_address_of(name)
         if address is None:
-            return False
+            return _Probed.GONE
         try:
             await self._core.hub.ask(address, ShareProbe(name), PROBE_TIMEOUT_S)
-        except RefusalError:
-            return False
-        return True
+        except RefusalError as exc:
+            is_leaving = exc.code is ErrorCode.SHUTTING_DOWN
+            return _Probed.LEAVING if is_leaving else _Probed.GONE
+        return _Probed.RUNS
+
+    async def _receivable(self, moves: list[Move]) -> list[Move]:
+        receivers = {move.to for move in moves}
+        ready = {name for name in receivers if await self._probe(name) is _Probed.RUNS}
+        return [move for move in moves if move.to in ready]
 
     async def _give(self, table: ShareTable, moves: list[Move]) -> None:
-        levels = await self._stop_using(moves)
+        levels = await self._stop_using(await self._receivable(moves))
         if levels:
             self._gift = _Gift(table, levels)
             await self._finish_gift(self._gift)
--- a/packages/vanillashore-wire/src/vanillashore_wire/_share_messages.py
+++ b/packages/vanillashore-wire/src/vanillashore_wire/_share_messages.py
@@ -158,7 +158,10 @@
 @message("share_probe")
 @attrs.frozen
 class ShareProbe:
-    """Ask whether the process on the VM ``vm`` runs; it alone answers, with an `Ack`."""
+    """Ask whether the process on the VM ``vm`` runs; it alone answers, with an `Ack`.
+
+    A process that is leaving refuses as shutting down, so that it is given no shares.
+    """
 
     vm: str
 
--- a/tests/node/test_share_status.py
+++ b/tests/node/test_share_status.py
@@ -4,6 +4,7 @@
 from opentelemetry.sdk.metrics.export import InMemoryMetricReader
 
 from vanillashore_node._share_metrics import observe_shares
+from vanillashore_schema import ShareSettings
 from vanillashore_share import HolderStatus
 from vanillashore_standins.testing import FLEET_SECRET, FleetPlan, SmallFleet
 
@@ -31,3 +32,43 @@
     found = {m.name: m.data.data_points[0].value for s in scopes for m in s.metrics}
     assert found["vanillashore.share.lent"] == 2
     assert found["vanillashore.grant.refused_short"] == 5
+
+
+async def test_fresh_entry_serves_while_the_store_is_down() -> None:
+    async with SmallFleet(FleetPlan(entries=3, prefills=0, decodes=0)) as fleet:
+        fleet.kv_faults.down = True
+        await fleet.start_entry("entry-3")
+        fresh = fleet.entries[3]
+        await fleet.until(lambda: fresh.core.is_ready)
+        async with fleet.get(3, "/stock") as response:
+            assert response.status == 200
+        assert fresh.shares.status().holder.owned == 0
+
+
+async def test_leaving_entry_gives_its_shares_away() -> None:
+    async with SmallFleet(FleetPlan(entries=4, prefills=0, decodes=0)) as fleet:
+        leaver = fleet.entries[1]
+        await leaver.core.shut_down()
+        stayers = [fleet.entries[i] for i in (0, 2, 3)]
+
+        def is_spread() -> bool:
+            return sum(e.shares.status().holder.owned for e in stayers) == 3 * 1_024
+
+        await fleet.until(is_spread)
+        async with fleet.get(0, "/stock") as response:
+            assert response.status == 200
+
+
+async def test_shares_of_a_dead_entry_are_taken_over() -> None:
+    share = ShareSettings(loan_s=0.4, renewal_s=0.15, grace_s=1.0, demand_s=0.5)
+    plan = FleetPlan(entries=4, prefills=0, decodes=0, share=share)
+    async with SmallFleet(plan) as fleet:
+        dead = fleet.entries[1]
+        await dead.core.close()
+        fleet.vm_list.remove(dead.core.cfg.node.name)
+        stayers = [fleet.entries[i] for i in (0, 2, 3)]
+
+        def is_taken_over() -> bool:
+            return sum(e.shares.status().holder.owned for e in stayers) == 3 * 1_024
+
+        await fleet.until(is_taken_over)
