--- a/packages/vanillashore-share/src/vanillashore_share/__init__.py
+++ b/packages/vanillashore-share/src/vanillashore_share/__init__.py
@@ -5,7 +5,6 @@
 """
 
 from vanillashore_share._asking import HolderChoice, usable_until
-from vanillashore_share._bucket import TokenBucket
 from vanillashore_share._chooser import (
     HolderVm,
     Move,
@@ -33,7 +32,6 @@
     "RatedWorkspace",
     "ShareHolder",
     "ShareTiming",
-    "TokenBucket",
     "WorkspaceStatus",
     "apply_moves",
     "farewell",
