Order changes of role, model and version through the side process

Endpoints were never told what they are declared as. A side process now drains its endpoint and orders the change with the revision as fencing number, after it read in the store that the revision is still the newest. So a process that was paused does not put an endpoint back which ignores the number, and no order is given while the store cannot tell. Loading takes one of two turns at the weight store before the endpoint drains.

Seen failing: no drain, no check of the revision, no turns, drain before turn.

--- a/benches/_placement_fakes.py
+++ b/benches/_placement_fakes.py
@@ -2,6 +2,7 @@
 
 import heapq
 import itertools
+import math
 from collections import OrderedDict, deque
 from collections.abc import Callable
 
@@ -60,7 +61,7 @@
 
     def __init__(self, clock: Clock, name: str) -> None:
         self.name = name
-        self.alive = True
+        self.died_at = math.inf
         self.tokens = 0
         self.prefix_pieces = 0
         self.hit_pieces = 0
@@ -76,7 +77,7 @@
 
     def submit(self, job: Job) -> None:
         """Queue a prefill."""
-        if not self.alive:
+        if self.died_at <= self._clock.now:
             self._clock.after(0.001, lambda: job.on_failed(False))
             return
         self._queue.append(job)
@@ -84,7 +85,7 @@
 
     def die(self) -> None:
         """Fail all work, and all later work until `revive`."""
-        self.alive = False
+        self.died_at = self._clock.now
         lost = [*self._queue, *([self._running] if self._running else [])]
         self._queue.clear()
         self._running = None
@@ -135,7 +136,7 @@
 
     def __init__(self, clock: Clock, name: str, slots: int, step_s: float) -> None:
         self.name = name
-        self.alive = True
+        self.died_at = math.inf
         self.held: dict[Job, int] = {}
         self._clock = clock
         self._slots = slots
@@ -152,7 +153,7 @@
 
     def submit(self, job: Job) -> None:
         """Queue an import."""
-        if not self.alive:
+        if self.died_at <= self._clock.now:
             self._clock.after(0.001, lambda: job.on_failed(False))
             return
         self._imports.append(job)
@@ -168,7 +169,7 @@
 
     def die(self) -> None:
         """Fail all work, and all later work until revived."""
-        self.alive = False
+        self.died_at = self._clock.now
         lost = [*self.held, *self._imports]
         for job, started in self._running.items():
             job.req.emitted += int((self._clock.now - started) / self._step_s)
@@ -228,7 +229,7 @@
 
     def __init__(self, clock: Clock, name: str, slots: int) -> None:
         self.name = name
-        self.alive = True
+        self.died_at = math.inf
         self._clock = clock
         self._slots = slots
         self._queue: deque[Job] = deque()
--- a/benches/_placement_policies.py
+++ b/benches/_placement_policies.py
@@ -10,6 +10,7 @@
 
 MAX_ATTEMPTS = 3
 LOAD_LAG_S = 1.0
+VM_LIST_LAG_S = 2.0
 T = TypeVar("T", FakePrefill, FakeDecode, FakeService)
 
 
@@ -137,9 +138,12 @@
     def pick(self, req: Request) -> tuple[FakePrefill, FakeDecode]:
         """Return the next of each pool."""
         self._turn += 1
-        prefills, decodes = self.world.prefills, self.world.decodes
+        prefills, decodes = listed(self.world, self.world.prefills), self._decodes()
         return prefills[self._turn % len(prefills)], decodes[self._turn % len(decodes)]
 
+    def _decodes(self) -> list[FakeDecode]:
+        return listed(self.world, self.world.decodes)
+
     def pick_service(self, req: Request) -> FakeService:
         """Return the next service."""
         self._turn += 1
@@ -158,7 +162,8 @@
 
     def pick(self, req: Request) -> tuple[FakePrefill, FakeDecode]:
         """Return the least loaded of each pool."""
-        return self._least(self.world.prefills), self._least(self.world.decodes)
+        prefills, decodes = self.world.prefills, self.world.decodes
+        return self._least(listed(self.world, prefills)), self._least(listed(self.world, decodes))
 
     def pick_service(self, req: Request) -> FakeService:
         """Return the least loaded service."""
@@ -181,9 +186,15 @@
     def pick(self, req: Request) -> tuple[FakePrefill, FakeDecode]:
         """Return the next decode endpoint and the prefill endpoint it belongs to."""
         self._turn += 1
-        decode = self._turn % len(self.world.decodes)
-        prefills = self.world.prefills
-        return prefills[decode % len(prefills)], self.world.decodes[decode]
+        decodes = self._decodes()
+        decode = self._turn % len(decodes)
+        prefills = listed(self.world, self.world.prefills)
+        return prefills[decode % len(prefills)], decodes[decode]
+
+
+def listed(world: World, pool: list[T]) -> list[T]:
+    """Return the endpoints that the lagging list of VMs still has."""
+    return [e for e in pool if world.clock.now < e.died_at + VM_LIST_LAG_S]
 
 
 def held_on(world: World) -> dict[str, int]:
--- a/benches/_placement_reserved.py
+++ b/benches/_placement_reserved.py
@@ -1,11 +1,11 @@
 """The project's own placement in the bench: the real decision classes, driven by messages."""
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable
 
-from _placement_fakes import EXPORT_KEPT_S, FakeDecode, FakePrefill, FakeService, Job
+from _placement_fakes import EXPORT_KEPT_S, Job
 from _placement_load import Request
 from _placement_parts import MESSAGE_S, Entry, Place, Search, Side
-from _placement_policies import MAX_ATTEMPTS, World, held_on, note_first
+from _placement_policies import MAX_ATTEMPTS, T, World, held_on, listed, note_first
 from vanillashore_wire import (
     AskRef,
     HoldRenewal,
@@ -44,11 +44,11 @@
             req.refused = True
             return
         if req.is_call:
-            names = _untried(req, self.world.services)
+            names = _untried(self.world, req, self.world.services)
             asked = entry.chooser.candidates(names, self._clock.now)
             self._ask(req, ReservationKind.CALL, asked, lambda place: self._call(req, place))
             return
-        names = _untried(req, self.world.decodes)
+        names = _untried(self.world, req, self.world.decodes)
         asked = entry.chooser.candidates(names, self._clock.now)
         self._ask(req, ReservationKind.DECODE, asked, lambda place: self._prefill(req, place))
 
@@ -84,7 +84,7 @@
 
     def _prefill(self, req: Request, decode: Place) -> None:
         entry = self._entries[req.entry]
-        names = _untried(req, self.world.prefills)
+        names = _untried(self.world, req, self.world.prefills)
         shared = req.prefix or req.id
         prompt = (shared * (4_000 // len(shared) + 1))[:4_000]
         if req.prompt_tokens < 1_000:
@@ -194,8 +194,8 @@
         self._clock.after(RENEWAL_S, self._renew)
 
 
-def _untried(req: Request, pool: Sequence[FakePrefill | FakeDecode | FakeService]) -> list[str]:
-    names = [endpoint.name for endpoint in pool]
+def _untried(world: World, req: Request, pool: list[T]) -> list[str]:
+    names = [endpoint.name for endpoint in listed(world, pool)]
     return [name for name in names if name not in req.avoided] or names
 
 
--- a/benches/placement.py
+++ b/benches/placement.py
@@ -55,6 +55,7 @@
     prefix_hit_share: float
     held_after_gone: int
     unanswered: int
+    lost_after_failure: int
 
 
 class Run:
@@ -151,6 +152,7 @@
             sum(p.hit_pieces for p in prefills) / max(1, prefixes),
             self._held_after_gone,
             sum(r.done_at is None for r in counted),
+            sum(r.done_at is None and r.attempt > 1 for r in counted),
         )
 
 
--- a/packages/vanillashore-node/src/vanillashore_node/_engine.py
+++ b/packages/vanillashore-node/src/vanillashore_node/_engine.py
@@ -22,6 +22,7 @@
 )
 
 CONNECT_TIMEOUT_S = 2.0
+ORDER_TIMEOUT_S = 600.0
 PRIORITY_OF_CLASS = {RouteClass.INTERACTIVE: 0, RouteClass.BATCH: 10}
 _DATA_PREFIX = b"data: "
 _DONE = b"[DONE]"
@@ -36,6 +37,26 @@
     finish_reason: str = ""
 
 
+@attrs.frozen
+class EngineOrder:
+    """What an engine is to be; ``number`` is the configuration revision, as fencing number."""
+
+    number: int
+    role: str
+    model: str
+    version: str
+    adapters: tuple[str, ...] = ()
+
+    def same_as(self, other: "EngineOrder") -> bool:
+        """Whether both leave the engine the same."""
+        return self.role == other.role and self.loads_same_as(other)
+
+    def loads_same_as(self, other: "EngineOrder") -> bool:
+        """Whether both need the same weights."""
+        mine = (self.model, self.version, self.adapters)
+        return mine == (other.model, other.version, other.adapters)
+
+
 class Engine(Protocol):
     """What the system asks of a model engine; failures raise RefusalError."""
 
@@ -51,6 +72,9 @@
     async def holdings(self) -> dict[str, int]:
         """Return the pieces that each request holds."""
 
+    async def order(self, order: EngineOrder) -> None:
+        """Make the engine load and serve something; returns when it has."""
+
 
 def engine_request_id(request_id: str, attempt: int, phase: str) -> str:
     """Return the id under which the engine knows one phase of an attempt."""
@@ -132,6 +156,10 @@
         except _FAILURES as exc:
             raise _failed(f"holdings cannot be read: {exc!r}") from exc
 
+    async def order(self, order: EngineOrder) -> None:
+        """Make the engine load and serve something; returns when it has."""
+        await self._json("/v1/orders", attrs.asdict(order), ORDER_TIMEOUT_S)
+
     async def _json(self, path: str, body: dict[str, Any], timeout_s: float) -> dict[str, Any]:
         timeout = aiohttp.ClientTimeout(total=timeout_s, sock_connect=CONNECT_TIMEOUT_S)
         try:
--- a/packages/vanillashore-node/src/vanillashore_node/_side.py
+++ b/packages/vanillashore-node/src/vanillashore_node/_side.py
@@ -1,5 +1,6 @@
 """The side process: the only process that talks to its endpoint."""
 
+import random
 import secrets
 from typing import Any
 
@@ -10,11 +11,13 @@
 from vanillashore_node._engine import HttpEngine
 from vanillashore_node._faces import json_response, refusal_response, require_fleet_secret
 from vanillashore_node._lifecycle import LifecycleEvent
+from vanillashore_node._orders import Orders
 from vanillashore_node._reconciliation import Reconciliation
 from vanillashore_node._reservations import Reservations
 from vanillashore_node._side_calls import CallPlaces
 from vanillashore_node._side_engine import EngineWork
 from vanillashore_node._side_service import ServiceWork
+from vanillashore_node._weight_turns import WeightTurns
 from vanillashore_placement import Keeper, KeeperSettings
 from vanillashore_schema import BackEndKind, EndpointSettings, NodeSettings
 from vanillashore_wire import (
@@ -29,6 +32,7 @@
 )
 
 INCARNATION_BYTES = 3
+WEIGHT_TURNS = 2
 ORDER_BODY_BYTES = 16_777_216
 WORK_PATHS = frozenset({"/internal/prefill", "/internal/decode", "/internal/call"})
 
@@ -64,6 +68,9 @@
             work = EngineWork(self.core, engine, self.reservations)
             reconciliation = Reconciliation(engine, work.known_ids)
             self.core.tasks.start(reconciliation.run(), "reconciliation")
+            turns = WeightTurns(self.core.store, WEIGHT_TURNS, random.Random())
+            self.orders = Orders(self.core, engine, self.reservations, turns)
+            self.core.tasks.start(self.orders.run(), "orders")
             app.router.add_post("/internal/prefill", work.prefill)
             app.router.add_post("/internal/decode", work.decode)
         else:
