--- a/packages/vanillashore-node/src/vanillashore_node/_config_revision.py
+++ b/packages/vanillashore-node/src/vanillashore_node/_config_revision.py
@@ -9,7 +9,15 @@
 
 from vanillashore_node._back_ends import REVISION_HEADER, BackEnds
 from vanillashore_node._core import NodeCore
-from vanillashore_wire import DecodeOrder, ErrorCode, Frame, RefusalError, Refused
+from vanillashore_wire import (
+    CallOrder,
+    DecodeOrder,
+    ErrorCode,
+    Frame,
+    PrefillOrder,
+    RefusalError,
+    Refused,
+)
 
 T = TypeVar("T")
 
@@ -28,10 +36,11 @@
 
 
 class CurrentBackEnds(BackEnds):
-    """Back ends whose orders are sent again, once, after the entry was behind and caught up.
+    """Back ends whose orders are of a revision that the endpoint accepts, for a key that is valid.
 
-    The caller's key is checked against the newer configuration before a first attempt goes out
-    again; an answer that was already begun is finished.
+    An order that an endpoint refuses as stale is sent again, once, after the entry has caught up.
+    The caller's key is checked each time before a call or the first prefill of an answer goes out,
+    so what waited while its key was withdrawn is refused, and what was begun is finished.
     """
 
     def __init__(self, core: NodeCore) -> None:
@@ -51,6 +60,7 @@
             yield frames
 
     async def _ask(self, url: str, order: Any, deadline_s: float, cls: type[T]) -> T:
+        self._check_key(order)
         try:
             return await super()._ask(url, order, deadline_s, cls)
         except RefusalError as exc:
@@ -62,15 +72,20 @@
     async def _renewed(self, address: str, order: Any) -> Any:
         await self._core.following.catch_up(address)
         self._core.decisions.note(order.request_id, "configuration", "caught up with an endpoint")
-        if order.attempt == 1:
-            self._check_key(order.workspace)
+        self._check_key(order)
         return attrs.evolve(order, revision=self._core.directory.revision)
 
-    def _check_key(self, workspace: str) -> None:
+    def _check_key(self, order: Any) -> None:
         """Raise RefusalError if the key that the request came with was withdrawn."""
-        key_hash = REQUEST_KEY_HASH.get()
-        if not key_hash:
+        if not order.workspace or not _is_first(order):
             return
-        found = self._core.directory.workspace_of_key(key_hash)
-        if found is None or found.name != workspace:
+        found = self._core.directory.workspace_of_key(REQUEST_KEY_HASH.get())
+        if found is None or found.name != order.workspace:
             raise RefusalError(Refused(ErrorCode.KEY_INVALID, "the key was withdrawn"))
+
+
+def _is_first(order: Any) -> bool:
+    """Whether nothing was run yet for the request of an order."""
+    if isinstance(order, PrefillOrder):
+        return order.attempt == 1
+    return isinstance(order, CallOrder)
--- a/packages/vanillashore-node/src/vanillashore_node/_directory.py
+++ b/packages/vanillashore-node/src/vanillashore_node/_directory.py
@@ -31,6 +31,7 @@
 
     def __init__(self) -> None:
         self._snapshot = ConfigSnapshot(0, Configuration())
+        self._vm_list: tuple[VmEntry, ...] = ()
         self._vms: dict[str, VmEntry] = {}
         self._last_addresses: dict[str, str] = {}
         self._workspaces: dict[str, WorkspaceConfig] = {}
@@ -71,8 +72,10 @@
 
     def take_vms(self, vms: tuple[VmEntry, ...]) -> None:
         """Replace the VM list."""
-        self._vms = {vm.name: vm for vm in vms}
-        self._last_addresses |= {vm.name: vm.address for vm in vms}
+        if vms is not self._vm_list:
+            self._vm_list = vms
+            self._vms = {vm.name: vm for vm in vms}
+            self._last_addresses |= {vm.name: vm.address for vm in vms}
 
     def last_address_of(self, vm: str) -> str | None:
         """Return the address that a VM was last listed with, also after it left the list."""
--- a/packages/vanillashore-node/src/vanillashore_node/_entry.py
+++ b/packages/vanillashore-node/src/vanillashore_node/_entry.py
@@ -11,7 +11,7 @@
 from vanillashore_node._completions import Completions
 from vanillashore_node._config_revision import CurrentBackEnds
 from vanillashore_node._core import NodeCore
-from vanillashore_node._faces import json_response, require_fleet_secret
+from vanillashore_node._faces import json_response, message_response, require_fleet_secret
 from vanillashore_node._generation import Generation
 from vanillashore_node._generation_request import GenerationRequest
 from vanillashore_node._holds import HoldBook
@@ -65,11 +65,16 @@
         for path in ("/v1/completions", "/v1/chat/completions", "/v1/models"):
             app.router.add_route("*", path, completions.not_allowed)
         app.router.add_get("/internal/status", self._status)
+        app.router.add_get("/internal/burn", self._burn)
         await core.start(app, calls.call)
 
     def _new_generation(self, req: GenerationRequest) -> Generation:
         return Generation(self.core, self._placer, self._back_ends, self._budget, req)
 
+    async def _burn(self, request: web.Request) -> web.Response:
+        require_fleet_secret(request, self._cfg.node.fleet_secret)
+        return message_response(self.core.burn.page())
+
     async def _status(self, request: web.Request) -> web.Response:
         require_fleet_secret(request, self._cfg.node.fleet_secret)
         return json_response(
@@ -78,6 +83,7 @@
                 "role": self._cfg.node.role.value,
                 "data_centre": self._cfg.node.data_centre,
                 "revision": self.core.directory.revision,
+                "relay": self.core.following.is_relay,
                 "active": self.core.state.active,
                 "links": unstructure(self.core.hub.stats),
                 "shares": unstructure(self.shares.status()),
--- a/packages/vanillashore-standins/src/vanillashore_standins/_kv_state.py
+++ b/packages/vanillashore-standins/src/vanillashore_standins/_kv_state.py
@@ -41,6 +41,7 @@
         self.revision = 0
         self.calls: Counter[str] = Counter()
         self.writes_asked: Counter[str] = Counter()
+        self.traffic_bytes = 0
 
     def advance(self, seconds: float) -> None:
         """Let time pass for leases without waiting."""
