--- a/benches/placement.py
+++ b/benches/placement.py
@@ -28,7 +28,7 @@
 from vanillashore_wire import Load, RouteClass
 
 SECONDS = 60.0
-QUICK_SECONDS = 12.0
+QUICK_SECONDS = 20.0
 WARM_S = 5.0
 DRAIN_S = 60.0
 GONE_CHECK_S = 5.0
