Take work again as soon as an order is done

The endpoint refused for up to one more poll after its order. Under load test_a_new_version_is_loaded_everywhere failed once in a full run: with all three engines just loaded, no one took the request.

--- a/packages/vanillashore-node/src/vanillashore_node/_orders.py
+++ b/packages/vanillashore-node/src/vanillashore_node/_orders.py
@@ -67,6 +67,7 @@
                 if not self._still_wants(wanted):
                     return
         await self.give(wanted)
+        self._reservations.set_changing(False)
 
     async def give(self, order: EngineOrder) -> None:
         """Send an order; raise VanillashoreError if it is stale, or that cannot be known."""
