--- a/packages/vanillashore-node/src/vanillashore_node/_callers.py
+++ b/packages/vanillashore-node/src/vanillashore_node/_callers.py
@@ -16,6 +16,7 @@
 from vanillashore_node._config_revision import REQUEST_KEY_HASH
 from vanillashore_node._core import NodeCore
 from vanillashore_node._faces import json_response, refusal_response
+from vanillashore_node._metrics import METRICS_PATH, OTHER_ROUTE
 from vanillashore_node._openai import error_body
 from vanillashore_schema import WorkspaceConfig, hash_key
 from vanillashore_wire import ErrorCode, Ran, RefusalError, Refused
@@ -24,9 +25,10 @@
 ECHOED_ID = web.RequestKey("echoed_id", str)
 REQUEST_ID_HEADER = "X-Request-Id"
 IDEMPOTENCY_HEADER = "Idempotency-Key"
+API_PATHS = ("/v1/completions", "/v1/chat/completions", "/v1/models")
 SHED_RETRY_S = 1.0
 _REQUEST_ID_SHAPE = re.compile(r"[A-Za-z0-9._:-]{1,64}")
-_INTERNAL_PATHS = ("/internal/", "/healthz", "/readyz")
+_INTERNAL_PATHS = ("/internal/", "/healthz", "/readyz", METRICS_PATH)
 
 
 class CallerGuard:
@@ -43,15 +45,19 @@
             return await _answer_peer(request, handler)
         self._name(request)
         started = time.monotonic()
-        self._core.state.active += 1
+        self._count(1)
         try:
             response = await self._answer(request, handler)
             await self._send(request, response)
         finally:
-            self._core.state.active -= 1
+            self._count(-1)
         self._log(request, response.status, started)
         return response
 
+    def _count(self, change: int) -> None:
+        self._core.state.active += change
+        self._core.metrics.note_active(change)
+
     async def _answer(self, request: web.Request, handler: Any) -> web.StreamResponse:
         try:
             self._check(request)
@@ -129,12 +135,18 @@
         log.bind(request_id=request[REQUEST_ID], code=refused.code.value).info("request refused")
         return response
 
+    def _is_known(self, path: str) -> bool:
+        return path in API_PATHS or self._core.directory.has_route(path)
+
     def _log(self, request: web.Request, status: int, started: float) -> None:
+        duration_s = time.monotonic() - started
+        route = request.path if self._is_known(request.path) else OTHER_ROUTE
+        self._core.metrics.note_request(request.method, route, status, duration_s)
         log.bind(
             request_id=request[REQUEST_ID],
             path=request.path,
             status=status,
-            duration_ms=round((time.monotonic() - started) * 1_000, 1),
+            duration_ms=round(duration_s * 1_000, 1),
             revision=self._core.directory.revision,
         ).info("request ended")
 
--- a/packages/vanillashore-node/src/vanillashore_node/_completions.py
+++ b/packages/vanillashore-node/src/vanillashore_node/_completions.py
@@ -4,7 +4,7 @@
 import socket
 import time
 from collections.abc import AsyncIterator, Callable
-from contextlib import asynccontextmanager
+from contextlib import aclosing, asynccontextmanager
 
 from aiohttp import web
 
@@ -20,6 +20,7 @@
 from vanillashore_node._faces import json_response
 from vanillashore_node._generation import Generation
 from vanillashore_node._generation_request import GenerationRequest
+from vanillashore_node._metrics import AnswerTimes
 from vanillashore_node._openai import (
     AnswerShape,
     CompletionBody,
@@ -30,6 +31,7 @@
 from vanillashore_schema import LimitSettings, ModelConfig, WorkspaceConfig
 from vanillashore_wire import ErrorCode, Ran, RefusalError, Refused
 
+Runs = AsyncIterator[list[str]]
 GenerationFactory = Callable[[GenerationRequest], Generation]
 
 
@@ -77,18 +79,27 @@
         )
         shape = AnswerShape(req.request_id, model.name, is_chat)
         generation = self._new_generation(req)
+        timed = _Timed(generation.run())
         try:
-            if body.stream:
-                return await self._stream(request, generation, shape, req, body.include_usage)
-            return await self._whole(generation, shape, req)
+            async with aclosing(timed.runs()) as runs:
+                if body.stream:
+                    return await self._stream(request, runs, generation, shape, req, body)
+                return await self._whole(runs, generation, shape, req)
         finally:
+            self._note_times(timed, req, generation)
             self._refund(admitted, req, generation)
 
+    def _note_times(self, timed: "_Timed", req: GenerationRequest, generation: Generation) -> None:
+        count = generation.assembly.next_sequence
+        if count and generation.assembly.is_complete:
+            times = AnswerTimes(req.model.name, timed.first_s, timed.rest_s, count - 1)
+            self._core.metrics.note_answer(times)
+
     async def _whole(
-        self, generation: Generation, shape: AnswerShape, req: GenerationRequest
+        self, runs: Runs, generation: Generation, shape: AnswerShape, req: GenerationRequest
     ) -> web.Response:
         async with _deadline(req):
-            async for _ in generation.run():
+            async for _ in runs:
                 pass
         answer = generation.assembly
         usage = Usage(req.prompt_tokens, answer.next_sequence)
@@ -97,12 +108,12 @@
     async def _stream(
         self,
         request: web.Request,
+        runs: Runs,
         generation: Generation,
         shape: AnswerShape,
         req: GenerationRequest,
-        include_usage: bool,
+        body: CompletionBody,
     ) -> web.StreamResponse:
-        runs = generation.run()
         async with _deadline(req):
             first = await anext(runs, [])
         response = _event_stream(request)
@@ -117,7 +128,7 @@
             await _break_off(request, response, shape.error(exc.refused))
             return response
         answer = generation.assembly
-        usage = Usage(req.prompt_tokens, answer.next_sequence) if include_usage else None
+        usage = Usage(req.prompt_tokens, answer.next_sequence) if body.include_usage else None
         await response.write(shape.closing(answer.finish_reason, usage))
         await response.write_eof()
         return response
@@ -127,6 +138,35 @@
         self._admission.refund(admitted, unused)
 
 
+class _Timed:
+    """Passes on runs of tokens and keeps when the first and the last came."""
+
+    def __init__(self, runs: Runs) -> None:
+        self._runs = runs
+        self._started = time.monotonic()
+        self._first_at = self._started
+        self._last_at = self._started
+
+    @property
+    def first_s(self) -> float:
+        """Seconds to the first token."""
+        return self._first_at - self._started
+
+    @property
+    def rest_s(self) -> float:
+        """Seconds from the first token to the last."""
+        return self._last_at - self._first_at
+
+    async def runs(self) -> Runs:
+        """Yield the runs."""
+        async with aclosing(self._runs):
+            async for texts in self._runs:
+                self._last_at = time.monotonic()
+                if self._first_at == self._started:
+                    self._first_at = self._last_at
+                yield texts
+
+
 @asynccontextmanager
 async def _deadline(req: GenerationRequest) -> AsyncIterator[None]:
     """Raise RefusalError as soon as the request's time is over."""
--- a/packages/vanillashore-node/src/vanillashore_node/_directory.py
+++ b/packages/vanillashore-node/src/vanillashore_node/_directory.py
@@ -102,6 +102,10 @@
             raise RefusalError(Refused(ErrorCode.MODEL_UNKNOWN, f"no model {name!r} here"))
         return model
 
+    def has_route(self, path: str) -> bool:
+        """Tell whether a route is declared for a path."""
+        return path in self._routes
+
     def route(self, method: str, path: str) -> RouteConfig:
         """Return the route of a call; raise RefusalError if there is none."""
         routes = self._routes.get(path)
--- a/packages/vanillashore-schema/src/vanillashore_schema/_settings.py
+++ b/packages/vanillashore-schema/src/vanillashore_schema/_settings.py
@@ -54,6 +54,7 @@
     port: int = option(_port)
     fleet_secret: str = option(_long_enough, secret=True)
     region: str = option(default="")
+    metrics_token: str = option(default="", secret=True)
 
 
 @attrs.frozen
@@ -204,10 +205,10 @@
         reader.report("limits.default_max_tokens", "must not be above limits.max_tokens")
     if settings.timing.hold_renewal_s >= settings.timing.hold_valid_s:
         reader.report("timing.hold_renewal_s", "must be below timing.hold_valid_s")
-    if settings.timing.shutdown_wait_s < settings.limits.request_timeout_s:
-        text = "is below limits.request_timeout_s; a shutdown may cut requests"
-        reader.report("timing.shutdown_wait_s", text, Severity.WARNING)
     if settings.share.renewal_s >= settings.share.loan_s:
         reader.report("share.renewal_s", "must be below share.loan_s")
     if settings.share.grace_s <= 2 * settings.share.loan_s:
         reader.report("share.grace_s", "must be above twice share.loan_s")
+    if settings.timing.shutdown_wait_s < settings.limits.request_timeout_s:
+        text = "is below limits.request_timeout_s; a shutdown may cut requests"
+        reader.report("timing.shutdown_wait_s", text, Severity.WARNING)
