--- a/packages/vanillashore-node/src/vanillashore_node/_core.py
+++ b/packages/vanillashore-node/src/vanillashore_node/_core.py
@@ -26,6 +26,7 @@
 from vanillashore_wire import unstructure
 
 DRAIN_POLL_S = 0.05
+LISTEN_BACKLOG = 1_024
 PARSED_HEADERS = 4  # Times the limit that is still read, so that its refusal has a code.
 WebHandler = Callable[[web.Request], Awaitable[web.StreamResponse]]
 
@@ -86,7 +87,8 @@
             max_line_size=PARSED_HEADERS * self.cfg.limits.header_bytes,
         )
         await self._runner.setup()
-        await web.TCPSite(self._runner, self.cfg.node.host, self.cfg.node.port).start()
+        host, port = self.cfg.node.host, self.cfg.node.port
+        await web.TCPSite(self._runner, host, port, backlog=LISTEN_BACKLOG).start()
         self.tasks.start(self.following.run(), "configuration following")
         platform = self.cfg.platform
         vm_list = HttpVmList(self.session, platform.vm_list_address, platform.store_timeout_s)
