--- a/packages/vanillashore-node/src/vanillashore_node/_completions.py
+++ b/packages/vanillashore-node/src/vanillashore_node/_completions.py
@@ -79,7 +79,7 @@
         )
         shape = AnswerShape(req.request_id, model.name, is_chat)
         generation = self._new_generation(req)
-        timed = _Timed(generation.run())
+        timed = _Timed(self._watched(generation, req))
         try:
             async with aclosing(timed.runs()) as runs:
                 if body.stream:
@@ -133,6 +133,9 @@
         await response.write_eof()
         return response
 
+    def _watched(self, generation: Generation, req: GenerationRequest) -> AsyncIterator[list[str]]:
+        return self._core.burn.watch_answer(req.model, req.workspace, generation.run())
+
     def _refund(self, admitted: Admitted, req: GenerationRequest, generation: Generation) -> None:
         unused = req.max_tokens - generation.assembly.next_sequence
         self._admission.refund(admitted, unused)
--- a/packages/vanillashore-node/src/vanillashore_node/_core.py
+++ b/packages/vanillashore-node/src/vanillashore_node/_core.py
@@ -8,6 +8,7 @@
 import attrs
 from aiohttp import web
 
+from vanillashore_node._burn import BurnBook
 from vanillashore_node._config_following import ConfigFollowing
 from vanillashore_node._decisions import DecisionLog
 from vanillashore_node._directory import Directory
@@ -51,7 +52,9 @@
         self.lifecycle = Lifecycle()
         self.directory = Directory()
         self.tasks = TaskGroup()
+        self.readiness: list[Callable[[], bool]] = []
         self.decisions = DecisionLog(cfg.node.name)
+        self.burn = BurnBook(cfg.node.name)
         self.session: aiohttp.ClientSession
         self.store: KeyValueStore
         self.hub: LinkHub
@@ -103,6 +106,13 @@
         host, port = self._runner.addresses[0][:2]
         return f"http://{host}:{port}"
 
+    @property
+    def is_ready(self) -> bool:
+        """Whether the balancer may send requests here."""
+        has_parts = all(check() for check in self.readiness)
+        is_informed = self.directory.revision > 0 and bool(self.directory.vms)
+        return self.state.ready and is_informed and has_parts
+
     @property
     def is_closed(self) -> bool:
         """Whether the process has stopped."""
@@ -145,7 +155,7 @@
         return json_response({"status": "ok"})
 
     async def _readyz(self, request: web.Request) -> web.Response:
-        ready = self.state.ready and self.directory.revision > 0
+        ready = self.is_ready
         return json_response({"ready": ready}, 200 if ready else 503)
 
     async def _link(self, request: web.Request) -> web.StreamResponse:
--- a/packages/vanillashore-node/src/vanillashore_node/_side.py
+++ b/packages/vanillashore-node/src/vanillashore_node/_side.py
@@ -87,7 +87,7 @@
 
     def _weight_of(self, workspace: str) -> float:
         declared = self.core.directory.workspace(workspace)
-        return declared.weight if declared is not None else 1.0
+        return declared.weight * declared.rate_tokens_per_s if declared is not None else 1.0
 
     @web.middleware
     async def _guard(self, request: web.Request, handler: Any) -> web.StreamResponse:
@@ -120,6 +120,7 @@
                 "role": self._cfg.node.role.value,
                 "data_centre": self._cfg.node.data_centre,
                 "revision": self.core.directory.revision,
+                "relay": self.core.following.is_relay,
                 "active": self.core.state.active,
                 "load": unstructure(self.reservations.load),
                 "links": unstructure(self.core.hub.stats),
--- a/packages/vanillashore-standins/src/vanillashore_standins/_scenario_steps.py
+++ b/packages/vanillashore-standins/src/vanillashore_standins/_scenario_steps.py
@@ -7,6 +7,7 @@
 import attrs
 import orjson
 
+from vanillashore_standins._config_steps import Configure, ExpectInForce
 from vanillashore_standins._fleet_base import KEY, MODEL, FleetBase
 from vanillashore_standins._language import generate
 from vanillashore_standins._process_fleet import NodeProcess, ProcessFleet
@@ -284,6 +285,8 @@
     "expect_runs": ExpectRuns,
     "expect_nothing_held": ExpectNothingHeld,
     "expect_decoding": ExpectDecoding,
+    "configure": Configure,
+    "expect_in_force": ExpectInForce,
 }
 
 
