--- a/packages/vanillashore-node/src/vanillashore_node/_core.py
+++ b/packages/vanillashore-node/src/vanillashore_node/_core.py
@@ -15,6 +15,7 @@
 from vanillashore_node._faces import json_response, require_fleet_secret
 from vanillashore_node._lifecycle import Lifecycle, LifecycleEvent
 from vanillashore_node._link import LINK_PATH, LinkHub
+from vanillashore_node._metrics import METRICS_PATH, NodeMetrics
 from vanillashore_node._tasks import TaskGroup
 from vanillashore_platform import (
     EtcdStore,
@@ -26,6 +27,7 @@
 from vanillashore_wire import unstructure
 
 DRAIN_POLL_S = 0.05
+LISTEN_BACKLOG = 1_024
 PARSED_HEADERS = 4  # Times the limit that is still read, so that its refusal has a code.
 WebHandler = Callable[[web.Request], Awaitable[web.StreamResponse]]
 
@@ -56,6 +58,7 @@
         self.session: aiohttp.ClientSession
         self.store: KeyValueStore
         self.hub: LinkHub
+        self.metrics: NodeMetrics
         self.following: ConfigFollowing
         self._runner: web.AppRunner
 
@@ -66,12 +69,14 @@
         platform = self.cfg.platform
         self.store = EtcdStore(self.session, platform.store_address, platform.store_timeout_s)
         self.hub = LinkHub(self.session, self.cfg, lambda: self.directory.revision)
+        self.metrics = NodeMetrics(self.cfg, self.hub.stats)
         self.following = ConfigFollowing(self.cfg, self.store, self.hub, self.directory, self.tasks)
 
     async def start(self, app: web.Application, fallback: WebHandler | None = None) -> None:
         """Listen and follow the platform; ``fallback`` serves every path that ``app`` lacks."""
         app.router.add_get("/healthz", self._healthz)
         app.router.add_get("/readyz", self._readyz)
+        app.router.add_get(METRICS_PATH, self.metrics.handle)
         app.router.add_get(LINK_PATH, self._link)
         app.router.add_get("/internal/explain/{request_id}", self._explain)
         if fallback is not None:
@@ -85,7 +90,8 @@
             max_line_size=PARSED_HEADERS * self.cfg.limits.header_bytes,
         )
         await self._runner.setup()
-        await web.TCPSite(self._runner, self.cfg.node.host, self.cfg.node.port).start()
+        host, port = self.cfg.node.host, self.cfg.node.port
+        await web.TCPSite(self._runner, host, port, backlog=LISTEN_BACKLOG).start()
         self.tasks.start(self.following.run(), "configuration following")
         platform = self.cfg.platform
         vm_list = HttpVmList(self.session, platform.vm_list_address, platform.store_timeout_s)
@@ -135,6 +141,7 @@
         await self.hub.close()
         await self._runner.cleanup()
         await self.session.close()
+        self.metrics.close()
 
     async def _wait(self, seconds: float, is_over: Callable[[], bool]) -> None:
         signals = self.state.stop_signals
--- a/packages/vanillashore-node/src/vanillashore_node/_entry.py
+++ b/packages/vanillashore-node/src/vanillashore_node/_entry.py
@@ -5,7 +5,7 @@
 from aiohttp import web
 
 from vanillashore_node._call_dispatch import CallDispatch
-from vanillashore_node._callers import CallerGuard
+from vanillashore_node._callers import API_PATHS, CallerGuard
 from vanillashore_node._calls import Calls
 from vanillashore_node._claim_desk import ClaimDesk
 from vanillashore_node._completions import Completions
@@ -62,7 +62,7 @@
         app.router.add_post("/v1/completions", completions.completions)
         app.router.add_post("/v1/chat/completions", completions.chat_completions)
         app.router.add_get("/v1/models", completions.models)
-        for path in ("/v1/completions", "/v1/chat/completions", "/v1/models"):
+        for path in API_PATHS:
             app.router.add_route("*", path, completions.not_allowed)
         app.router.add_get("/internal/status", self._status)
         app.router.add_get("/internal/burn", self._burn)
--- a/packages/vanillashore-schema/src/vanillashore_schema/_settings.py
+++ b/packages/vanillashore-schema/src/vanillashore_schema/_settings.py
@@ -54,6 +54,7 @@
     port: int = option(_port)
     fleet_secret: str = option(_long_enough, secret=True)
     region: str = option(default="")
+    metrics_token: str = option(default="", secret=True)
 
 
 @attrs.frozen
