--- a/packages/vanillashore-cli/src/vanillashore_cli/_watching.py
+++ b/packages/vanillashore-cli/src/vanillashore_cli/_watching.py
@@ -1,11 +1,15 @@
 """Commands that ask the fleet what it knows: status and explain."""
 
+import re
 from collections import Counter
 from pathlib import Path
+from typing import Any
 
 from vanillashore_cli._fleet import Fleet, NodeAnswer
 from vanillashore_cli._report import Report
 
+_RUNS_AS = re.compile(r"runs as (?P<id>\S+)")
+
 
 async def status(settings: Path) -> Report:
     """Show each process of the fleet in a line, and how far the revisions are spread."""
@@ -25,10 +29,12 @@
     """Show the decisions that a request met on all processes, in the order of their time."""
     async with Fleet.open(settings) as fleet:
         answers = await fleet.ask_all(f"/internal/explain/{request}")
-    decisions = [d for answer in answers if answer.body for d in answer.body["decisions"]]
+        for own_id in _own_ids(_decisions(answers)):
+            answers += await fleet.ask_all(f"/internal/explain/{own_id}")
+    decisions = _decisions(answers)
     decisions.sort(key=lambda decision: decision["at"])
     lines = [f"{d['at']:.3f} {d['node']}: {d['step']}: {d['text']}" for d in decisions]
-    silent = [a.vm.name for a in answers if a.body is None]
+    silent = sorted({a.vm.name for a in answers if a.body is None})
     if silent:
         lines.append(f"no answer from {', '.join(silent)}")
     if not decisions:
@@ -36,6 +42,16 @@
     return Report(lines, {"request": request, "decisions": decisions, "silent": silent})
 
 
+def _decisions(answers: list[NodeAnswer]) -> list[dict[str, Any]]:
+    return [d for answer in answers if answer.body for d in answer.body["decisions"]]
+
+
+def _own_ids(decisions: list[dict[str, Any]]) -> set[str]:
+    """Return the ids that the system gave to requests whose callers named them."""
+    found = (_RUNS_AS.fullmatch(decision["text"]) for decision in decisions)
+    return {match["id"] for match in found if match}
+
+
 def _status_data(answer: NodeAnswer) -> dict[str, object]:
     vm = answer.vm
     return {
--- a/packages/vanillashore-node/src/vanillashore_node/_burn.py
+++ b/packages/vanillashore-node/src/vanillashore_node/_burn.py
@@ -72,6 +72,7 @@
         started = last = time.monotonic()
         first: float | None = None
         tokens = 0
+        has_failed = False
         try:
             async with aclosing(runs):
                 async for texts in runs:
@@ -80,14 +81,15 @@
                     tokens += len(texts)
                     yield texts
         except RefusalError as exc:
-            if first is None and exc.code.status >= SERVER_ERROR_STATUS:
-                key = SeriesKey(route, workspace, BurnMeasure.FIRST_TOKEN)
-                self.record(key, None, model.first_token_target_ms)
+            has_failed = exc.code.status >= SERVER_ERROR_STATUS
             raise
         finally:
+            waited_ms = ((first or time.monotonic()) - started) * 1_000
+            key = SeriesKey(route, workspace, BurnMeasure.FIRST_TOKEN)
             if first is not None:
-                key = SeriesKey(route, workspace, BurnMeasure.FIRST_TOKEN)
-                self.record(key, (first - started) * 1_000, model.first_token_target_ms)
+                self.record(key, waited_ms, model.first_token_target_ms)
+            elif has_failed or waited_ms > model.first_token_target_ms:
+                self.record(key, None, model.first_token_target_ms)
             if first is not None and tokens > 1:
                 gap_ms = (last - first) * 1_000 / (tokens - 1)
                 key = SeriesKey(route, workspace, BurnMeasure.TOKEN_GAP)
--- a/packages/vanillashore-node/src/vanillashore_node/_directory.py
+++ b/packages/vanillashore-node/src/vanillashore_node/_directory.py
@@ -33,6 +33,7 @@
         self._snapshot = ConfigSnapshot(0, Configuration())
         self._vm_list: tuple[VmEntry, ...] = ()
         self._vms: dict[str, VmEntry] = {}
+        self._last_addresses: dict[str, str] = {}
         self._workspaces: dict[str, WorkspaceConfig] = {}
         self._workspace_of_key: dict[str, str] = {}
         self._models: dict[str, ModelConfig] = {}
@@ -74,6 +75,11 @@
         if vms is not self._vm_list:
             self._vm_list = vms
             self._vms = {vm.name: vm for vm in vms}
+            self._last_addresses |= {vm.name: vm.address for vm in vms}
+
+    def last_address_of(self, vm: str) -> str | None:
+        """Return the address that a VM was last listed with, also after it left the list."""
+        return self._last_addresses.get(vm)
 
     def vm(self, name: str) -> VmEntry | None:
         """Return a VM as it was last listed."""
--- a/packages/vanillashore-node/src/vanillashore_node/_entry.py
+++ b/packages/vanillashore-node/src/vanillashore_node/_entry.py
@@ -4,7 +4,6 @@
 
 from aiohttp import web
 
-from vanillashore_node._admission import LocalAdmission
 from vanillashore_node._call_dispatch import CallDispatch
 from vanillashore_node._callers import CallerGuard
 from vanillashore_node._calls import Calls
@@ -17,6 +16,7 @@
 from vanillashore_node._generation_request import GenerationRequest
 from vanillashore_node._holds import HoldBook
 from vanillashore_node._placer import Placer
+from vanillashore_node._shares import Shares
 from vanillashore_outcome import RetryBudget
 from vanillashore_placement import Breaker, Chooser, SeenLoads
 from vanillashore_platform import ClaimStore
@@ -50,7 +50,8 @@
         self._budget = RetryBudget()
         self._back_ends = CurrentBackEnds(core)
         self._placer = Placer(core, Chooser(loads, rng, breaker), breaker, loads, book)
-        admission = LocalAdmission()
+        self.shares = Shares(core, rng)
+        admission = self.shares.admission
         completions = Completions(core, admission, self._new_generation)
         desk = ClaimDesk(ClaimStore(core.store))
         dispatch = CallDispatch(core, self._back_ends, desk, self._budget, self._placer)
@@ -61,6 +62,8 @@
         app.router.add_post("/v1/completions", completions.completions)
         app.router.add_post("/v1/chat/completions", completions.chat_completions)
         app.router.add_get("/v1/models", completions.models)
+        for path in ("/v1/completions", "/v1/chat/completions", "/v1/models"):
+            app.router.add_route("*", path, completions.not_allowed)
         app.router.add_get("/internal/status", self._status)
         app.router.add_get("/internal/burn", self._burn)
         await core.start(app, calls.call)
@@ -83,5 +86,6 @@
                 "relay": self.core.following.is_relay,
                 "active": self.core.state.active,
                 "links": unstructure(self.core.hub.stats),
+                "shares": unstructure(self.shares.status()),
             }
         )
--- a/packages/vanillashore-node/src/vanillashore_node/_link.py
+++ b/packages/vanillashore-node/src/vanillashore_node/_link.py
@@ -27,6 +27,7 @@
 LINK_PATH = "/internal/link"
 FLEET_HEADER = "X-Fleet-Secret"
 MAX_FRAME_BYTES = 4_194_304
+CLOSE_TIMEOUT_S = 0.5
 
 Handler = Callable[[Any, str], Awaitable[Any]]
 
@@ -175,7 +176,7 @@
         self._session = session
         self._secret = cfg.node.fleet_secret
         self._links: dict[str, _Dialled] = {}
-        self._serving: set[asyncio.Task[Any]] = set()
+        self._accepted: set[web.WebSocketResponse] = set()
         self._handlers: dict[type, Handler] = {}
         self._revision_listeners: list[Callable[[int, str], None]] = []
 
@@ -204,12 +205,11 @@
 
     async def accept(self, request: web.Request) -> web.WebSocketResponse:
         """Serve a link that a peer opened."""
-        socket = web.WebSocketResponse(max_msg_size=MAX_FRAME_BYTES)
+        socket = web.WebSocketResponse(max_msg_size=MAX_FRAME_BYTES, timeout=CLOSE_TIMEOUT_S)
         await socket.prepare(request)
+        self._accepted.add(socket)
         outbox = _Outbox(self, socket)
         sender = self.tasks.start(outbox.run(), "link sender")
-        server = asyncio.current_task()
-        self._serving.add(server)
         try:
             async for incoming in socket:
                 if incoming.type is not aiohttp.WSMsgType.BINARY:
@@ -218,8 +218,8 @@
         except ValueError as exc:
             log.bind(error=str(exc)).warning("a peer sent a damaged frame")
         finally:
-            self._serving.discard(server)
             sender.cancel()
+            self._accepted.discard(socket)
         return socket
 
     def connect(self, address: str) -> Any:
@@ -244,9 +244,8 @@
 
     async def close(self) -> None:
         """Close every link, those that peers opened too."""
-        for server in list(self._serving):
-            server.cancel()
         await self.tasks.close()
+        await asyncio.gather(*(socket.close() for socket in self._accepted))
 
     def _link(self, address: str) -> _Dialled:
         link = self._links.get(address)
--- a/packages/vanillashore-platform/src/vanillashore_platform/__init__.py
+++ b/packages/vanillashore-platform/src/vanillashore_platform/__init__.py
@@ -11,6 +11,7 @@
 )
 from vanillashore_platform._etcd import EtcdStore
 from vanillashore_platform._follower import VmListFollower
+from vanillashore_platform._share_table import SHARE_TABLE_KEY, ShareTableStore
 from vanillashore_platform._store import (
     CasResult,
     KeyValueStore,
@@ -22,6 +23,7 @@
 __all__ = [
     "CHUNK_PREFIX",
     "HEAD_KEY",
+    "SHARE_TABLE_KEY",
     "CasResult",
     "ClaimStore",
     "ConfigReplica",
@@ -31,6 +33,7 @@
     "EtcdStore",
     "HttpVmList",
     "KeyValueStore",
+    "ShareTableStore",
     "RetentionLease",
     "StoreUnavailableError",
     "StoredClaim",
--- a/packages/vanillashore-schema/src/vanillashore_schema/_configuration.py
+++ b/packages/vanillashore-schema/src/vanillashore_schema/_configuration.py
@@ -1,16 +1,16 @@
 """The operators' declarative configuration: what a fleet serves, to whom, and how much."""
 
 import hashlib
-from enum import StrEnum
 from pathlib import Path
 
 import attrs
 
 from vanillashore_schema._findings import Finding, FindingsError
+from vanillashore_schema._roles import EndpointRole
+from vanillashore_schema._row_checks import check_rows
 from vanillashore_schema._table import (
     TableReader,
     at_least_zero,
-    nearest_match,
     not_empty,
     option,
     positive,
@@ -20,14 +20,6 @@
 SHA256_HEX_CHARS = 64
 
 
-class EndpointRole(StrEnum):
-    """What an endpoint is used for."""
-
-    PREFILL = "prefill"
-    DECODE = "decode"
-    SERVICE = "service"
-
-
 def hash_key(key: str) -> str:
     """Return the hash under which the configuration knows a key."""
     return hashlib.sha256(key.encode()).hexdigest()
@@ -148,58 +140,7 @@
     reader = TableReader(file, text)
     config = None if reader.failed else reader.read(Configuration)
     if config is not None:
-        _check_names(reader, config)
-        _check_references(reader, config)
+        check_rows(reader, config)
     if config is None or reader.failed:
         raise FindingsError(ErrorCode.CONFIG_INVALID, reader.findings)
     return config, tuple(reader.findings)
-
-
-def _check_names(reader: TableReader, config: Configuration) -> None:
-    _check_unique(reader, "workspace", [w.name for w in config.workspace], "name")
-    _check_unique(reader, "model", [m.name for m in config.model], "name")
-    _check_unique(reader, "service", [s.name for s in config.service], "name")
-    _check_unique(reader, "endpoint", [e.vm for e in config.endpoint], "vm")
-    fingerprints = [q.fingerprint for q in config.quarantine]
-    _check_unique(reader, "quarantine", fingerprints, "fingerprint")
-    hashes = [
-        (f"workspace[{i}].key[{j}].sha256", key.sha256)
-        for i, workspace in enumerate(config.workspace)
-        for j, key in enumerate(workspace.key)
-    ]
-    _report_repeated(reader, hashes)
-    routes = [
-        (f"route[{i}].path", f"{method} {route.path}")
-        for i, route in enumerate(config.route)
-        for method in route.methods
-    ]
-    _report_repeated(reader, routes)
-
-
-def _check_unique(reader: TableReader, table: str, values: list[str], field: str) -> None:
-    _report_repeated(reader, [(f"{table}[{i}].{field}", v) for i, v in enumerate(values)])
-
-
-def _report_repeated(reader: TableReader, places: list[tuple[str, str]]) -> None:
-    first: dict[str, str] = {}
-    for key, value in places:
-        earlier = first.setdefault(value, key)
-        if earlier != key:
-            reader.report(key, f"repeats {value!r} of {earlier}")
-
-
-def _check_references(reader: TableReader, config: Configuration) -> None:
-    models = [m.name for m in config.model]
-    services = [s.name for s in config.service]
-    for i, route in enumerate(config.route):
-        _check_known(reader, f"route[{i}].service", route.service, services)
-    for i, endpoint in enumerate(config.endpoint):
-        if endpoint.role is EndpointRole.SERVICE:
-            _check_known(reader, f"endpoint[{i}].service", endpoint.service, services)
-        else:
-            _check_known(reader, f"endpoint[{i}].model", endpoint.model, models)
-
-
-def _check_known(reader: TableReader, key: str, name: str, names: list[str]) -> None:
-    if name not in names:
-        reader.report(key, f"names {name!r}, which is not declared{nearest_match(name, names)}")
--- /dev/null
+++ b/packages/vanillashore-schema/src/vanillashore_schema/_roles.py
@@ -0,0 +1,11 @@
+"""What endpoints are used for."""
+
+from enum import StrEnum
+
+
+class EndpointRole(StrEnum):
+    """What an endpoint is used for."""
+
+    PREFILL = "prefill"
+    DECODE = "decode"
+    SERVICE = "service"
--- a/packages/vanillashore-schema/src/vanillashore_schema/_table.py
+++ b/packages/vanillashore-schema/src/vanillashore_schema/_table.py
@@ -1,6 +1,8 @@
 """Checking plain TOML tables against attrs classes, with findings in place of exceptions."""
 
 import difflib
+import functools
+import re
 import tomllib
 import types
 from collections.abc import Callable
@@ -15,6 +17,7 @@
 T = TypeVar("T")
 Check = Callable[[Any], str | None]
 
+_TOML_PLACE = re.compile(r"at line (\d+)")
 _CHECKS = "vanillashore_checks"
 _SECRET = "vanillashore_secret"
 
@@ -54,9 +57,13 @@
     def __init__(self, file: str, text: str) -> None:
         self.file = file
         self.findings: list[Finding] = []
-        self._places = Places(text)
+        self._text = text
         self.plain: dict[str, Any] = self._parse(text)
 
+    @functools.cached_property
+    def _places(self) -> Places:
+        return Places(self._text)
+
     @property
     def failed(self) -> bool:
         """Whether any finding is an error."""
@@ -93,7 +100,9 @@
         try:
             return tomllib.loads(text)
         except tomllib.TOMLDecodeError as exc:
-            self.findings.append(Finding(self.file, 0, "", f"not TOML: {exc}"))
+            place = _TOML_PLACE.search(str(exc))
+            line = int(place.group(1)) if place else 0
+            self.findings.append(Finding(self.file, line, "", f"not TOML: {exc}"))
             return {}
 
     def _report_unknown(self, table: dict[str, Any], names: list[str], path: str) -> None:
--- a/packages/vanillashore-standins/src/vanillashore_standins/demo/_fleet.py
+++ b/packages/vanillashore-standins/src/vanillashore_standins/demo/_fleet.py
@@ -58,7 +58,6 @@
         self.left_running = 0
         self.operator_settings = folder / "operator.toml"
         self.configuration = folder / "fleet.toml"
-        self.endpoint_addresses: dict[str, str] = {}
         self.pids: dict[str, int] = {}
         self._nodes: list[subprocess.Popen[bytes]] = []
         self._stand_ins: list[subprocess.Popen[bytes]] = []
@@ -73,7 +72,8 @@
         self.services = [self._node("service", i) for i in range(self.shape.services)]
 
     def __enter__(self) -> "DemoFleet":
-        signal.signal(signal.SIGTERM, signal.default_int_handler)
+        for number in (signal.SIGTERM, signal.SIGINT):
+            signal.signal(number, signal.default_int_handler)
         return self
 
     def __exit__(
@@ -105,6 +105,14 @@
                 await self._wait_for(session, node.address + "/readyz")
             await self._wait_for_endpoints(session)
 
+    async def start_bare_engine(self, name: str) -> str:
+        """Start an engine that no side process stands beside, and return its address."""
+        address = f"http://127.0.0.1:{free_ports(1)[0]}"
+        self._start_stand_in("engine", address, *self._stand_in_args(name))
+        async with aiohttp.ClientSession() as session:
+            await self._wait_for(session, address + "/v1/load")
+        return address
+
     @property
     def nodes(self) -> list[DemoNode]:
         """All nodes of the system."""
@@ -132,6 +140,10 @@
             f"curl {self.entries[0].address}/v1/completions "
             f"-H 'Authorization: Bearer {self.key}' -d '{body}'"
         )
+        print(
+            f"export ENTRY={self.entries[0].address} KEY={self.key} "
+            f"SETTINGS={self.operator_settings} FLEET={self.configuration}"
+        )
         print("Ctrl-C stops everything", flush=True)
         try:
             signal.pause()
@@ -152,14 +164,16 @@
 
     def _start_endpoint(self, node: DemoNode, kind: str) -> None:
         address = self._next_address()
-        options = orjson.dumps(self.shape.engine_options | {"slots": self.shape.slots}).decode()
-        args = ["--name", node.name, "--model", MODEL, "--options", options]
-        self._start_stand_in(kind, address, *args)
-        self.endpoint_addresses[node.name] = address
+        self._start_stand_in(kind, address, *self._stand_in_args(node.name))
         section = f'\n[endpoint]\naddress = "{address}"\nkind = "{kind}"\n'
-        section += f"slots = {self.shape.slots}\n"
+        settings = self.shape.endpoint_options | {"slots": self.shape.slots}
+        section += "".join(f"{name} = {value}\n" for name, value in settings.items())
         self._start_node(node, section)
 
+    def _stand_in_args(self, name: str) -> list[str]:
+        options = orjson.dumps(self.shape.engine_options | {"slots": self.shape.slots}).decode()
+        return ["--name", name, "--model", MODEL, "--options", options]
+
     def _start_stand_in(self, kind: str, address: str, *args: str) -> None:
         port = address.rpartition(":")[2]
         line = [sys.executable, "-m", "vanillashore_standins", kind, "--port", port, *args]
@@ -174,7 +188,11 @@
     def _spawn(self, line: list[str], name: str) -> subprocess.Popen[bytes]:
         with (self.folder / f"{name}.log").open("wb") as log_file:
             process = subprocess.Popen(
-                line, stdout=log_file, stderr=log_file, stdin=subprocess.DEVNULL
+                line,
+                stdout=log_file,
+                stderr=log_file,
+                stdin=subprocess.DEVNULL,
+                process_group=0,  # A terminal's Ctrl-C is for the demo alone.
             )
         self.pids[name] = process.pid
         return process
--- a/packages/vanillashore-standins/src/vanillashore_standins/testing.py
+++ b/packages/vanillashore-standins/src/vanillashore_standins/testing.py
@@ -69,11 +69,16 @@
         nodes = [n for n in [*self.entries, *self.sides.values()] if not n.core.is_closed]
         await self.until(lambda: all(n.core.directory.revision >= revision for n in nodes))
         await self.until(lambda: all(len(e.core.directory.vms) >= len(nodes) for e in nodes))
+        await self.until(lambda: all(e.shares.status().table_version for e in self._live_entries))
 
     def entry_address(self, entry: int) -> str:
         """Return the address of an entry."""
         return self.entries[entry].core.address
 
+    @property
+    def _live_entries(self) -> list[EntryNode]:
+        return [entry for entry in self.entries if not entry.core.is_closed]
+
     async def _run(self, node: EntryNode | SideNode) -> None:
         await node.start()
         self._stack.push_async_callback(_close, node)
--- a/tests/node/test_burn.py
+++ b/tests/node/test_burn.py
@@ -1,3 +1,4 @@
+import asyncio
 from collections.abc import AsyncIterator
 from contextlib import nullcontext
 
@@ -113,6 +114,23 @@
     assert {row[2:] for row in _measures(book.page().series)} == measures
 
 
+@pytest.mark.parametrize(("target_ms", "bad"), [(1.0, 1), (60_000.0, 0)])
+async def test_leaving_before_the_first_token_counts_once_the_target_was_missed(
+    target_ms: float, bad: int
+) -> None:
+    book = BurnBook("entry", Clock())
+    model = ModelConfig("m", first_token_target_ms=target_ms)
+
+    async def silent() -> AsyncIterator[list[str]]:
+        await asyncio.sleep(60.0)
+        yield ["a"]
+
+    with pytest.raises(TimeoutError):
+        async with asyncio.timeout(0.02):
+            await anext(book.watch_answer(model, "a", silent()))
+    assert sum(s.bad for s in book.page().series if s.window_s == 300) == bad
+
+
 async def test_an_answer_that_its_caller_leaves_is_closed_and_counted() -> None:
     book = BurnBook("entry", Clock())
     closed = []
--- a/tests/node/test_claims.py
+++ b/tests/node/test_claims.py
@@ -17,6 +17,8 @@
 from vanillashore_standins.testing import SERVICE, WORKSPACE, FleetBase, SmallFleet
 from vanillashore_wire import CallOrder, RefusalError, RouteClass
 
+CLAIM_PREFIX = "vanillashore/claim/"
+
 Case = Callable[[FleetBase], Awaitable[list[Paid]]]
 
 
@@ -31,6 +33,7 @@
 
 
 async def _claim_answer_lost(fleet: FleetBase) -> list[Paid]:
+    fleet.kv_faults.lose_prefix = CLAIM_PREFIX
     fleet.kv_faults.lose_answers = 1
     return [await pay(fleet, 0), await pay(fleet, 1)]
 
@@ -39,6 +42,7 @@
     set_service(fleet, delay_s=0.3)
     first = asyncio.ensure_future(pay(fleet, 0))
     await fleet.until(lambda: runs(fleet) == 1)
+    fleet.kv_faults.lose_prefix = CLAIM_PREFIX
     fleet.kv_faults.lose_answers = 1
     return [await first, await pay(fleet, 1)]
 
