--- a/packages/vanillashore-standins/src/vanillashore_standins/_kv_state.py
+++ b/packages/vanillashore-standins/src/vanillashore_standins/_kv_state.py
@@ -40,8 +40,9 @@
         self._watchers: dict[str, list[asyncio.Queue[KvItem]]] = {}
         self.revision = 0
         self.calls: Counter[str] = Counter()
-        self.traffic_bytes = 0
         self.writes_asked: Counter[str] = Counter()
+        self.reads_asked: Counter[str] = Counter()
+        self.traffic_bytes = 0
 
     def advance(self, seconds: float) -> None:
         """Let time pass for leases without waiting."""
@@ -87,6 +88,10 @@
         self._watchers.setdefault(key, []).append(queue)
         return queue
 
+    def watchers(self, key: str) -> int:
+        """Return how many watches on ``key`` are open."""
+        return len(self._watchers.get(key, ()))
+
     def unsubscribe(self, key: str, queue: asyncio.Queue[KvItem]) -> None:
         """Stop feeding ``queue``."""
         self._watchers[key].remove(queue)
