--- a/packages/vanillashore-cli/src/vanillashore_cli/_watching.py
+++ b/packages/vanillashore-cli/src/vanillashore_cli/_watching.py
@@ -31,7 +31,7 @@
             decisions += _decisions(await fleet.ask_all(f"/internal/explain/{request_id}"))
     decisions.sort(key=lambda decision: decision["at"])
     lines = [f"{d['at']:.3f} {d['node']}: {d['step']}: {d['text']}" for d in decisions]
-    silent = [a.vm.name for a in answers if a.body is None]
+    silent = sorted({a.vm.name for a in answers if a.body is None})
     if silent:
         lines.append(f"no answer from {', '.join(silent)}")
     if not decisions:
--- a/packages/vanillashore-schema/src/vanillashore_schema/_table.py
+++ b/packages/vanillashore-schema/src/vanillashore_schema/_table.py
@@ -1,6 +1,7 @@
 """Checking plain TOML tables against attrs classes, with findings in place of exceptions."""
 
 import difflib
+import functools
 import re
 import tomllib
 import types
@@ -56,9 +57,13 @@
     def __init__(self, file: str, text: str) -> None:
         self.file = file
         self.findings: list[Finding] = []
-        self._places = Places(text)
+        self._text = text
         self.plain: dict[str, Any] = self._parse(text)
 
+    @functools.cached_property
+    def _places(self) -> Places:
+        return Places(self._text)
+
     @property
     def failed(self) -> bool:
         """Whether any finding is an error."""
--- a/packages/vanillashore-standins/src/vanillashore_standins/_kv_app.py
+++ b/packages/vanillashore-standins/src/vanillashore_standins/_kv_app.py
@@ -110,6 +110,7 @@
     state = request.app[STATE]
     body = orjson.loads(await request.read())
     key = _unb64(body["key"]).decode()
+    state.reads_asked[key] += 1
     return _json({"header": _header(state), "kvs": _kvs(key, state.get(key))})
 
 
@@ -153,13 +154,17 @@
         current = state.get(key)
         if current and current.version >= int(create.get("start_revision", "0")):
             queue.put_nowait(current)
-        while not request.app[FAULTS].down:
+        while not request.app[FAULTS].down and _is_open(request):
             await _write_next(response, key, queue)
     finally:
         state.unsubscribe(key, queue)
     raise _disconnected(request)
 
 
+def _is_open(request: web.Request) -> bool:
+    return request.transport is not None and not request.transport.is_closing()
+
+
 async def _write_next(response: web.StreamResponse, key: str, queue: asyncio.Queue[KvItem]) -> None:
     try:
         async with asyncio.timeout(OUTAGE_POLL_S):
--- a/tests/node/test_config_following.py
+++ b/tests/node/test_config_following.py
@@ -8,7 +8,7 @@
 
 from vanillashore_node import EntryNode
 from vanillashore_node._core import NodeCore
-from vanillashore_platform import CHUNK_PREFIX, ConfigReplica
+from vanillashore_platform import CHUNK_PREFIX, HEAD_KEY, ConfigReplica
 from vanillashore_platform._config_chunks import split
 from vanillashore_schema import Configuration, TimingSettings, WorkspaceConfig
 from vanillashore_standins import EngineOptions, generate
@@ -31,6 +31,7 @@
     ask_timeout_s=0.5,
 )
 IN_FORCE_S = 3.0
+APPLY_READS = 1
 
 
 def _plan(entries: int, services: int = 0) -> FleetPlan:
@@ -79,15 +80,16 @@
     await fleet.until(lambda: all(n.core.directory.revision >= revision for n in nodes), IN_FORCE_S)
 
 
-async def test_only_relays_watch_the_store() -> None:
+async def test_only_relays_watch_the_store_and_read_changed_chunks() -> None:
     plan = _plan(entries=15)
     async with SmallFleet(plan) as fleet:
         await fleet.until(lambda: len(_relays(fleet)) == 6)
-        watches = fleet.kv.calls["/v3/watch"]
-        reads = fleet.kv.calls["/v3/kv/range"]
+        await fleet.until(lambda: fleet.kv.watchers(HEAD_KEY) == 6)
+        fleet.kv.reads_asked.clear()
         await fleet.apply(_without_key(small_configuration(plan), 0), 1)
-        assert fleet.kv.calls["/v3/watch"] == watches
-        assert fleet.kv.calls["/v3/kv/range"] - reads < 6 * 6
+        assert fleet.kv.watchers(HEAD_KEY) == 6
+        reads = sum(n for key, n in fleet.kv.reads_asked.items() if key.startswith(CHUNK_PREFIX))
+        assert reads <= 6 * 2 + APPLY_READS
 
 
 async def test_killed_relays_are_passed_over_though_the_list_still_has_them() -> None:
--- a/tests/schema/test_configuration.py
+++ b/tests/schema/test_configuration.py
@@ -1,6 +1,6 @@
 import pytest
 
-from vanillashore_schema import FindingsError, check_configuration
+from vanillashore_schema import FindingsError, Severity, check_configuration
 
 
 @pytest.mark.parametrize(
@@ -20,3 +20,24 @@
     matching = [f for f in caught.value.findings if f.line == line and words in f.text]
     assert matching
     assert matching[0].key.endswith(key)
+
+
+UNSERVED = """[[workspace]]
+name = "w"
+rate_tokens_per_s = 1
+burst_tokens = 1
+[[model]]
+name = "m"
+[[service]]
+name = "s"
+"""
+
+
+def test_what_nobody_can_use_is_a_warning() -> None:
+    _, warnings = check_configuration("fleet.toml", UNSERVED)
+    assert [(w.line, w.severity, w.key, w.text.partition(";")[0]) for w in warnings] == [
+        (6, Severity.WARNING, "model[0].name", "has no prefill endpoint"),
+        (6, Severity.WARNING, "model[0].name", "has no decode endpoint"),
+        (8, Severity.WARNING, "service[0].name", "has no endpoint"),
+        (2, Severity.WARNING, "workspace[0].name", "has no key"),
+    ]
