--- a/packages/vanillashore-node/src/vanillashore_node/_calls.py
+++ b/packages/vanillashore-node/src/vanillashore_node/_calls.py
@@ -2,7 +2,6 @@
 
 import base64
 import secrets
-from functools import partial
 
 from aiohttp import web
 
@@ -38,7 +37,7 @@
             await self._admission.admit(caller, route.cost_tokens, route.route_class)
             workspace = caller.name
         order = self._order(request, route, workspace, body)
-        call = self._dispatch.run(order, route, partial(self._check, request, route))
+        call = self._dispatch.run(order, route)
         return _response(await self._core.burn.watch_call(route, workspace, call))
 
     def _check(self, request: web.Request, route: RouteConfig) -> None:
--- a/packages/vanillashore-platform/src/vanillashore_platform/__init__.py
+++ b/packages/vanillashore-platform/src/vanillashore_platform/__init__.py
@@ -11,6 +11,7 @@
 )
 from vanillashore_platform._etcd import EtcdStore
 from vanillashore_platform._follower import VmListFollower
+from vanillashore_platform._quarantine_store import QuarantineStore
 from vanillashore_platform._share_table import SHARE_TABLE_KEY, ShareTableStore
 from vanillashore_platform._store import (
     CasResult,
@@ -18,6 +19,7 @@
     StoredValue,
     StoreUnavailableError,
 )
+from vanillashore_platform._trial_store import Trial, TrialState, TrialStore, TrialTurn
 from vanillashore_platform._vm_list import HttpVmList, VmEntry, VmList, VmState
 
 __all__ = [
@@ -33,11 +35,16 @@
     "EtcdStore",
     "HttpVmList",
     "KeyValueStore",
+    "QuarantineStore",
     "ShareTableStore",
     "RetentionLease",
     "StoreUnavailableError",
     "StoredClaim",
     "StoredValue",
+    "Trial",
+    "TrialState",
+    "TrialStore",
+    "TrialTurn",
     "VmEntry",
     "VmList",
     "VmListFollower",
--- a/packages/vanillashore-wire/src/vanillashore_wire/__init__.py
+++ b/packages/vanillashore-wire/src/vanillashore_wire/__init__.py
@@ -51,7 +51,14 @@
     RouteClass,
     Sampling,
 )
-from vanillashore_wire._outcome_messages import Claim, ClaimAsk, ClaimState, ClaimStatus
+from vanillashore_wire._outcome_messages import (
+    Claim,
+    ClaimAsk,
+    ClaimState,
+    ClaimStatus,
+    CrashNotice,
+    NoticedRequest,
+)
 from vanillashore_wire._placement_messages import AskRef, HoldEnd, HoldRenewal, HoldRenewed
 from vanillashore_wire._share_messages import (
     Grant,
@@ -92,6 +99,7 @@
     "ConfigChunks",
     "ConfigHead",
     "ConfigUpdate",
+    "CrashNotice",
     "DecodeOrder",
     "EarlierHead",
     "Envelope",
@@ -109,6 +117,7 @@
     "HoldRenewal",
     "HoldRenewed",
     "Load",
+    "NoticedRequest",
     "LoanAnswer",
     "LoanAnswers",
     "LoanAsk",
--- a/packages/vanillashore-wire/src/vanillashore_wire/_messages.py
+++ b/packages/vanillashore-wire/src/vanillashore_wire/_messages.py
@@ -103,6 +103,7 @@
     route_class: RouteClass
     deadline_s: float
     revision: int
+    fingerprint: str = ""
 
 
 @attrs.frozen
@@ -148,6 +149,7 @@
     deadline_s: float
     revision: int
     sampling: Sampling = Sampling()
+    fingerprint: str = ""
 
 
 class FrameKind(StrEnum):
