--- a/packages/vanillashore-node/src/vanillashore_node/_call_dispatch.py
+++ b/packages/vanillashore-node/src/vanillashore_node/_call_dispatch.py
@@ -79,9 +79,11 @@
 
     async def _attempt(self, order: CallOrder, route: RouteConfig, deadline: float) -> CallDone:
         place = await self._place(order, route, deadline)
-        code = None
+        code: ErrorCode | None = ErrorCode.CANCELLED
         try:
-            return await self._send(order, place, deadline)
+            done = await self._send(order, place, deadline)
+            code = None
+            return done
         except RefusalError as exc:
             code = exc.code
             raise
--- a/packages/vanillashore-node/src/vanillashore_node/_generation.py
+++ b/packages/vanillashore-node/src/vanillashore_node/_generation.py
@@ -104,6 +104,7 @@
                 if failure is not None:
                     raise failure
                 if self.assembly.is_complete:
+                    self._placer.note_finished(self._req, attempt)
                     return
         raise _broken("the decode stream ended early")
 
--- a/packages/vanillashore-node/src/vanillashore_node/_holds.py
+++ b/packages/vanillashore-node/src/vanillashore_node/_holds.py
@@ -59,9 +59,13 @@
         """Renew a reservation until it ends."""
         self._at(endpoint).reservations.add(reservation)
 
+    def drop(self, endpoint: Endpoint, reservation: str) -> None:
+        """Stop to renew a reservation that its keeper has ended itself."""
+        self._at(endpoint).reservations.discard(reservation)
+
     def end(self, endpoint: Endpoint, reservation: str) -> None:
         """Stop to renew a reservation and tell its keeper."""
-        self._at(endpoint).reservations.discard(reservation)
+        self.drop(endpoint, reservation)
         self._core.hub.send(endpoint.address, HoldEnd(reservation))
 
     async def run(self) -> None:
--- a/packages/vanillashore-node/src/vanillashore_node/_placer.py
+++ b/packages/vanillashore-node/src/vanillashore_node/_placer.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import time
-from collections import defaultdict
+from collections import defaultdict, deque
 
 import attrs
 
@@ -31,6 +31,7 @@
 }
 ENDPOINT_FAULTS = frozenset({ErrorCode.ENDPOINT_FAILED, ErrorCode.PEER_UNREACHABLE})
 NO_ENDPOINT_RETRY_S = 5.0
+NEXT_ASK_AFTER_S = 0.01
 
 
 @attrs.frozen
@@ -133,6 +134,13 @@
             noted.prefill = None
             noted.suspects = [noted.decode.endpoint.vm]
 
+    def note_finished(self, req: GenerationRequest, attempt: int) -> None:
+        """Note that the whole answer came: the side process has freed the decode place itself."""
+        noted = self._attempts[req.request_id, attempt]
+        if noted.decode is not None:
+            self._book.drop(noted.decode.endpoint, noted.decode.grant.reservation)
+            noted.decode = None
+
     def note_failed(self, req: GenerationRequest, attempt: int, exc: RefusalError) -> None:
         """Keep the request's next attempts away from where this one failed."""
         suspects = self._attempts[req.request_id, attempt].suspects
@@ -159,8 +167,10 @@
     def end_call(self, request_id: str, place: Place, code: ErrorCode | None) -> None:
         """Give back a call's place; ``code`` tells why the call failed there, if it did."""
         self._breaker.note(place.endpoint.vm, code not in ENDPOINT_FAULTS, time.monotonic())
-        if code is not None:
-            self._avoided[request_id].add(place.endpoint.vm)
+        if code is None:
+            self._book.drop(place.endpoint, place.grant.reservation)
+            return
+        self._avoided[request_id].add(place.endpoint.vm)
         self.end(place)
 
     def _note_success(self, place: Place) -> None:
@@ -177,14 +187,21 @@
         return {vm: e for vm, e in endpoints.items() if vm not in avoided} or endpoints
 
     async def _first_grant(self, endpoints: list[Endpoint], ask: ReserveAsk) -> Place:
-        tasks = {
-            asyncio.ensure_future(self._reserve(endpoint, ask)): endpoint for endpoint in endpoints
-        }
+        """Ask the endpoints in order; each next one as soon as the last did not grant at once."""
+        unasked = deque(endpoints)
+        tasks: dict[asyncio.Future[ReserveGrant], Endpoint] = {}
+        pending: set[asyncio.Future[ReserveGrant]] = set()
         refusals: list[RefusalError] = []
-        pending = set(tasks)
         try:
-            while pending:
-                done, pending = await asyncio.wait(pending, return_when="FIRST_COMPLETED")
+            while unasked or pending:
+                if unasked:
+                    task = asyncio.ensure_future(self._reserve(unasked[0], ask))
+                    tasks[task] = unasked.popleft()
+                    pending.add(task)
+                timeout_s = NEXT_ASK_AFTER_S if unasked else None
+                done, pending = await asyncio.wait(
+                    pending, timeout=timeout_s, return_when=asyncio.FIRST_COMPLETED
+                )
                 for task in done:
                     exc = task.exception()
                     if exc is None:
--- a/packages/vanillashore-wire/src/vanillashore_wire/_messages.py
+++ b/packages/vanillashore-wire/src/vanillashore_wire/_messages.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from vanillashore_wire._codec import message
+from vanillashore_wire._codec import compact, message
 from vanillashore_wire._errors import Refused
 
 
@@ -29,6 +29,7 @@
     """A reply that says no more than that the message was handled."""
 
 
+@compact
 @attrs.frozen
 class Load:
     """Occupancy of an endpoint as its side process knows it, without lag."""
@@ -40,6 +41,7 @@
 
 
 @message("reserve_ask")
+@compact
 @attrs.frozen
 class ReserveAsk:
     """Ask a side process for a place on its endpoint for one attempt.
@@ -62,6 +64,7 @@
 
 
 @message("reserve_grant")
+@compact
 @attrs.frozen
 class ReserveGrant:
     """A granted reservation; it lapses after ``valid_s`` seconds if it is not used."""
@@ -72,6 +75,7 @@
 
 
 @message("reserve_withdraw")
+@compact
 @attrs.frozen
 class ReserveWithdraw:
     """Give up a reservation, or an ask that still waits."""
--- a/packages/vanillashore-wire/src/vanillashore_wire/_placement_messages.py
+++ b/packages/vanillashore-wire/src/vanillashore_wire/_placement_messages.py
@@ -2,10 +2,11 @@
 
 import attrs
 
-from vanillashore_wire._codec import message
+from vanillashore_wire._codec import compact, message
 from vanillashore_wire._messages import Load, ReservationKind
 
 
+@compact
 @attrs.frozen
 class AskRef:
     """Names an ask that still waits in a keeper's queue."""
@@ -16,6 +17,7 @@
 
 
 @message("hold_renewal")
+@compact
 @attrs.frozen
 class HoldRenewal:
     """All places and asks that one entry has at one endpoint; what is not named will lapse."""
@@ -25,6 +27,7 @@
 
 
 @message("hold_renewed")
+@compact
 @attrs.frozen
 class HoldRenewed:
     """Reply to a `HoldRenewal`: which of the reservations are not known, and the present load."""
@@ -34,6 +37,7 @@
 
 
 @message("hold_end")
+@compact
 @attrs.frozen
 class HoldEnd:
     """The work on a reservation is over, or given up; all that it holds can be freed."""
