--- a/packages/vanillashore-share/src/vanillashore_share/_rates.py
+++ b/packages/vanillashore-share/src/vanillashore_share/_rates.py
@@ -29,10 +29,22 @@
 
 @attrs.frozen
 class Rate:
-    """What one share gains a second for a workspace, and the most it can hold."""
+    """What one share gains a second for a workspace, and the most it can hold.
+
+    ``declared_rate`` and ``declared_burst`` are the fleet-wide figures that it follows from.
+    """
 
     tokens_per_s: float
     capacity: float
+    declared_rate: float
+    declared_burst: float
+
+    def follows_from(self, workspace: RatedWorkspace) -> bool:
+        """Whether this is still the rate of ``workspace``."""
+        return (
+            self.declared_rate == workspace.rate_tokens_per_s
+            and self.declared_burst == workspace.burst_tokens
+        )
 
 
 class RateBook:
@@ -52,19 +64,28 @@
 
     def changed(self, workspaces: Iterable[RatedWorkspace]) -> list[str]:
         """Return the known workspaces whose rate would be another with ``workspaces``."""
-        new = self._rates_of(workspaces)
-        return [name for name, rate in self._rates.items() if new.get(name) != rate]
+        declared = {workspace.name: workspace for workspace in workspaces}
+        return [
+            name
+            for name, rate in self._rates.items()
+            if name not in declared or not rate.follows_from(declared[name])
+        ]
 
     def replace(self, workspaces: Iterable[RatedWorkspace]) -> None:
-        """Put the rates of ``workspaces`` into force."""
-        self._rates = self._rates_of(workspaces)
-
-    def _rates_of(self, workspaces: Iterable[RatedWorkspace]) -> dict[str, Rate]:
-        return {workspace.name: self._rate_of(workspace) for workspace in workspaces}
+        """Put the rates of ``workspaces`` into force; unchanged ones are not worked out again."""
+        self._rates = {workspace.name: self._rate_of(workspace) for workspace in workspaces}
 
     def _rate_of(self, workspace: RatedWorkspace) -> Rate:
+        known = self._rates.get(workspace.name)
+        if known is not None and known.follows_from(workspace):
+            return known
         bound = self._cfg.clock_rate_bound
         valid_s = grant_valid_s(workspace, self._cfg) * (1 + bound)
         accrual = workspace.rate_tokens_per_s * (1 - bound)
         capacity = workspace.burst_tokens - workspace.rate_tokens_per_s * valid_s
-        return Rate(accrual / SHARES, capacity / SHARES)
+        return Rate(
+            accrual / SHARES,
+            capacity / SHARES,
+            workspace.rate_tokens_per_s,
+            workspace.burst_tokens,
+        )
