Let one copy of a request go ahead of the others until its first token

Cause: nine copies of one request that crashes engines, sent at once through three entries, spread over several prefill engines before the first crash was noticed: a short prompt went to two engines by load alone, and the next one was asked after 10 ms, so the copies crashed three or four.

Ruled out: more notices between endpoints, since the second crash came 26 ms after the first, when the copy there had begun already.

Change: each entry lets one copy go ahead until its first token, and a short prompt goes to the less loaded of the two engines that its hash picks, so that copies from several entries meet. Entries that see unequal loads may still split copies over two engines.

--- a/packages/vanillashore-node/src/vanillashore_node/_entry.py
+++ b/packages/vanillashore-node/src/vanillashore_node/_entry.py
@@ -10,6 +10,7 @@
 from vanillashore_node._claim_desk import ClaimDesk
 from vanillashore_node._completions import Completions
 from vanillashore_node._config_revision import CurrentBackEnds
+from vanillashore_node._copies import CopyBook
 from vanillashore_node._core import NodeCore
 from vanillashore_node._faces import json_response, message_response, require_fleet_secret
 from vanillashore_node._generation import Generation
@@ -48,6 +49,7 @@
         book = HoldBook(core, loads)
         core.tasks.start(book.run(), "hold renewals")
         self._budget = RetryBudget()
+        self._copies = CopyBook()
         self._back_ends = CurrentBackEnds(core)
         self._placer = Placer(core, Chooser(loads, rng, breaker), breaker, loads, book)
         self.shares = Shares(core, rng)
@@ -69,7 +71,7 @@
         await core.start(app, calls.call)
 
     def _new_generation(self, req: GenerationRequest) -> Generation:
-        return Generation(self.core, self._placer, self._back_ends, self._budget, req)
+        return Generation(self.core, self._placer, self._back_ends, self._budget, self._copies, req)
 
     async def _burn(self, request: web.Request) -> web.Response:
         require_fleet_secret(request, self._cfg.node.fleet_secret)
--- a/packages/vanillashore-node/src/vanillashore_node/_generation.py
+++ b/packages/vanillashore-node/src/vanillashore_node/_generation.py
@@ -5,6 +5,7 @@
 from contextlib import aclosing
 
 from vanillashore_node._back_ends import BackEnds
+from vanillashore_node._copies import CopyBook
 from vanillashore_node._core import NodeCore
 from vanillashore_node._generation_request import GenerationRequest
 from vanillashore_node._placer import Place, Placer
@@ -38,12 +39,14 @@
         placer: Placer,
         back_ends: BackEnds,
         budget: RetryBudget,
+        copies: CopyBook,
         req: GenerationRequest,
     ) -> None:
         self._core = core
         self._placer = placer
         self._back_ends = back_ends
         self._budget = budget
+        self._copies = copies
         self._policy = RetryPolicy(budget)
         self._req = req
         self._was_dispatched = False
@@ -52,11 +55,14 @@
     async def run(self) -> AsyncIterator[list[str]]:
         """Yield the tokens that came in together; raise RefusalError if the answer breaks off."""
         self._budget.earn()
+        turn = await self._copies.begin(self._req.fingerprint)
         try:
             async with aclosing(self._attempts()) as runs:
                 async for texts in runs:
+                    turn.prove()
                     yield texts
         finally:
+            turn.end()
             self._placer.forget(self._req.request_id)
 
     async def _attempts(self) -> AsyncIterator[list[str]]:
--- a/packages/vanillashore-placement/src/vanillashore_placement/_chooser.py
+++ b/packages/vanillashore-placement/src/vanillashore_placement/_chooser.py
@@ -22,20 +22,24 @@
         """Return up to ``count`` random endpoints, least pressure first."""
         usable = self._breaker.usable(endpoints, now)
         picked = self._rng.sample(usable, min(count, len(usable)))
-        for endpoint in picked:
-            self._breaker.note_chosen(endpoint, now)
-        return sorted(picked, key=self._loads.pressure)
+        return self._chosen(sorted(picked, key=self._loads.pressure), now)
 
     def prefill_candidates(
         self, endpoints: list[str], workspace: str, prompt: str, now: float
     ) -> list[str]:
         """Return the endpoint that most likely has the prompt's prefix and is not overloaded.
 
-        A prompt too short to leave anything in a cache goes by load alone.
+        A prompt too short to leave anything in a cache goes to the less loaded of the two
+        endpoints that its hash picks, so that copies sent through several entries meet on one.
         """
-        if not has_whole_piece(prompt):
-            return self.candidates(endpoints, now)
         usable = self._breaker.usable(endpoints, now)
+        if not has_whole_piece(prompt):
+            pair = rank_by_affinity(workspace, prompt, usable)[:2]
+            return self._chosen([min(pair, key=self._loads.pressure)], now)
         chosen = first_below_bound(rank_by_affinity(workspace, prompt, usable), self._loads)
-        self._breaker.note_chosen(chosen, now)
-        return [chosen]
+        return self._chosen([chosen], now)
+
+    def _chosen(self, endpoints: list[str], now: float) -> list[str]:
+        for endpoint in endpoints:
+            self._breaker.note_chosen(endpoint, now)
+        return endpoints
--- a/tests/placement/test_choice.py
+++ b/tests/placement/test_choice.py
@@ -26,6 +26,26 @@
     assert len(chosen) == 1
 
 
+def test_copies_of_a_short_prompt_meet_on_one_endpoint_at_every_entry() -> None:
+    chosen = {
+        tuple(
+            Chooser(SeenLoads(), random.Random(seed), Breaker()).prefill_candidates(
+                NAMES, "w", "short", 0.0
+            )
+        )
+        for seed in range(20)
+    }
+    assert len(chosen) == 1
+    assert len(chosen.pop()) == 1
+
+
+def test_short_prompts_avoid_the_busier_of_their_two_endpoints() -> None:
+    loads = SeenLoads()
+    first, second = rank_by_affinity("w", "short", NAMES)[:2]
+    loads.note(first, Load(running=1, slots=20))
+    assert chooser(loads).prefill_candidates(NAMES, "w", "short", 0.0) == [second]
+
+
 def test_losing_an_endpoint_moves_only_its_own_prefixes() -> None:
     for i in range(50):
         prompt = f"{i}" + LONG
