--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 KEEP ?= 0
 VENV := .venv
 BIN := $(VENV)/bin
-PACKAGES := $(wildcard packages/*)
+PACKAGES := $(wildcard packages/*) platform
 
 .PHONY: venv demo test lint format ci
 
--- /dev/null
+++ b/deploy/build.sh
@@ -0,0 +1,8 @@
+#!/bin/sh
+# Installs the libraries into target/deps and compiles the sources, so that processes start fast.
+set -eu
+if [ ! deploy/requirements.txt -ot target/deps/.ready ] || [ ! constraints.txt -ot target/deps/.ready ]; then
+  python3 -m pip install -q -U --disable-pip-version-check --target target/deps -c constraints.txt -r deploy/requirements.txt
+  touch target/deps/.ready
+fi
+python3 -X pycache_prefix=target/pycache -m compileall -q packages/*/src platform/src
--- /dev/null
+++ b/deploy/entry.py
@@ -0,0 +1,12 @@
+"""Starts an entry from a checkout; only third-party libraries have to be installed."""
+
+import sys
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parent.parent
+sys.pycache_prefix = str(ROOT / "target" / "pycache")
+sys.path[:0] = [str(path) for path in (*ROOT.glob("packages/*/src"), ROOT / "platform" / "src")]
+
+from vanillashore_adapter import main  # noqa: E402  (the path has to be set first)
+
+sys.exit(main())
--- a/packages/vanillashore-cli/src/vanillashore_cli/_configuring.py
+++ b/packages/vanillashore-cli/src/vanillashore_cli/_configuring.py
@@ -10,7 +10,6 @@
 
 from vanillashore_cli._fleet import Fleet
 from vanillashore_cli._report import ExitCode, Report
-from vanillashore_platform import ConfigSnapshot, ConflictError, VmState
 from vanillashore_schema import (
     Change,
     Configuration,
@@ -20,6 +19,7 @@
     hash_key,
     load_configuration,
 )
+from vanillashore_store import ConfigSnapshot, ConflictError, VmState
 from vanillashore_wire import ErrorCode, VanillashoreError, unstructure
 
 KEY_BYTES = 24
--- a/packages/vanillashore-cli/src/vanillashore_cli/_fleet.py
+++ b/packages/vanillashore-cli/src/vanillashore_cli/_fleet.py
@@ -9,8 +9,8 @@
 import aiohttp
 import attrs
 
-from vanillashore_platform import ConfigStore, EtcdStore, HttpVmList, VmEntry
 from vanillashore_schema import OperatorSettings, load_operator_settings
+from vanillashore_store import ConfigStore, EtcdStore, HttpVmList, VmEntry
 
 FLEET_HEADER = "X-Fleet-Secret"
 NODE_TIMEOUT = aiohttp.ClientTimeout(total=5.0)
--- a/packages/vanillashore-cli/src/vanillashore_cli/_main.py
+++ b/packages/vanillashore-cli/src/vanillashore_cli/_main.py
@@ -13,8 +13,8 @@
 from vanillashore_cli import _burn, _configuring, _watching
 from vanillashore_cli._parser import build_parser
 from vanillashore_cli._report import EXIT_CODES, ExitCode, Report
-from vanillashore_platform import ConflictError
 from vanillashore_schema import FindingsError
+from vanillashore_store import ConflictError
 from vanillashore_wire import VanillashoreError
 
 
--- /dev/null
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_balancing.py
@@ -0,0 +1,106 @@
+"""Which endpoint gets a request: the one with most room, among those that do not fail.
+
+Answers uneven load between endpoints of different speed, endpoints that crash or fail a part of
+their requests, and bursts in which all are nearly full.
+"""
+
+import random
+from collections import defaultdict
+from collections.abc import Collection, Sequence
+
+import attrs
+
+from vanillashore_gateway._domain import Endpoint, Load
+from vanillashore_placement import Breaker
+
+LOAD_KEPT_S = 1.0  # A load that an endpoint told of is outdated by then.
+FAILURE_WEIGHT = 2.0  # Loads that an endpoint which always fails seems to have on top.
+FAR_WEIGHT = 0.05  # Of a load, for another data centre: it decides between equals only.
+
+
+@attrs.define
+class _Work:
+    """Work of this entry on an endpoint; ``weight`` is in units of the caller's choice."""
+
+    running: int = 0
+    weight: float = 0.0
+    told: Load | None = None
+    told_at: float = 0.0
+
+
+class Balancer:
+    """Chooses endpoints and keeps count of what runs on them.
+
+    Example::
+
+        endpoint = balancer.choose(membership.usable("orders"), tried, now)
+        balancer.begin(endpoint, weight=1.0)
+        ...
+        balancer.end(endpoint, weight=1.0)
+    """
+
+    def __init__(self, data_centre: str, rng: random.Random) -> None:
+        self._data_centre = data_centre
+        self._rng = rng
+        self._work: dict[str, _Work] = defaultdict(_Work)
+        self.breaker = Breaker()
+
+    def choose(
+        self, endpoints: Sequence[Endpoint], tried: Collection[str], now: float
+    ) -> Endpoint | None:
+        """Return the endpoint with most room, or ``None`` if all were tried."""
+        untried = [e for e in endpoints if e.instance not in tried]
+        if not untried:
+            return None
+        usable = set(self.breaker.usable([e.instance for e in untried], now))
+        candidates = [e for e in untried if e.instance in usable]
+        self._rng.shuffle(candidates)
+        chosen = min(candidates, key=lambda e: self._score(e, now))
+        self.breaker.note_chosen(chosen.instance, now)
+        return chosen
+
+    def pressure(self, endpoint: Endpoint, now: float) -> float:
+        """Return work per place; 1.0 is a full endpoint."""
+        work = self._work[endpoint.instance]
+        slots = max(1, endpoint.slots)
+        load = work.weight / slots
+        if work.told is not None and now - work.told_at < LOAD_KEPT_S:
+            told = work.told.running + work.told.waiting
+            load = max(load, told / max(1, work.told.slots))
+        return load
+
+    def begin(self, endpoint: Endpoint, weight: float) -> None:
+        """Count work that goes to an endpoint."""
+        work = self._work[endpoint.instance]
+        work.running += 1
+        work.weight += weight
+
+    def end(self, endpoint: Endpoint, weight: float) -> None:
+        """Count work that has ended there."""
+        work = self._work[endpoint.instance]
+        work.running -= 1
+        work.weight = max(0.0, work.weight - weight) if work.running else 0.0
+
+    def note_load(self, endpoint: Endpoint, load: Load | None, now: float) -> None:
+        """Take in what an endpoint says of its load."""
+        if load is not None:
+            work = self._work[endpoint.instance]
+            work.told, work.told_at = load, now
+
+    def note_result(self, endpoint: Endpoint, succeeded: bool, now: float) -> None:
+        """Take in how a request ended there."""
+        self.breaker.note(endpoint.instance, succeeded, now)
+
+    def note_dead(self, endpoint: Endpoint, now: float) -> None:
+        """Leave out an endpoint that does not accept connections."""
+        self.breaker.trip(endpoint.instance, now)
+
+    def forget(self, instance: str) -> None:
+        """Forget an endpoint that is gone."""
+        self._work.pop(instance, None)
+        self.breaker.forget(instance)
+
+    def _score(self, endpoint: Endpoint, now: float) -> float:
+        far = FAR_WEIGHT if endpoint.data_centre != self._data_centre else 0.0
+        failing = FAILURE_WEIGHT * self.breaker.failure_share(endpoint.instance)
+        return self.pressure(endpoint, now) + far + failing
--- /dev/null
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_calls.py
@@ -0,0 +1,168 @@
+"""Forwarding of plain requests: whole answers, at most once unless they are idempotent."""
+
+import asyncio
+from enum import Enum, auto
+
+import attrs
+
+from vanillashore_gateway._dialect import SendOrder
+from vanillashore_gateway._domain import AnswerHead, EndpointRole, RouteKind
+from vanillashore_gateway._errors import ErrorCode, RefusalError, refusal
+from vanillashore_gateway._front import Responder
+from vanillashore_gateway._http_client import LinkError, LinkFailure
+from vanillashore_gateway._http_messages import end_to_end
+from vanillashore_gateway._job import Job, Tools
+
+SEND_AGAIN_SHARE = 0.6  # Of the target: an idempotent request is then tried elsewhere.
+QUEUE_SHARE = 0.5  # Of the target: as long a request waits for a place before it is refused.
+PLACE_POLL_S = 0.02  # Between tries when all endpoints were full; a fraction of a usual answer.
+MIN_TIME_LEFT_S = 0.005  # Less than a round trip and a step of work.
+RETRY_AFTER_SHARE = 0.25  # Of the caller's time: later than a third it does not come back.
+
+
+class _End(Enum):
+    """How one sending ended."""
+
+    ANSWERED = auto()
+    NOT_SENT = auto()
+    NOT_RUN = auto()
+    UNCLEAR = auto()
+
+
+@attrs.frozen
+class _Result:
+    end: _End
+    head: AnswerHead | None = None
+    body: bytes = b""
+    reason: str = ""
+
+
+class CallForwarder:
+    """Forwards one plain request."""
+
+    def __init__(self, tools: Tools, job: Job) -> None:
+        self._tools = tools
+        self._job = job
+        self._budget = tools.budgets.of(job.service)
+        self._failed_answer: _Result | None = None
+
+    async def run(self, responder: Responder) -> None:
+        """Forward the request; raise RefusalError if no endpoint gives an answer."""
+        job = self._job
+        self._budget.earn()
+        result = await self._answer()
+        head = result.head
+        headers = end_to_end(head.headers)
+        responder.begin(head.status, head.reason, headers, len(result.body))
+        await responder.write(result.body)
+        responder.finish()
+        job.note("answered", status=head.status, sends=job.sends, bytes=len(result.body))
+
+    async def _answer(self) -> _Result:
+        while True:
+            result = await self._next_sending()
+            if result.end is _End.ANSWERED and not self._is_worth_repeating(result):
+                return result
+            if result.end is _End.ANSWERED:
+                self._failed_answer = result
+            if not self._may_send_again(result):
+                return self._give_up(result)
+
+    async def _next_sending(self) -> _Result:
+        """Send to the best endpoint; wait for a place if all of them were full."""
+        job, tools = self._job, self._tools
+        endpoint = job.choose(tools, EndpointRole.SERVICE)
+        while endpoint is None:
+            if self._failed_answer is not None:
+                return self._failed_answer
+            waited_s = tools.clock() - job.req.arrived
+            if not job.tried or waited_s > job.route.target_s * QUEUE_SHARE:
+                code = ErrorCode.ENDPOINTS_FULL if job.tried else ErrorCode.NO_ENDPOINT
+                raise self._refuse(code, f"no endpoint of {job.service} takes the request now")
+            await asyncio.sleep(PLACE_POLL_S * (1 + tools.rng.random()))
+            job.tried.clear()
+            endpoint = job.choose(tools, EndpointRole.SERVICE)
+        job.tried.add(endpoint.instance)
+        time_left_s = job.give_up_at - tools.clock()
+        if time_left_s < MIN_TIME_LEFT_S:
+            raise self._refuse(ErrorCode.TOO_LATE, "no time is left for the request")
+        order = SendOrder(job.req, endpoint, job.workspace, time_left_s)
+        result = await self._send(order)
+        healthy = result.end in (_End.ANSWERED, _End.NOT_RUN) and not _is_failure(result)
+        tools.balancer.note_result(endpoint, healthy, tools.clock())
+        if result.end is not _End.ANSWERED or _is_failure(result):
+            job.note(
+                "sending failed",
+                endpoint=endpoint.instance,
+                end=result.end.name,
+                reason=result.reason,
+                status=result.head.status if result.head else 0,
+            )
+        return result
+
+    async def _send(self, order: SendOrder) -> _Result:
+        timeout_s = order.time_left_s
+        may_repeat = self._job.route.kind is RouteKind.IDEMPOTENT
+        if may_repeat and self._has_sends_left():
+            timeout_s = min(timeout_s, self._job.route.target_s * SEND_AGAIN_SHARE)
+        try:
+            async with asyncio.timeout(timeout_s):
+                async with self._tools.sender.send(order, 1.0, timeout_s, not may_repeat) as sent:
+                    if sent.head.was_not_run:
+                        await sent.read_whole()
+                        return _Result(_End.NOT_RUN, sent.head)
+                    self._job.sends += 1
+                    return _Result(_End.ANSWERED, sent.head, await sent.read_whole())
+        except TimeoutError:
+            self._job.sends += 1
+            return _Result(_End.UNCLEAR, reason="timed out")
+        except LinkError as exc:
+            if exc.failure is LinkFailure.NOT_SENT:
+                return _Result(_End.NOT_SENT, reason=str(exc))
+            self._job.sends += 1
+            return _Result(_End.UNCLEAR, reason=str(exc))
+
+    def _has_sends_left(self) -> bool:
+        return self._job.sends + 1 < self._job.route.max_attempts
+
+    def _is_worth_repeating(self, result: _Result) -> bool:
+        if self._job.route.kind is not RouteKind.IDEMPOTENT:
+            return False
+        return _is_failure(result) and self._job.sends < self._job.route.max_attempts
+
+    def _may_send_again(self, result: _Result) -> bool:
+        if self._tools.clock() > self._job.give_up_at - MIN_TIME_LEFT_S:
+            return False
+        if result.end is _End.NOT_SENT:
+            return True
+        if result.end is not _End.NOT_RUN:
+            if self._job.route.kind is not RouteKind.IDEMPOTENT:
+                return False
+            if self._job.sends >= self._job.route.max_attempts:
+                return False
+        return self._budget.spend()
+
+    def _give_up(self, result: _Result) -> _Result:
+        if self._failed_answer is not None:
+            return self._failed_answer
+        job = self._job
+        if result.end is _End.NOT_RUN or result.end is _End.NOT_SENT:
+            if job.sends == 0:
+                raise self._refuse(ErrorCode.ENDPOINTS_FULL, "the endpoints take no more work")
+            raise refusal(ErrorCode.ENDPOINT_FAILED, "the endpoint's answer was lost")
+        if self._tools.clock() >= job.give_up_at - MIN_TIME_LEFT_S:
+            raise refusal(ErrorCode.TIMED_OUT, "no answer came in time")
+        raise refusal(ErrorCode.ENDPOINT_FAILED, f"the endpoint's answer was lost: {result.reason}")
+
+    def _refuse(self, code: ErrorCode, text: str) -> RefusalError:
+        """Refuse as not run, unless an earlier sending may have run the request."""
+        job = self._job
+        if job.sends:
+            return refusal(ErrorCode.ENDPOINT_FAILED, text)
+        time_left_s = max(0.0, job.req.deadline - self._tools.clock())
+        spread = 0.5 + self._tools.rng.random() / 2
+        return refusal(code, text, time_left_s * RETRY_AFTER_SHARE * spread)
+
+
+def _is_failure(result: _Result) -> bool:
+    return result.head is not None and result.head.status >= 500
--- /dev/null
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_front.py
@@ -0,0 +1,300 @@
+"""Connections of callers: whole requests in, answers out, one at a time and in order."""
+
+import asyncio
+from collections import deque
+from collections.abc import Awaitable, Callable, Iterable
+
+import attrs
+import httptools
+from loguru import logger as log
+
+from vanillashore_gateway._domain import CallerLimits, Header
+from vanillashore_gateway._errors import ErrorCode, RefusalError, Refused
+from vanillashore_gateway._http_messages import RequestHead, render_headers
+
+MAX_PIPELINED = 16  # Requests that may wait behind the one being answered.
+HEAD_ROOM = 4  # Bytes that a header line has beside its name and value.
+REASONS = {
+    200: b"OK",
+    400: b"Bad Request",
+    401: b"Unauthorized",
+    404: b"Not Found",
+    408: b"Request Timeout",
+    413: b"Content Too Large",
+    429: b"Too Many Requests",
+    431: b"Request Header Fields Too Large",
+    500: b"Internal Server Error",
+    502: b"Bad Gateway",
+    503: b"Service Unavailable",
+    504: b"Gateway Timeout",
+}
+
+
+@attrs.frozen
+class Inbound:
+    """A whole request as it came in; ``arrived`` is when its first byte was read."""
+
+    head: RequestHead
+    body: bytes
+    arrived: float
+
+
+class CallerGoneError(Exception):
+    """The caller closed its connection before the answer was whole."""
+
+
+Handler = Callable[[Inbound, "Responder"], Awaitable[None]]
+
+
+@attrs.define
+class FrontSettings:
+    """What all connections of a listener share; limits may change while they are open."""
+
+    handler: Handler
+    clock: Callable[[], float]
+    limits: CallerLimits = attrs.field(factory=CallerLimits)
+    is_closing: bool = False
+    connections: set["CallerConnection"] = attrs.field(factory=set)
+
+
+class Responder:
+    """Writes one answer to a caller."""
+
+    def __init__(self, conn: "CallerConnection") -> None:
+        self._conn = conn
+        self.has_begun = False
+        self.is_complete = False
+        self._is_chunked = False
+
+    def begin(
+        self, status: int, reason: bytes, headers: Iterable[Header], length: int | None
+    ) -> None:
+        """Send the head; a body without a ``length`` is sent in chunks."""
+        framing = b"Transfer-Encoding: chunked\r\n"
+        self._is_chunked = length is None
+        if length is not None:
+            framing = b"Content-Length: %d\r\n" % length
+        closing = b"Connection: close\r\n" if self._conn.closes_after_answer else b""
+        line = b"HTTP/1.1 %d %b\r\n" % (status, reason or REASONS.get(status, b"Status"))
+        self.has_begun = True
+        self._conn.write(line + render_headers(headers) + framing + closing + b"\r\n")
+
+    async def write(self, data: bytes) -> None:
+        """Send bytes of the body, and wait while the caller reads slowly."""
+        if data:
+            self._conn.write(b"%x\r\n%b\r\n" % (len(data), data) if self._is_chunked else data)
+            await self._conn.drain()
+
+    def finish(self) -> None:
+        """End the body."""
+        if self._is_chunked:
+            self._conn.write(b"0\r\n\r\n")
+        self.is_complete = True
+
+    def answer(self, status: int, headers: Iterable[Header], body: bytes) -> None:
+        """Send a whole answer."""
+        self.begin(status, REASONS.get(status, b""), headers, len(body))
+        self._conn.write(body)
+        self.is_complete = True
+
+    def break_off(self) -> None:
+        """Close so that an answer that has begun does not look complete."""
+        self._conn.abort()
+
+
+class CallerConnection(asyncio.Protocol):
+    """One connection of a caller."""
+
+    def __init__(self, settings: FrontSettings) -> None:
+        self._settings = settings
+        self._parser = httptools.HttpRequestParser(self)
+        self._transport: asyncio.Transport | None = None
+        self._task: asyncio.Task[None] | None = None
+        self._waiting: deque[Inbound | Refused] = deque()
+        self._timer: asyncio.TimerHandle | None = None
+        self._drained: asyncio.Future[None] | None = None
+        self._target = b""
+        self._headers: list[Header] = []
+        self._header_bytes = 0
+        self._body: list[bytes] = []
+        self._body_bytes = 0
+        self._began_at: float | None = None
+        self._is_failed = False
+        self._last_asked_to_close = False
+
+    @property
+    def closes_after_answer(self) -> bool:
+        """Whether the answer under way is the last on this connection."""
+        return self._settings.is_closing or self._last_asked_to_close or self._is_failed
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether no request is under way or half read."""
+        return self._task is None and not self._waiting and self._began_at is None
+
+    def write(self, data: bytes) -> None:
+        """Send bytes; raise CallerGoneError if the caller has left."""
+        if self._transport is None or self._transport.is_closing():
+            raise CallerGoneError
+        self._transport.write(data)
+
+    async def drain(self) -> None:
+        """Wait until the caller has read enough of what was sent."""
+        if self._drained is not None:
+            await self._drained
+
+    def abort(self) -> None:
+        """Close at once, dropping what was not sent yet."""
+        if self._transport is not None:
+            self._transport.abort()
+
+    def close(self) -> None:
+        """Close after what was sent."""
+        if self._transport is not None:
+            self._transport.close()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Take over the transport."""
+        self._transport = transport
+        self._settings.connections.add(self)
+        self._set_timer(self._settings.limits.idle_timeout_s)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Cancel the request under way: its caller is gone."""
+        self._settings.connections.discard(self)
+        self._transport = None
+        self._waiting.clear()
+        if self._timer is not None:
+            self._timer.cancel()
+        self.resume_writing()
+        if self._task is not None:
+            self._task.cancel()
+
+    def pause_writing(self) -> None:
+        """Make writers wait."""
+        self._drained = asyncio.get_running_loop().create_future()
+
+    def resume_writing(self) -> None:
+        """Let writers go on."""
+        if self._drained is not None and not self._drained.done():
+            self._drained.set_result(None)
+        self._drained = None
+
+    def data_received(self, data: bytes) -> None:
+        """Parse bytes of requests."""
+        if self._is_failed:
+            return
+        if self._began_at is None:
+            self._began_at = self._settings.clock()
+            self._set_timer(self._settings.limits.header_timeout_s)
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            self._fail(ErrorCode.BAD_REQUEST, "protocol upgrades are not supported")
+        except httptools.HttpParserError as exc:
+            self._fail(ErrorCode.BAD_REQUEST, f"this is no valid HTTP/1.1 request: {exc}")
+
+    def on_url(self, url: bytes) -> None:
+        """Collect the request target."""
+        self._target += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Collect a header."""
+        self._headers.append((name, value))
+        self._header_bytes += len(name) + len(value) + HEAD_ROOM
+        if self._header_bytes > self._settings.limits.header_bytes:
+            self._fail(ErrorCode.HEADERS_TOO_LARGE, "the headers are too large")
+
+    def on_headers_complete(self) -> None:
+        """Answer a caller that waits for a word before it sends the body."""
+        expects = [value.lower() for name, value in self._headers if name.lower() == b"expect"]
+        if b"100-continue" in expects and not self._is_failed and self._task is None:
+            self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+    def on_body(self, body: bytes) -> None:
+        """Collect bytes of the body."""
+        self._body_bytes += len(body)
+        if self._body_bytes > self._settings.limits.body_bytes:
+            self._fail(ErrorCode.BODY_TOO_LARGE, "the body is too large")
+        else:
+            self._body.append(body)
+
+    def on_message_complete(self) -> None:
+        """Queue a whole request."""
+        if self._is_failed:
+            return
+        head = RequestHead(self._parser.get_method(), self._target, tuple(self._headers))
+        inbound = Inbound(head, b"".join(self._body), self._began_at or self._settings.clock())
+        self._last_asked_to_close = not self._parser.should_keep_alive()
+        self._target, self._headers, self._header_bytes = b"", [], 0
+        self._body, self._body_bytes, self._began_at = [], 0, None
+        self._cancel_timer()
+        self._waiting.append(inbound)
+        if len(self._waiting) > MAX_PIPELINED:
+            self._fail(ErrorCode.BAD_REQUEST, "too many requests are pipelined")
+        self._start_next()
+
+    def _fail(self, code: ErrorCode, text: str) -> None:
+        if self._is_failed:
+            return
+        self._is_failed = True
+        self._waiting.append(Refused(code, text))
+        self._start_next()
+
+    def _start_next(self) -> None:
+        if self._task is None and self._waiting:
+            self._cancel_timer()
+            self._task = asyncio.get_running_loop().create_task(self._serve())
+
+    async def _serve(self) -> None:
+        try:
+            while self._waiting and self._transport is not None:
+                await self._serve_one(self._waiting.popleft())
+        except (CallerGoneError, asyncio.CancelledError):
+            self.abort()
+        finally:
+            self._task = None
+        if self._transport is None or self._transport.is_closing():
+            return
+        if self.closes_after_answer:
+            self.close()
+        elif self._began_at is None:
+            self._set_timer(self._settings.limits.idle_timeout_s)
+
+    async def _serve_one(self, inbound: "Inbound | Refused") -> None:
+        responder = Responder(self)
+        if isinstance(inbound, Refused):
+            log.bind(code=inbound.code, reason=inbound.text).info("a request cannot be read")
+            responder.answer(inbound.status, inbound.headers(), inbound.body(""))
+            return
+        try:
+            await self._settings.handler(inbound, responder)
+        except RefusalError as exc:
+            if responder.has_begun:
+                responder.break_off()
+            else:
+                responder.answer(exc.refused.status, exc.refused.headers(), exc.refused.body(""))
+        except (CallerGoneError, asyncio.CancelledError):
+            raise
+        except Exception as exc:
+            log.bind(error=repr(exc)).exception("a request failed unexpectedly")
+            responder.break_off()
+        if responder.has_begun and not responder.is_complete:
+            responder.break_off()
+
+    def _set_timer(self, delay_s: float) -> None:
+        self._cancel_timer()
+        self._timer = asyncio.get_running_loop().call_later(delay_s, self._on_timer)
+
+    def _cancel_timer(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+    def _on_timer(self) -> None:
+        if self._task is not None:
+            return
+        if self._began_at is None:
+            self.close()
+        else:
+            self._fail(ErrorCode.SLOW_CALLER, "the request did not arrive in time")
--- /dev/null
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_http_client.py
@@ -0,0 +1,272 @@
+"""Connections to endpoints and stores: one request at a time, answers checked before reuse."""
+
+import asyncio
+import contextlib
+import socket
+from collections import deque
+from collections.abc import Callable
+from enum import StrEnum
+
+import attrs
+import httptools
+
+from vanillashore_gateway._http_messages import ResponseHead
+
+CONNECT_TIMEOUT_S = 0.25  # Far above a round trip between data centres, far below any target.
+PEER_SILENT_MS = 2_000  # Unacknowledged data; a live peer's kernel acknowledges in milliseconds.
+KEEPALIVE_IDLE_S = 1
+KEEPALIVE_INTERVAL_S = 1
+KEEPALIVE_PROBES = 2
+DEFAULT_IDLE_S = 2.0  # For peers that do not say how long they keep an idle connection.
+IDLE_SHARE = 0.5  # Of the peer's own idle time-out, so that a request does not cross its close.
+MAX_ANSWER_BUFFER = 262_144  # Bytes of an answer that may wait for a slow caller.
+
+OwnsAnswer = Callable[[ResponseHead], bool]
+
+
+class LinkFailure(StrEnum):
+    """How an exchange failed."""
+
+    NOT_SENT = "not_sent"
+    BROKEN = "broken"
+    GARBLED = "garbled"
+
+
+class LinkError(Exception):
+    """An exchange that failed; with ``NOT_SENT`` no byte of the request has left."""
+
+    def __init__(self, failure: LinkFailure, text: str) -> None:
+        super().__init__(f"{failure.value}: {text}")
+        self.failure = failure
+
+
+@attrs.define(eq=False)
+class _Answer:
+    """The answer under way; ``ends_with_connection`` if nothing else tells its length."""
+
+    owns: OwnsAnswer | None
+    head: "asyncio.Future[ResponseHead]"
+    chunks: deque[bytes] = attrs.field(factory=deque)
+    buffered: int = 0
+    wake: "asyncio.Future[None] | None" = None
+    is_complete: bool = False
+    is_skipped: bool = False
+    ends_with_connection: bool = False
+    error: LinkError | None = None
+
+
+class HttpConnection(asyncio.Protocol):
+    """One connection of a client.
+
+    An answer that does not belong to the request is skipped, and a connection on which anything
+    arrives unasked is closed::
+
+        conn = await open_connection("127.0.0.1", 8080)
+        conn.send(data, owns=None)
+        head = await conn.head()
+        while chunk := await conn.read():
+            ...
+    """
+
+    def __init__(self) -> None:
+        self._transport: asyncio.Transport | None = None
+        self._parser: httptools.HttpResponseParser | None = None
+        self._answer: _Answer | None = None
+        self._reason = b""
+        self._headers: list[tuple[bytes, bytes]] = []
+        self._is_open = False
+        self._may_reuse = True
+        self._is_paused = False
+        self.idle_limit_s = DEFAULT_IDLE_S
+        self.idle_since = 0.0
+        self.idle_until = 0.0
+
+    @property
+    def is_open(self) -> bool:
+        """Whether the connection can take another request."""
+        return self._is_open and self._may_reuse
+
+    @property
+    def may_keep(self) -> bool:
+        """Whether the last answer ended in a way that leaves the connection clean."""
+        answer = self._answer
+        if answer is None or not answer.is_complete or answer.ends_with_connection:
+            return False
+        # An endpoint may answer before it has read a long body.
+        return self.is_open and self._transport.get_write_buffer_size() == 0
+
+    def send(self, data: bytes, owns: OwnsAnswer | None = None) -> None:
+        """Send a request; raise LinkError (not sent) if the connection is gone already."""
+        if not self.is_open or self._transport.is_closing():
+            raise LinkError(LinkFailure.NOT_SENT, "the connection is closed")
+        self._answer = _Answer(owns, asyncio.get_running_loop().create_future())
+        self._parser = httptools.HttpResponseParser(self)
+        self._transport.write(data)
+
+    async def head(self) -> ResponseHead:
+        """Wait for the head of the answer."""
+        return await self._answer.head
+
+    async def read(self) -> bytes:
+        """Return the next bytes of the body, nothing at its end; raise LinkError if it breaks."""
+        answer = self._answer
+        while not answer.chunks:
+            if answer.is_complete:
+                return b""
+            if answer.error is not None:
+                raise answer.error
+            answer.wake = asyncio.get_running_loop().create_future()
+            await answer.wake
+        data = b"".join(answer.chunks)
+        answer.chunks.clear()
+        answer.buffered = 0
+        if self._is_paused and self._is_open:
+            self._is_paused = False
+            self._transport.resume_reading()
+        return data
+
+    def abort(self) -> None:
+        """Close at once; what the peer was asked is cancelled by that."""
+        self._may_reuse = False
+        if self._transport is not None:
+            self._transport.abort()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Take over the transport."""
+        self._transport = transport
+        self._is_open = True
+        _detect_silence(transport.get_extra_info("socket"))
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Fail what is under way."""
+        self._is_open = False
+        self._fail(LinkError(LinkFailure.BROKEN, f"the connection was lost: {exc or 'closed'}"))
+
+    def eof_received(self) -> bool:
+        """End an answer whose length only the close tells."""
+        answer = self._answer
+        if answer is not None and answer.ends_with_connection and not answer.is_complete:
+            answer.is_complete = True
+            _wake(answer)
+        return False
+
+    def data_received(self, data: bytes) -> None:
+        """Parse bytes of the answer."""
+        if self._answer is None or self._answer.is_complete or self._answer.error is not None:
+            self.abort()
+            return
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserError as exc:
+            if not self._answer.is_complete:
+                self._fail(LinkError(LinkFailure.GARBLED, str(exc)))
+            self.abort()
+
+    def on_message_begin(self) -> None:
+        """Start the next answer; one that follows a complete answer was not asked for."""
+        self._headers = []
+        self._reason = b""
+        if self._answer.is_complete:
+            self._may_reuse = False
+
+    def on_status(self, status: bytes) -> None:
+        """Collect the reason phrase."""
+        self._reason += status
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Collect a header."""
+        self._headers.append((name, value))
+
+    def on_headers_complete(self) -> None:
+        """Hand over the head, unless the answer is informational or another request's."""
+        answer = self._answer
+        status = self._parser.get_status_code()
+        head = ResponseHead(status, self._reason, tuple(self._headers))
+        answer.is_skipped = status < 200 or (answer.owns is not None and not answer.owns(head))
+        if answer.is_complete or answer.is_skipped:
+            return
+        if not self._parser.should_keep_alive():
+            self._may_reuse = False
+        answer.ends_with_connection = (
+            status not in (204, 304)
+            and head.first(b"content-length") is None
+            and head.first(b"transfer-encoding") is None
+        )
+        self._note_idle_limit(head)
+        if not answer.head.done():
+            answer.head.set_result(head)
+
+    def on_body(self, body: bytes) -> None:
+        """Queue bytes of the body."""
+        answer = self._answer
+        if answer.is_complete or answer.is_skipped:
+            return
+        answer.chunks.append(body)
+        answer.buffered += len(body)
+        if answer.buffered > MAX_ANSWER_BUFFER and not self._is_paused:
+            self._is_paused = True
+            self._transport.pause_reading()
+        _wake(answer)
+
+    def on_message_complete(self) -> None:
+        """End the answer."""
+        answer = self._answer
+        if answer.is_skipped or answer.is_complete:
+            answer.is_skipped = False
+            return
+        if answer.head.done() and not answer.head.cancelled():
+            answer.is_complete = True
+            _wake(answer)
+
+    def _note_idle_limit(self, head: ResponseHead) -> None:
+        self.idle_limit_s = DEFAULT_IDLE_S
+        value = head.first(b"keep-alive") or b""
+        for part in value.split(b","):
+            name, _, seconds = part.strip().partition(b"=")
+            if name.lower() == b"timeout" and seconds.strip().isdigit():
+                self.idle_limit_s = min(DEFAULT_IDLE_S, int(seconds) * IDLE_SHARE)
+
+    def _fail(self, error: LinkError) -> None:
+        answer = self._answer
+        if answer is None or answer.is_complete or answer.error is not None:
+            return
+        answer.error = error
+        if not answer.head.done():
+            answer.head.set_exception(error)
+            answer.head.exception()  # The waiter may have left already.
+        _wake(answer)
+
+
+def _wake(answer: _Answer) -> None:
+    if answer.wake is not None and not answer.wake.done():
+        answer.wake.set_result(None)
+
+
+def _detect_silence(sock: socket.socket) -> None:
+    """Let the kernel end connections to peers that are dark or cut off."""
+    for level, option, value in (
+        (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
+        (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
+        (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, PEER_SILENT_MS),
+    ):
+        with contextlib.suppress(OSError):  # Detection by time-outs of requests remains.
+            sock.setsockopt(level, option, value)
+
+
+async def open_connection(
+    host: str, port: int, timeout_s: float = CONNECT_TIMEOUT_S
+) -> HttpConnection:
+    """Connect; raise LinkError (not sent) if that fails or takes too long."""
+    loop = asyncio.get_running_loop()
+    try:
+        async with asyncio.timeout(timeout_s):
+            _, conn = await loop.create_connection(HttpConnection, host, port)
+    except TimeoutError as exc:
+        text = f"{host}:{port} did not accept within {timeout_s:g} s"
+        raise LinkError(LinkFailure.NOT_SENT, text) from exc
+    except OSError as exc:
+        raise LinkError(LinkFailure.NOT_SENT, f"{host}:{port}: {exc}") from exc
+    return conn
--- /dev/null
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_http_messages.py
@@ -0,0 +1,65 @@
+"""Heads of HTTP/1.1 messages, and the headers that concern one connection only."""
+
+from collections.abc import Iterable
+
+import attrs
+
+from vanillashore_gateway._domain import Header
+
+HOP_BY_HOP = frozenset(
+    {
+        b"connection",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+    }
+)
+
+
+@attrs.frozen
+class RequestHead:
+    """Request line and headers, as received."""
+
+    method: bytes
+    target: bytes
+    headers: tuple[Header, ...]
+
+    def all_of(self, name: bytes) -> list[bytes]:
+        """Return the values of a header; ``name`` is in lower case."""
+        return [value for key, value in self.headers if key.lower() == name]
+
+
+@attrs.frozen
+class ResponseHead:
+    """Status line and headers, as received."""
+
+    status: int
+    reason: bytes
+    headers: tuple[Header, ...]
+
+    def first(self, name: bytes) -> bytes | None:
+        """Return the first value of a header, or ``None``; ``name`` is in lower case."""
+        for key, value in self.headers:
+            if key.lower() == name:
+                return value
+        return None
+
+
+def end_to_end(headers: Iterable[Header]) -> tuple[Header, ...]:
+    """Return the headers that go on to the other side, without those that frame the body."""
+    kept = list(headers)
+    dropped = HOP_BY_HOP | {b"content-length"}
+    for name, value in kept:
+        if name.lower() == b"connection":
+            dropped |= {token.strip().lower() for token in value.split(b",")}
+    return tuple((name, value) for name, value in kept if name.lower() not in dropped)
+
+
+def render_headers(headers: Iterable[Header]) -> bytes:
+    """Return header lines without the empty line that ends them."""
+    return b"".join(b"%b: %b\r\n" % header for header in headers)
--- /dev/null
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_job.py
@@ -0,0 +1,92 @@
+"""A request that was admitted, and what its forwarding shares with others."""
+
+import random
+from collections.abc import Callable
+
+import attrs
+from loguru import logger as log
+
+from vanillashore_gateway._balancing import Balancer
+from vanillashore_gateway._dialect import Dialect
+from vanillashore_gateway._domain import CallerRequest, Endpoint, EndpointRole, Route
+from vanillashore_gateway._membership import Membership
+from vanillashore_gateway._sending import Sender
+from vanillashore_outcome import RetryBudget
+
+
+@attrs.define
+class BudgetBook:
+    """The retry budget of each service at this entry."""
+
+    per_request: float
+    most: float
+    _budgets: dict[str, RetryBudget] = attrs.field(factory=dict)
+
+    def of(self, service: str) -> RetryBudget:
+        """Return a service's budget; a new process begins with a part of it only."""
+        found = self._budgets.get(service)
+        if found is None:
+            found = RetryBudget(self.per_request, self.most, self.most / 4)
+            self._budgets[service] = found
+        return found
+
+    def resize(self, most: float) -> None:
+        """Change how many retries may be saved up."""
+        self.most = most
+        for budget in self._budgets.values():
+            budget.most = most
+            budget.saved = min(budget.saved, most)
+
+
+@attrs.frozen
+class Tools:
+    """What all requests of a gateway use."""
+
+    dialect: Dialect
+    sender: Sender
+    balancer: Balancer
+    membership: Membership
+    budgets: BudgetBook
+    clock: Callable[[], float]
+    rng: random.Random
+    kv_hold_s: Callable[[str], float]
+
+
+@attrs.define
+class Job:
+    """An admitted request on its way; ``config_version`` is the configuration it is handled by."""
+
+    req: CallerRequest
+    route: Route
+    service: str
+    workspace: str
+    config_version: int
+    tried: set[str] = attrs.field(factory=set)
+    sends: int = 0
+
+    @property
+    def give_up_at(self) -> float:
+        """When the caller has to have a final answer."""
+        return min(self.req.deadline, self.req.arrived + self.route.timeout_s)
+
+    def choose(self, tools: Tools, role: EndpointRole) -> Endpoint | None:
+        """Choose an endpoint that was not tried yet, and log why."""
+        now = tools.clock()
+        endpoints = tools.membership.usable(self.service, role)
+        endpoint = tools.balancer.choose(endpoints, self.tried, now)
+        if endpoint is None:
+            self.note("no endpoint is left", listed=len(endpoints), tried=len(self.tried))
+            return None
+        self.note(
+            "endpoint chosen",
+            endpoint=endpoint.instance,
+            role=role.value,
+            pressure=round(tools.balancer.pressure(endpoint, now), 3),
+            listed=len(endpoints),
+            tried=len(self.tried),
+        )
+        return endpoint
+
+    def note(self, decision: str, **inputs: object) -> None:
+        """Log a decision on this request."""
+        log.bind(request=self.req.log_id, config=self.config_version, **inputs).info(decision)
--- /dev/null
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_platform_store.py
@@ -0,0 +1,97 @@
+"""What a gateway reads from and writes to the platform's store, and how that fails."""
+
+from typing import Protocol
+
+import attrs
+
+from vanillashore_gateway._domain import Endpoint, ServingConfig
+
+
+class StoreUnavailableError(Exception):
+    """The store did not answer, or not with what was asked."""
+
+
+class HistoryGoneError(Exception):
+    """The store has dropped the history that a watch wanted to go on from."""
+
+
+class LeaseGoneError(Exception):
+    """A lease has ended."""
+
+
+@attrs.frozen
+class ConfigWritten:
+    """A configuration was accepted."""
+
+    config: ServingConfig
+
+
+@attrs.frozen
+class EndpointWritten:
+    """An endpoint's entry was written."""
+
+    endpoint: Endpoint
+
+
+@attrs.frozen
+class EndpointRemoved:
+    """An endpoint's entry is gone, or names no endpoint that could be used."""
+
+    instance: str
+
+
+@attrs.frozen
+class EntryWritten:
+    """An entry process has announced itself."""
+
+    name: str
+
+
+@attrs.frozen
+class EntryRemoved:
+    """An entry process is gone."""
+
+    name: str
+
+
+Change = ConfigWritten | EndpointWritten | EndpointRemoved | EntryWritten | EntryRemoved
+
+
+@attrs.frozen
+class Snapshot:
+    """All that the store holds for a gateway; changes after ``revision`` may be missing."""
+
+    revision: int
+    items: tuple[Change, ...]
+
+
+@attrs.frozen
+class Changes:
+    """What has changed since the revision that was asked for, up to ``revision``."""
+
+    revision: int
+    items: tuple[Change, ...]
+
+
+class PlatformStore(Protocol):
+    """The platform's store. Calls raise StoreUnavailableError."""
+
+    async def snapshot(self) -> Snapshot:
+        """Read everything, as of now or later."""
+        ...
+
+    async def changes(self, after: int, wait_s: float) -> Changes:
+        """Wait for changes; raise HistoryGoneError if those after ``after`` are unknown."""
+        ...
+
+    async def announce(self, name: str, ttl_s: float) -> int:
+        """Write this entry process under a new lease, and return the lease."""
+        ...
+
+    async def renew(self, lease: int) -> None:
+        """Renew a lease; raise LeaseGoneError if it has ended."""
+        ...
+
+    async def withdraw(self, lease: int) -> None:
+        """End a lease, and what was written under it."""
+        ...
--- /dev/null
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_pool.py
@@ -0,0 +1,57 @@
+"""Connections to endpoints that are kept for the next request."""
+
+import asyncio
+from collections import defaultdict
+
+from vanillashore_gateway._domain import Endpoint
+from vanillashore_gateway._http_client import HttpConnection, open_connection
+
+MAX_IDLE_PER_ENDPOINT = 8  # More would sit idle at today's rates, and endpoints share a limit.
+FRESH_IDLE_S = 0.4  # For requests that must not repeat: an endpoint may drop idle connections.
+
+
+class ConnectionPool:
+    """Keeps clean idle connections, each for a part of its endpoint's own idle time-out."""
+
+    def __init__(self) -> None:
+        self._idle: dict[str, list[HttpConnection]] = defaultdict(list)
+        self.opened = 0
+
+    async def take(self, endpoint: Endpoint, must_be_fresh: bool = False) -> HttpConnection:
+        """Return a connection to an endpoint; raise LinkError if none can be opened.
+
+        ``must_be_fresh`` passes over connections that the endpoint may have dropped unnoticed.
+        """
+        idle = self._idle.get(endpoint.instance, [])
+        time = asyncio.get_running_loop().time()
+        while idle:
+            conn = idle.pop()
+            is_fresh = time < conn.idle_since + FRESH_IDLE_S
+            if conn.is_open and time < conn.idle_until and (is_fresh or not must_be_fresh):
+                return conn
+            conn.abort()
+        self.opened += 1
+        return await open_connection(endpoint.host, endpoint.port)
+
+    def give_back(self, endpoint: Endpoint, conn: HttpConnection) -> None:
+        """Keep a connection whose answer has been read whole, if it can be used again."""
+        idle = self._idle[endpoint.instance]
+        if not conn.may_keep or len(idle) >= MAX_IDLE_PER_ENDPOINT:
+            conn.abort()
+            return
+        loop = asyncio.get_running_loop()
+        conn.idle_since = loop.time()
+        conn.idle_until = conn.idle_since + conn.idle_limit_s
+        loop.call_later(conn.idle_limit_s, self._drop_if_idle, endpoint.instance, conn)
+        idle.append(conn)
+
+    def forget(self, instance: str) -> None:
+        """Close the idle connections to an endpoint that is gone."""
+        for conn in self._idle.pop(instance, []):
+            conn.abort()
+
+    def _drop_if_idle(self, instance: str, conn: HttpConnection) -> None:
+        idle = self._idle.get(instance, [])
+        if conn in idle and asyncio.get_running_loop().time() >= conn.idle_until:
+            idle.remove(conn)
+            conn.abort()
--- /dev/null
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_process.py
@@ -0,0 +1,110 @@
+"""Life of a gateway process: listeners, signals, and a stop that cuts no request."""
+
+import asyncio
+import random
+import signal
+from collections.abc import Awaitable
+
+from loguru import logger as log
+
+from vanillashore_gateway._clock import now
+from vanillashore_gateway._dialect import Dialect
+from vanillashore_gateway._following import Announcement, Follower
+from vanillashore_gateway._front import CallerConnection, FrontSettings, Inbound, Responder
+from vanillashore_gateway._gateway import Gateway, GatewaySettings
+from vanillashore_gateway._platform_store import PlatformStore
+
+BACKLOG = 1_024
+READY_PATH = b"/-/readyz"
+METRICS_PATH = b"/metrics"
+OUT_OF_ROTATION_S = 3.0  # The balancer asks once a second and needs two misses.
+STOP_MARGIN_S = 0.8  # Left of the grace time for closing connections.
+STOP_POLL_S = 0.05
+TEXT = ((b"Content-Type", b"text/plain; charset=utf-8"),)
+
+
+class GatewayProcess:
+    """One running gateway."""
+
+    def __init__(self, cfg: GatewaySettings, dialect: Dialect, store: PlatformStore) -> None:
+        rng = random.Random()
+        self._cfg = cfg
+        self._gateway = Gateway(cfg, dialect, rng)
+        self._follower = Follower(store, self._gateway, now, rng)
+        self._announcement = Announcement(store, cfg.node, rng)
+        self._servers: list[asyncio.Server] = []
+        self._tasks: list[asyncio.Task[None]] = []
+        self._stop = asyncio.Event()
+
+    async def run(self) -> None:
+        """Serve until a stop signal, then finish what is under way."""
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self._stop.set)
+        loop.add_signal_handler(signal.SIGHUP, self._note_reload)
+        await self._listen(self._cfg.front, self._gateway.front)
+        await self._listen(self._cfg.ready, FrontSettings(self._answer_ready, now))
+        await self._listen(self._cfg.metrics, FrontSettings(self._answer_metrics, now))
+        self._start(self._follower.run())
+        self._start(self._announcement.run())
+        log.bind(front=self._cfg.front, data_centre=self._cfg.data_centre).info("started")
+        await self._stop.wait()
+        await self._shut_down()
+
+    def _start(self, work: Awaitable[None]) -> None:
+        task = asyncio.ensure_future(work)
+        task.add_done_callback(self._note_end)
+        self._tasks.append(task)
+
+    def _note_end(self, task: "asyncio.Task[None]") -> None:
+        if not task.cancelled() and task.exception() is not None:
+            log.bind(error=repr(task.exception())).error("a task failed; the process stops")
+            self._stop.set()
+
+    async def _listen(self, address: tuple[str, int], settings: FrontSettings) -> None:
+        loop = asyncio.get_running_loop()
+        host, port = address
+        self._servers.append(
+            await loop.create_server(
+                lambda: CallerConnection(settings), host, port, backlog=BACKLOG
+            )
+        )
+
+    async def _answer_ready(self, inbound: Inbound, responder: Responder) -> None:
+        if inbound.head.target.partition(b"?")[0] != READY_PATH:
+            responder.answer(404, TEXT, b"not found\n")
+        elif self._gateway.is_ready:
+            responder.answer(200, TEXT, b"ready\n")
+        else:
+            responder.answer(503, TEXT, b"not ready\n")
+
+    async def _answer_metrics(self, inbound: Inbound, responder: Responder) -> None:
+        if inbound.head.target.partition(b"?")[0] != METRICS_PATH:
+            responder.answer(404, TEXT, b"not found\n")
+        else:
+            responder.answer(200, TEXT, self._gateway.metrics.render())
+
+    def _note_reload(self) -> None:
+        log.info("reload: nothing in the settings of a running process can change")
+
+    async def _shut_down(self) -> None:
+        gateway = self._gateway
+        gateway.is_stopping = True
+        gateway.front.is_closing = True
+        began = now()
+        log.bind(active=gateway.active, connections=len(gateway.front.connections)).info("stopping")
+        last = began + self._cfg.grace_s - STOP_MARGIN_S
+        while now() < last:
+            await asyncio.sleep(STOP_POLL_S)
+            if now() - began >= OUT_OF_ROTATION_S and gateway.active == 0:
+                break
+        for server in self._servers:
+            server.close()
+        for conn in list(gateway.front.connections):
+            if conn.is_idle:
+                conn.close()
+        await self._announcement.withdraw()
+        for task in self._tasks:
+            task.cancel()
+        took_s = round(now() - began, 3)
+        log.bind(active=gateway.active, took_s=took_s).info("stopped")
--- /dev/null
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_routing.py
@@ -0,0 +1,54 @@
+"""Which route, workspace and service a request belongs to."""
+
+import random
+from collections import defaultdict
+
+from vanillashore_gateway._domain import CallerRequest, Route, ServingConfig, Workspace
+from vanillashore_gateway._errors import ErrorCode, refusal
+
+
+class RouteTable:
+    """Looks up routes and keys of one configuration.
+
+    Example::
+
+        table = RouteTable(config)
+        route = table.route(req.host, req.path)
+        workspace = table.workspace(req, route)
+    """
+
+    def __init__(self, config: ServingConfig) -> None:
+        self.config = config
+        self._by_host: dict[str, dict[str, Route]] = defaultdict(dict)
+        for route in config.routes:
+            self._by_host[route.host.lower()][route.path_prefix] = route
+        self._by_key = {key: w for w in config.workspaces for key in w.keys}
+        self.services = {service.name: service for service in config.services}
+
+    def route(self, host: str, path: str) -> Route:
+        """Return the route with the longest matching prefix; raise RefusalError if none does."""
+        routes = self._by_host.get(host.lower().partition(":")[0], {})
+        end = len(path)
+        while (end := path.rfind("/", 0, end)) >= 0:
+            found = routes.get(path[: end + 1])
+            if found is not None:
+                return found
+        raise refusal(ErrorCode.NO_ROUTE, f"no route leads to {host}{path}")
+
+    def workspace(self, req: CallerRequest, route: Route) -> Workspace | None:
+        """Return the workspace that holds the request's key; ``None`` on an open route.
+
+        Raises RefusalError if a key is needed and is missing or unknown.
+        """
+        found = self._by_key.get(req.key) if req.key is not None else None
+        if found is None and self._by_key and not route.is_open:
+            raise refusal(ErrorCode.KEY_INVALID, "the key is missing or unknown")
+        return None if route.is_open else found
+
+
+def pick_service(route: Route, rng: random.Random) -> str:
+    """Return one of the route's services, by weight."""
+    if len(route.targets) == 1:
+        return route.targets[0].service
+    weights = [target.weight for target in route.targets]
+    return rng.choices([target.service for target in route.targets], weights)[0]
--- a/packages/vanillashore-node/src/vanillashore_node/_claim_desk.py
+++ b/packages/vanillashore-node/src/vanillashore_node/_claim_desk.py
@@ -6,7 +6,7 @@
 import attrs
 
 from vanillashore_outcome import ClaimProcess, ClaimVerdict, Decision
-from vanillashore_platform import ClaimStore, StoredClaim, StoreUnavailableError
+from vanillashore_store import ClaimStore, StoredClaim, StoreUnavailableError
 
 PAUSE_S = 0.05
 MAX_PAUSE_S = 2.0
--- a/packages/vanillashore-node/src/vanillashore_node/_claims.py
+++ b/packages/vanillashore-node/src/vanillashore_node/_claims.py
@@ -12,7 +12,7 @@
 from vanillashore_node._claim_desk import ClaimDesk, ClaimResult
 from vanillashore_node._core import NodeCore
 from vanillashore_outcome import ClaimVerdict, End, Start, call_fingerprint, claim_name
-from vanillashore_platform import StoredClaim, StoreUnavailableError
+from vanillashore_store import StoredClaim, StoreUnavailableError
 from vanillashore_wire import (
     CallDone,
     CallOrder,
--- a/packages/vanillashore-node/src/vanillashore_node/_config_following.py
+++ b/packages/vanillashore-node/src/vanillashore_node/_config_following.py
@@ -11,7 +11,8 @@
 from vanillashore_node._directory import Directory
 from vanillashore_node._link import LinkHub
 from vanillashore_node._tasks import TaskGroup
-from vanillashore_platform import (
+from vanillashore_schema import NodeSettings
+from vanillashore_store import (
     HEAD_KEY,
     ConfigReplica,
     ConfigStore,
@@ -20,7 +21,6 @@
     VmEntry,
     VmState,
 )
-from vanillashore_schema import NodeSettings
 from vanillashore_wire import (
     ConfigAsk,
     ConfigChunkAsk,
--- a/packages/vanillashore-node/src/vanillashore_node/_config_relays.py
+++ b/packages/vanillashore-node/src/vanillashore_node/_config_relays.py
@@ -5,7 +5,7 @@
 
 import xxhash
 
-from vanillashore_platform import VmEntry, VmState
+from vanillashore_store import VmEntry, VmState
 
 FEWEST_RELAYS = 2
 
--- a/packages/vanillashore-node/src/vanillashore_node/_core.py
+++ b/packages/vanillashore-node/src/vanillashore_node/_core.py
@@ -17,13 +17,13 @@
 from vanillashore_node._link import LINK_PATH, LinkHub
 from vanillashore_node._metrics import METRICS_PATH, NodeMetrics
 from vanillashore_node._tasks import TaskGroup
-from vanillashore_platform import (
+from vanillashore_schema import NodeSettings
+from vanillashore_store import (
     EtcdStore,
     HttpVmList,
     KeyValueStore,
     VmListFollower,
 )
-from vanillashore_schema import NodeSettings
 from vanillashore_wire import unstructure
 
 DRAIN_POLL_S = 0.05
--- a/packages/vanillashore-node/src/vanillashore_node/_directory.py
+++ b/packages/vanillashore-node/src/vanillashore_node/_directory.py
@@ -5,7 +5,6 @@
 
 import attrs
 
-from vanillashore_platform import ConfigSnapshot, VmEntry, VmState
 from vanillashore_schema import (
     Configuration,
     EndpointConfig,
@@ -14,6 +13,7 @@
     RouteConfig,
     WorkspaceConfig,
 )
+from vanillashore_store import ConfigSnapshot, VmEntry, VmState
 from vanillashore_wire import ErrorCode, RefusalError, Refused
 
 
--- a/packages/vanillashore-node/src/vanillashore_node/_entry.py
+++ b/packages/vanillashore-node/src/vanillashore_node/_entry.py
@@ -20,8 +20,8 @@
 from vanillashore_node._shares import Shares
 from vanillashore_outcome import RetryBudget
 from vanillashore_placement import Breaker, Chooser, SeenLoads
-from vanillashore_platform import ClaimStore
 from vanillashore_schema import NodeSettings
+from vanillashore_store import ClaimStore
 from vanillashore_wire import unstructure
 
 
--- a/packages/vanillashore-node/src/vanillashore_node/_orders.py
+++ b/packages/vanillashore-node/src/vanillashore_node/_orders.py
@@ -10,7 +10,7 @@
 from vanillashore_node._engine import Engine, EngineOrder
 from vanillashore_node._reservations import Reservations
 from vanillashore_node._weight_turns import WeightTurns
-from vanillashore_platform import ConfigStore
+from vanillashore_store import ConfigStore
 from vanillashore_wire import ErrorCode, RefusalError, Refused, VanillashoreError
 
 POLL_S = 0.1
--- a/packages/vanillashore-node/src/vanillashore_node/_quarantine.py
+++ b/packages/vanillashore-node/src/vanillashore_node/_quarantine.py
@@ -10,7 +10,7 @@
 from vanillashore_node._engine import Engine, EngineToken
 from vanillashore_node._turns import Turns
 from vanillashore_outcome import CrashFinding, Running, Standing, SuspectBook
-from vanillashore_platform import (
+from vanillashore_store import (
     QuarantineStore,
     StoreUnavailableError,
     TrialState,
--- a/packages/vanillashore-node/src/vanillashore_node/_reservations.py
+++ b/packages/vanillashore-node/src/vanillashore_node/_reservations.py
@@ -8,8 +8,8 @@
 
 from vanillashore_node._core import NodeCore
 from vanillashore_placement import Granted, Hold, Keeper, Lapsed, Outcome
-from vanillashore_platform import VmState
 from vanillashore_schema import EndpointRole
+from vanillashore_store import VmState
 from vanillashore_wire import (
     ErrorCode,
     HoldEnd,
--- a/packages/vanillashore-node/src/vanillashore_node/_share_ownership.py
+++ b/packages/vanillashore-node/src/vanillashore_node/_share_ownership.py
@@ -10,7 +10,6 @@
 
 from vanillashore_node._core import NodeCore
 from vanillashore_node._share_holder import ShareHolderTask
-from vanillashore_platform import ShareTableStore, VmState
 from vanillashore_share import (
     HolderVm,
     Move,
@@ -20,6 +19,7 @@
     gifts,
     substitutes,
 )
+from vanillashore_store import ShareTableStore, VmState
 from vanillashore_wire import (
     ErrorCode,
     RefusalError,
--- a/packages/vanillashore-node/src/vanillashore_node/_side_service.py
+++ b/packages/vanillashore-node/src/vanillashore_node/_side_service.py
@@ -10,7 +10,7 @@
 from vanillashore_node._core import NodeCore
 from vanillashore_node._faces import message_response
 from vanillashore_node._side_engine import read_order
-from vanillashore_platform import ClaimStore
+from vanillashore_store import ClaimStore
 from vanillashore_wire import (
     CallDone,
     CallOrder,
--- a/packages/vanillashore-node/src/vanillashore_node/_weight_turns.py
+++ b/packages/vanillashore-node/src/vanillashore_node/_weight_turns.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-from vanillashore_platform import KeyValueStore, StoreUnavailableError
+from vanillashore_store import KeyValueStore, StoreUnavailableError
 
 TURN_PREFIX = "vanillashore/weights/turn/"
 LEASE_TTL_S = 6
--- a/packages/vanillashore-placement/src/vanillashore_placement/_breaker.py
+++ b/packages/vanillashore-placement/src/vanillashore_placement/_breaker.py
@@ -47,6 +47,21 @@
         if health.in_a_row >= FAILURES_TO_OPEN or self._is_outlier(health):
             self._open(health, now)
 
+    def trip(self, endpoint: str, now: float) -> None:
+        """Leave out an endpoint at once, which is known to be away."""
+        health = self._health.setdefault(endpoint, _Health())
+        health.in_a_row = FAILURES_TO_OPEN
+        self._open(health, now)
+
+    def failure_share(self, endpoint: str) -> float:
+        """Return the share of recent attempts that failed, 0 to 1."""
+        health = self._health.get(endpoint)
+        return 0.0 if health is None else health.failure_share
+
+    def forget(self, endpoint: str) -> None:
+        """Forget an endpoint that is gone."""
+        self._health.pop(endpoint, None)
+
     def usable(self, endpoints: list[str], now: float) -> list[str]:
         """Return the endpoints that may be used; all of them if too many would be left out."""
         usable = [endpoint for endpoint in endpoints if self._is_usable(endpoint, now)]
--- a/packages/vanillashore-standins/src/vanillashore_standins/_fleet_base.py
+++ b/packages/vanillashore-standins/src/vanillashore_standins/_fleet_base.py
@@ -9,7 +9,6 @@
 import aiohttp
 import attrs
 
-from vanillashore_platform import ConfigStore, EtcdStore
 from vanillashore_schema import (
     BackEndKind,
     Configuration,
@@ -37,6 +36,7 @@
 from vanillashore_standins._service_app import ServiceOptions, ServiceState, service_app
 from vanillashore_standins._serving import ServedApp
 from vanillashore_standins._vm_list_app import VmListState, vm_list_app
+from vanillashore_store import ConfigStore, EtcdStore
 
 MODEL = "model-a"
 SERVICE = "service-a"
--- a/packages/vanillashore-platform/src/vanillashore_platform/_claim_store.py
+++ b/packages/vanillashore-store/src/vanillashore_store/_claim_store.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from vanillashore_platform._store import KeyValueStore, StoreUnavailableError
+from vanillashore_store._store import KeyValueStore, StoreUnavailableError
 from vanillashore_wire import Claim, decode, encode
 
 CLAIM_PREFIX = "vanillashore/claim/"
--- a/packages/vanillashore-platform/src/vanillashore_platform/_config_replica.py
+++ b/packages/vanillashore-store/src/vanillashore_store/_config_replica.py
@@ -4,7 +4,8 @@
 from collections import OrderedDict
 from collections.abc import Mapping
 
-from vanillashore_platform._config_chunks import (
+from vanillashore_schema import Configuration
+from vanillashore_store._config_chunks import (
     check_chunk,
     join,
     names_of_index,
@@ -13,8 +14,7 @@
     slot_of,
     unpack,
 )
-from vanillashore_platform._config_store import ConfigSnapshot
-from vanillashore_schema import Configuration
+from vanillashore_store._config_store import ConfigSnapshot
 from vanillashore_wire import ChunkData, ConfigHead, ConfigUpdate
 
 OLD_CHUNKS_KEPT = 64
--- a/packages/vanillashore-platform/src/vanillashore_platform/_config_store.py
+++ b/packages/vanillashore-store/src/vanillashore_store/_config_store.py
@@ -6,7 +6,8 @@
 
 import attrs
 
-from vanillashore_platform._config_chunks import (
+from vanillashore_schema import Configuration
+from vanillashore_store._config_chunks import (
     ChunkSet,
     check_chunk,
     current_chunk_count,
@@ -18,13 +19,12 @@
     unpack,
     workspace_chunk_count,
 )
-from vanillashore_platform._store import (
+from vanillashore_store._store import (
     CasResult,
     KeyValueStore,
     StoredValue,
     StoreUnavailableError,
 )
-from vanillashore_schema import Configuration
 from vanillashore_wire import (
     ConfigHead,
     EarlierHead,
--- a/packages/vanillashore-platform/src/vanillashore_platform/_etcd.py
+++ b/packages/vanillashore-store/src/vanillashore_store/_etcd.py
@@ -7,7 +7,7 @@
 import aiohttp
 import orjson
 
-from vanillashore_platform._store import CasResult, StoredValue, StoreUnavailableError
+from vanillashore_store._store import CasResult, StoredValue, StoreUnavailableError
 
 _FAILURES = (aiohttp.ClientError, TimeoutError, OSError)
 
--- a/packages/vanillashore-platform/src/vanillashore_platform/_follower.py
+++ b/packages/vanillashore-store/src/vanillashore_store/_follower.py
@@ -5,7 +5,7 @@
 
 from loguru import logger as log
 
-from vanillashore_platform._vm_list import VmEntry, VmList
+from vanillashore_store._vm_list import VmEntry, VmList
 from vanillashore_wire import VanillashoreError
 
 
--- a/packages/vanillashore-platform/src/vanillashore_platform/_quarantine_store.py
+++ b/packages/vanillashore-store/src/vanillashore_store/_quarantine_store.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from vanillashore_platform._store import KeyValueStore, StoreUnavailableError
+from vanillashore_store._store import KeyValueStore, StoreUnavailableError
 from vanillashore_wire import NoticedRequest, decode, encode
 
 QUARANTINE_KEY = "vanillashore/quarantine"
--- a/packages/vanillashore-platform/src/vanillashore_platform/_share_table.py
+++ b/packages/vanillashore-store/src/vanillashore_store/_share_table.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from vanillashore_platform._store import KeyValueStore, StoredValue, StoreUnavailableError
+from vanillashore_store._store import KeyValueStore, StoredValue, StoreUnavailableError
 from vanillashore_wire import ShareRow, ShareTable, decode, encode
 
 SHARE_TABLE_KEY = "vanillashore/share/table"
--- a/packages/vanillashore-platform/src/vanillashore_platform/_trial_store.py
+++ b/packages/vanillashore-store/src/vanillashore_store/_trial_store.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from vanillashore_platform._store import KeyValueStore, StoreUnavailableError
+from vanillashore_store._store import KeyValueStore, StoreUnavailableError
 from vanillashore_wire import decode, encode
 
 TRIAL_PREFIX = "vanillashore/trial/"
--- a/tests/node/test_config_following.py
+++ b/tests/node/test_config_following.py
@@ -8,8 +8,6 @@
 
 from vanillashore_node import EntryNode
 from vanillashore_node._core import NodeCore
-from vanillashore_platform import CHUNK_PREFIX, HEAD_KEY, ConfigReplica
-from vanillashore_platform._config_chunks import split
 from vanillashore_schema import Configuration, TimingSettings, WorkspaceConfig
 from vanillashore_standins import EngineOptions, generate
 from vanillashore_standins.testing import (
@@ -20,6 +18,8 @@
     SmallFleet,
     small_configuration,
 )
+from vanillashore_store import CHUNK_PREFIX, HEAD_KEY, ConfigReplica
+from vanillashore_store._config_chunks import split
 from vanillashore_wire import Ack, ConfigHead, RefusalError
 
 QUICK = TimingSettings(
--- a/tests/node/test_config_relays.py
+++ b/tests/node/test_config_relays.py
@@ -1,5 +1,5 @@
 from vanillashore_node._config_relays import ranked_for, relays_of
-from vanillashore_platform import VmEntry, VmState
+from vanillashore_store import VmEntry, VmState
 
 
 def _vms(count: int, data_centre: str = "dc-1") -> list[VmEntry]:
--- a/tests/platform/test_claim_store.py
+++ b/tests/store/test_claim_store.py
@@ -6,8 +6,8 @@
 import attrs
 import pytest
 
-from vanillashore_platform import ClaimStore, EtcdStore
 from vanillashore_standins import KvState, ServedApp, kv_app
+from vanillashore_store import ClaimStore, EtcdStore
 from vanillashore_wire import CallDone, Claim, ClaimState
 
 HOUR_S = 3_600
--- a/tests/platform/test_config_apply.py
+++ b/tests/store/test_config_apply.py
@@ -7,7 +7,9 @@
 import attrs
 import pytest
 
-from vanillashore_platform import (
+from vanillashore_schema import Configuration, ModelConfig, WorkspaceConfig
+from vanillashore_standins import KvState
+from vanillashore_store import (
     HEAD_KEY,
     CasResult,
     ConfigStore,
@@ -15,8 +17,6 @@
     StoredValue,
     StoreUnavailableError,
 )
-from vanillashore_schema import Configuration, ModelConfig, WorkspaceConfig
-from vanillashore_standins import KvState
 from vanillashore_wire import ErrorCode, VanillashoreError
 
 
--- a/tests/platform/test_config_chunks.py
+++ b/tests/store/test_config_chunks.py
@@ -1,8 +1,9 @@
 import attrs
 import pytest
 
-from vanillashore_platform import ConfigReplica
-from vanillashore_platform._config_chunks import (
+from vanillashore_schema import Configuration, KeyConfig, ModelConfig, WorkspaceConfig, hash_key
+from vanillashore_store import ConfigReplica
+from vanillashore_store._config_chunks import (
     ChunkSet,
     current_chunk_count,
     join,
@@ -13,7 +14,6 @@
     unpack,
     workspace_chunk_count,
 )
-from vanillashore_schema import Configuration, KeyConfig, ModelConfig, WorkspaceConfig, hash_key
 from vanillashore_wire import ChunkData, ConfigHead, VanillashoreError, encode
 
 
--- a/tests/platform/test_share_table.py
+++ b/tests/store/test_share_table.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from vanillashore_platform import CasResult, ShareTableStore, StoredValue, StoreUnavailableError
+from vanillashore_store import CasResult, ShareTableStore, StoredValue, StoreUnavailableError
 from vanillashore_wire import ShareRow
 
 ROWS = (ShareRow(("a", "b", "c"), (0, 0, 0)),)
--- a/tests/platform/test_store_contract.py
+++ b/tests/store/test_store_contract.py
@@ -6,8 +6,8 @@
 import attrs
 import pytest
 
-from vanillashore_platform import EtcdStore, KeyValueStore, StoredValue, StoreUnavailableError
 from vanillashore_standins import KvFaults, KvState, ServedApp, kv_app
+from vanillashore_store import EtcdStore, KeyValueStore, StoredValue, StoreUnavailableError
 
 
 @attrs.define
--- a/tests/platform/test_vm_list.py
+++ b/tests/store/test_vm_list.py
@@ -1,8 +1,8 @@
 import aiohttp
 import pytest
 
-from vanillashore_platform import HttpVmList
 from vanillashore_standins import ServedApp, VmListState, vm_list_app
+from vanillashore_store import HttpVmList
 from vanillashore_wire import VanillashoreError
 
 
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -9,12 +9,12 @@
 DEPENDENCIES = {
     "wire": set(),
     "schema": {"wire"},
-    "platform": {"wire", "schema"},
+    "store": {"wire", "schema"},
     "share": {"wire"},
     "placement": {"wire"},
     "outcome": {"wire"},
-    "node": {"wire", "schema", "platform", "share", "placement", "outcome"},
-    "cli": {"wire", "schema", "platform"},
+    "node": {"wire", "schema", "store", "share", "placement", "outcome"},
+    "cli": {"wire", "schema", "store"},
 }
 
 
