Reserve a place at a decode engine before the prompt is read

Ruled out: slots (pressure by slots never passed 0.63). Change: a generation first takes a hold at a decode engine and waits in a queue (on time first, then late) if there is none; one entry under a fenced duty orders surplus prefill engines to decode; three of nine prefill.

--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_balancing.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_balancing.py
@@ -13,6 +13,7 @@
 from vanillashore_gateway._domain import Endpoint, Load
 from vanillashore_placement import Breaker
 
+FULL_KEPT_S = 0.1  # A place may have become free since.
 LOAD_KEPT_S = 1.0  # A load that an endpoint told of is outdated by then.
 FAILURE_WEIGHT = 2.0  # Loads that an endpoint which always fails seems to have on top.
 FAR_WEIGHT = 0.05  # Of a load, for another data centre: it decides between equals only.
@@ -20,10 +21,11 @@
 
 @attrs.define
 class _Work:
-    """Work of this entry on an endpoint; ``weight`` is in units of the caller's choice."""
+    """Work of this entry on an endpoint; ``share`` is the part of the endpoint that it takes."""
 
     running: int = 0
-    weight: float = 0.0
+    share: float = 0.0
+    full_at: float = -1e9
     told: Load | None = None
     told_at: float = 0.0
 
@@ -33,10 +35,10 @@
 
     Example::
 
-        endpoint = balancer.choose(membership.usable("orders"), tried, now)
-        balancer.begin(endpoint, weight=1.0)
+        endpoint = balancer.choose(membership.usable("orders"), tried, now, share=1 / 6)
+        balancer.begin(endpoint, share=1 / 6)
         ...
-        balancer.end(endpoint, weight=1.0)
+        balancer.end(endpoint, share=1 / 6)
     """
 
     def __init__(self, data_centre: str, rng: random.Random) -> None:
@@ -46,40 +48,46 @@
         self.breaker = Breaker()
 
     def choose(
-        self, endpoints: Sequence[Endpoint], tried: Collection[str], now: float
+        self, endpoints: Sequence[Endpoint], tried: Collection[str], now: float, share: float
     ) -> Endpoint | None:
-        """Return the endpoint with most room, or ``None`` if all were tried."""
+        """Return the endpoint with most room, or ``None`` if all were tried.
+
+        ``share`` is the part of an endpoint that one such request takes.
+        """
         untried = [e for e in endpoints if e.instance not in tried]
         if not untried:
             return None
         usable = set(self.breaker.usable([e.instance for e in untried], now))
         candidates = [e for e in untried if e.instance in usable]
         self._rng.shuffle(candidates)
-        chosen = min(candidates, key=lambda e: self._score(e, now))
+        chosen = min(candidates, key=lambda e: self._score(e, now, share))
         self.breaker.note_chosen(chosen.instance, now)
         return chosen
 
-    def pressure(self, endpoint: Endpoint, now: float) -> float:
-        """Return work per place; 1.0 is a full endpoint."""
+    def pressure(self, endpoint: Endpoint, now: float, share: float) -> float:
+        """Return how much of an endpoint is taken; 1.0 is a full one."""
         work = self._work[endpoint.instance]
-        slots = max(1, endpoint.slots)
-        load = work.weight / slots
-        if work.told is not None and now - work.told_at < LOAD_KEPT_S:
-            told = work.told.running + work.told.waiting
-            load = max(load, told / max(1, work.told.slots))
-        return load
-
-    def begin(self, endpoint: Endpoint, weight: float) -> None:
+        if now - work.full_at < FULL_KEPT_S:
+            return max(1.0, work.share)
+        if work.told is None or now - work.told_at > LOAD_KEPT_S:
+            return work.share
+        return max(work.share, (work.told.running + work.told.waiting) * share)
+
+    def begin(self, endpoint: Endpoint, share: float) -> None:
         """Count work that goes to an endpoint."""
         work = self._work[endpoint.instance]
         work.running += 1
-        work.weight += weight
+        work.share += share
 
-    def end(self, endpoint: Endpoint, weight: float) -> None:
+    def end(self, endpoint: Endpoint, share: float) -> None:
         """Count work that has ended there."""
         work = self._work[endpoint.instance]
         work.running -= 1
-        work.weight = max(0.0, work.weight - weight) if work.running else 0.0
+        work.share = max(0.0, work.share - share) if work.running else 0.0
+
+    def note_full(self, endpoint: Endpoint, now: float) -> None:
+        """Note that an endpoint had no room just now."""
+        self._work[endpoint.instance].full_at = now
 
     def note_load(self, endpoint: Endpoint, load: Load | None, now: float) -> None:
         """Take in what an endpoint says of its load."""
@@ -100,7 +108,7 @@
         self._work.pop(instance, None)
         self.breaker.forget(instance)
 
-    def _score(self, endpoint: Endpoint, now: float) -> float:
+    def _score(self, endpoint: Endpoint, now: float, share: float) -> float:
         far = FAR_WEIGHT if endpoint.data_centre != self._data_centre else 0.0
         failing = FAILURE_WEIGHT * self.breaker.failure_share(endpoint.instance)
-        return self.pressure(endpoint, now) + far + failing
+        return self.pressure(endpoint, now, share) + far + failing
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_calls.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_calls.py
@@ -6,7 +6,7 @@
 import attrs
 
 from vanillashore_gateway._dialect import SendOrder
-from vanillashore_gateway._domain import AnswerHead, EndpointRole, RouteKind
+from vanillashore_gateway._domain import AnswerHead, Endpoint, EndpointRole, RouteKind
 from vanillashore_gateway._errors import ErrorCode, RefusalError, refusal
 from vanillashore_gateway._front import Responder
 from vanillashore_gateway._http_client import LinkError, LinkFailure
@@ -16,6 +16,7 @@
 SEND_AGAIN_SHARE = 0.6  # Of the target: an idempotent request is then tried elsewhere.
 QUEUE_SHARE = 0.5  # Of the target: as long a request waits for a place before it is refused.
 PLACE_POLL_S = 0.02  # Between tries when all endpoints were full; a fraction of a usual answer.
+USUAL_SHARE = 1 / 8  # Of an endpoint, for one request; endpoints of one service have equal slots.
 MIN_TIME_LEFT_S = 0.005  # Less than a round trip and a step of work.
 RETRY_AFTER_SHARE = 0.25  # Of the caller's time: later than a third it does not come back.
 
@@ -43,7 +44,7 @@
     def __init__(self, tools: Tools, job: Job) -> None:
         self._tools = tools
         self._job = job
-        self._budget = tools.budgets.of(job.service)
+        self._budget = tools.budgets.of(job.service.name)
         self._failed_answer: _Result | None = None
 
     async def run(self, responder: Responder) -> None:
@@ -71,17 +72,17 @@
     async def _next_sending(self) -> _Result:
         """Send to the best endpoint; wait for a place if all of them were full."""
         job, tools = self._job, self._tools
-        endpoint = job.choose(tools, EndpointRole.SERVICE)
+        endpoint = job.choose(tools, EndpointRole.SERVICE, USUAL_SHARE)
         while endpoint is None:
             if self._failed_answer is not None:
                 return self._failed_answer
             waited_s = tools.clock() - job.req.arrived
             if not job.tried or waited_s > job.route.target_s * QUEUE_SHARE:
                 code = ErrorCode.ENDPOINTS_FULL if job.tried else ErrorCode.NO_ENDPOINT
-                raise self._refuse(code, f"no endpoint of {job.service} takes the request now")
+                raise self._refuse(code, f"no endpoint of {job.service.name} takes the request now")
             await asyncio.sleep(PLACE_POLL_S * (1 + tools.rng.random()))
             job.tried.clear()
-            endpoint = job.choose(tools, EndpointRole.SERVICE)
+            endpoint = job.choose(tools, EndpointRole.SERVICE, USUAL_SHARE)
         job.tried.add(endpoint.instance)
         time_left_s = job.give_up_at - tools.clock()
         if time_left_s < MIN_TIME_LEFT_S:
@@ -102,12 +103,13 @@
 
     async def _send(self, order: SendOrder) -> _Result:
         timeout_s = order.time_left_s
+        share = _share(order.endpoint)
         may_repeat = self._job.route.kind is RouteKind.IDEMPOTENT
         if may_repeat and self._has_sends_left():
             timeout_s = min(timeout_s, self._job.route.target_s * SEND_AGAIN_SHARE)
         try:
             async with asyncio.timeout(timeout_s):
-                async with self._tools.sender.send(order, 1.0, timeout_s, not may_repeat) as sent:
+                async with self._tools.sender.send(order, share, timeout_s, not may_repeat) as sent:
                     if sent.head.was_not_run:
                         await sent.read_whole()
                         return _Result(_End.NOT_RUN, sent.head)
@@ -164,5 +166,9 @@
         return refusal(code, text, time_left_s * RETRY_AFTER_SHARE * spread)
 
 
+def _share(endpoint: Endpoint) -> float:
+    return 1 / max(1, endpoint.slots)
+
+
 def _is_failure(result: _Result) -> bool:
     return result.head is not None and result.head.status >= 500
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_dialect.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_dialect.py
@@ -10,7 +10,10 @@
     CallerRequest,
     Endpoint,
     Header,
+    Hold,
+    OrderAnswer,
     PrefillHandle,
+    RoleOrder,
 )
 from vanillashore_gateway._http_messages import RequestHead, ResponseHead
 
@@ -19,7 +22,8 @@
 class SendOrder:
     """One sending of a request to an endpoint.
 
-    ``kv`` is a cache to fetch, ``resume_after`` the last event that the caller has.
+    ``kv`` is a cache to fetch, ``hold`` a reservation to use, ``resume_after`` the last event that
+    the caller has.
     """
 
     req: CallerRequest
@@ -28,6 +32,7 @@
     time_left_s: float
     is_prefill: bool = False
     kv: PrefillHandle | None = None
+    hold: Hold | None = None
     resume_after: int | None = None
 
 
@@ -57,3 +62,35 @@
     def own_headers(self, request_id: bytes) -> Sequence[Header]:
         """Return the headers that an answer of the gateway itself carries."""
         ...
+
+    def answers_call(self, head: ResponseHead) -> bool:
+        """Whether an answer may be that of a call which is no caller's request."""
+        ...
+
+    def encode_hold(self, endpoint: Endpoint, tokens: int, ttl_s: float) -> bytes:
+        """Return the call that reserves a slot and memory."""
+        ...
+
+    def decode_hold(self, status: int, body: bytes) -> str | None:
+        """Return the name of a reservation, ``None`` if it is refused."""
+        ...
+
+    def encode_hold_drop(self, endpoint: Endpoint, name: str) -> bytes:
+        """Return the call that gives a reservation back."""
+        ...
+
+    def encode_role_order(self, order: RoleOrder) -> bytes:
+        """Return the call that orders another role."""
+        ...
+
+    def decode_order_answer(self, status: int) -> OrderAnswer:
+        """Return what an engine says to an order."""
+        ...
+
+    def encode_report_ask(self, endpoint: Endpoint) -> bytes:
+        """Return the call that asks an engine for its state."""
+        ...
+
+    def decode_orders_taken(self, body: bytes) -> int:
+        """Return how many orders an engine has taken; raise ValueError if it does not say."""
+        ...
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_domain.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_domain.py
@@ -60,13 +60,17 @@
 
 @attrs.frozen
 class Service:
-    """A group of endpoints that answer alike; ``kv_tokens`` is an engine's memory, 0 for none."""
+    """A group of endpoints that answer alike; ``kv_tokens`` is an engine's memory, 0 for none.
+
+    An engine keeps a prefilled cache for ``kv_hold_s``, and a reservation for ``hold_s`` at most.
+    """
 
     name: str
     max_connections: int
     slots: int = 0
     kv_tokens: int = 0
     kv_hold_s: float = 0.0
+    hold_s: float = 0.0
 
 
 @attrs.frozen
@@ -116,6 +120,7 @@
     slots: int
     role: EndpointRole = EndpointRole.SERVICE
     is_leaving: bool = False
+    orders_taken: int = 0
 
     @property
     def address(self) -> str:
@@ -125,10 +130,14 @@
 
 @attrs.frozen
 class PromptShape:
-    """Size of a generation in tokens: ``read`` of the prompt, ``most_made`` of the answer."""
+    """Size of a generation in tokens: ``read`` of the prompt, ``most_made`` of the answer.
+
+    ``likely_made`` is the caller's estimate of the answer, which is often far off.
+    """
 
     read: int
     most_made: int
+    likely_made: int | None = None
 
     @property
     def total(self) -> int:
@@ -191,6 +200,40 @@
     load: Load | None = None
 
 
+@attrs.frozen
+class Hold:
+    """A slot and memory that are reserved at an endpoint for one request, for a short while."""
+
+    endpoint: Endpoint
+    name: str
+    taken_at: float
+
+
+@attrs.frozen
+class RoleOrder:
+    """An order to an engine to change its role.
+
+    ``fence`` rises with each holder of the duty to give orders; ``orders_taken`` is the count of
+    orders that the engine must have taken, so that an order carried out late changes nothing.
+    """
+
+    endpoint: Endpoint
+    role: EndpointRole
+    holder: str
+    fence: int
+    orders_taken: int
+
+
+class OrderAnswer(StrEnum):
+    """What an engine says to an order."""
+
+    ACCEPTED = "accepted"
+    HOLDS_ALREADY = "holds_already"
+    CONFLICT = "conflict"
+    FENCED = "fenced"
+    FAILED = "failed"
+
+
 @attrs.frozen
 class PrefillHandle:
     """A KV cache that waits at a prefill endpoint, free to be fetched for a short while."""
--- /dev/null
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_engine_calls.py
@@ -0,0 +1,88 @@
+"""Calls to engines that are no caller's requests: reservations and orders."""
+
+import asyncio
+
+import attrs
+from loguru import logger as log
+
+from vanillashore_gateway._dialect import Dialect
+from vanillashore_gateway._domain import Endpoint, Hold, OrderAnswer, RoleOrder
+from vanillashore_gateway._http_client import LinkError
+from vanillashore_gateway._pool import ConnectionPool
+
+CALL_TIMEOUT_S = 0.3  # An engine answers such a call without a slot, within some milliseconds.
+ORDER_TIMEOUT_S = 2.0  # Beyond that an order counts as lost, and may be carried out late.
+
+
+class EngineUnreachableError(Exception):
+    """An engine that did not answer a call."""
+
+
+@attrs.frozen
+class _Answer:
+    status: int
+    body: bytes
+
+
+class EngineCalls:
+    """Makes calls over the pool's connections."""
+
+    def __init__(self, dialect: Dialect, pool: ConnectionPool) -> None:
+        self._dialect = dialect
+        self._pool = pool
+
+    async def take_hold(
+        self, endpoint: Endpoint, tokens: int, ttl_s: float, now: float
+    ) -> Hold | None:
+        """Reserve a slot and memory for ``tokens``; ``None`` if there is no room.
+
+        Raises EngineUnreachableError.
+        """
+        data = self._dialect.encode_hold(endpoint, tokens, ttl_s)
+        answer = await self._call(endpoint, data, CALL_TIMEOUT_S)
+        name = self._dialect.decode_hold(answer.status, answer.body)
+        return None if name is None else Hold(endpoint, name, now)
+
+    async def drop_hold(self, hold: Hold) -> None:
+        """Give a reservation back; one that cannot be given back lapses by itself."""
+        data = self._dialect.encode_hold_drop(hold.endpoint, hold.name)
+        try:
+            await self._call(hold.endpoint, data, CALL_TIMEOUT_S)
+        except EngineUnreachableError as exc:
+            log.bind(endpoint=hold.endpoint.instance, reason=str(exc)).info("a hold will lapse")
+
+    async def order_role(self, order: RoleOrder) -> OrderAnswer:
+        """Order another role; raise EngineUnreachableError if it is unclear what became of it."""
+        data = self._dialect.encode_role_order(order)
+        answer = await self._call(order.endpoint, data, ORDER_TIMEOUT_S)
+        return self._dialect.decode_order_answer(answer.status)
+
+    async def orders_taken(self, endpoint: Endpoint) -> int:
+        """Ask an engine how many orders it has taken; raise EngineUnreachableError."""
+        data = self._dialect.encode_report_ask(endpoint)
+        answer = await self._call(endpoint, data, CALL_TIMEOUT_S)
+        try:
+            return self._dialect.decode_orders_taken(answer.body)
+        except ValueError as exc:
+            raise EngineUnreachableError(str(exc)) from exc
+
+    async def _call(self, endpoint: Endpoint, data: bytes, timeout_s: float) -> _Answer:
+        conn = None
+        try:
+            async with asyncio.timeout(timeout_s):
+                conn = await self._pool.take(endpoint)
+                conn.send(data, self._dialect.answers_call)
+                head = await conn.head()
+                body = b""
+                while part := await conn.read():
+                    body += part
+            self._pool.give_back(endpoint, conn)
+            conn = None
+            return _Answer(head.status, body)
+        except TimeoutError as exc:
+            raise EngineUnreachableError(f"no answer within {timeout_s:g} s") from exc
+        except LinkError as exc:
+            raise EngineUnreachableError(str(exc)) from exc
+        finally:
+            if conn is not None:
+                conn.abort()
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_following.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_following.py
@@ -22,6 +22,7 @@
 RETRY_MAX_S = 0.8  # Well under the time in which a change has to be in force.
 ANNOUNCE_TTL_S = 8.0  # Two renewals may fail before other entries count one less.
 RENEW_EVERY_S = 2.5
+LEASE_MARGIN_S = 1.5  # A lease that is this near to its end gives no right to order.
 
 
 class View(Protocol):
@@ -117,24 +118,35 @@
 class Announcement:
     """Keeps this entry process known to the others, under a lease."""
 
-    def __init__(self, store: PlatformStore, name: str, rng: random.Random) -> None:
+    def __init__(
+        self, store: PlatformStore, name: str, clock: Callable[[], float], rng: random.Random
+    ) -> None:
         self._store = store
         self._name = name
+        self._clock = clock
         self._rng = rng
-        self._lease: int | None = None
+        self._renewed_at = 0.0
+        self.lease: int | None = None
+
+    def is_held(self, now: float) -> bool:
+        """Whether the lease surely lasts; it may end on its own at the store otherwise."""
+        return self.lease is not None and now - self._renewed_at < ANNOUNCE_TTL_S - LEASE_MARGIN_S
 
     async def run(self) -> None:
         """Announce and renew until cancelled."""
         while True:
+            # The lease runs from the arrival of the call, which is later than this.
+            asked_at = self._clock()
             try:
-                if self._lease is None:
-                    self._lease = await self._store.announce(self._name, ANNOUNCE_TTL_S)
-                    log.bind(lease=self._lease).info("announced to the other entries")
+                if self.lease is None:
+                    self.lease = await self._store.announce(self._name, ANNOUNCE_TTL_S)
+                    log.bind(lease=self.lease).info("announced to the other entries")
                 else:
-                    await self._store.renew(self._lease)
+                    await self._store.renew(self.lease)
+                self._renewed_at = asked_at
             except LeaseGoneError:
-                log.bind(lease=self._lease).warning("the announcement has lapsed")
-                self._lease = None
+                log.bind(lease=self.lease).warning("the announcement has lapsed")
+                self.lease = None
                 continue
             except StoreUnavailableError as exc:
                 log.bind(reason=str(exc)).info("the announcement was not renewed")
@@ -142,9 +154,9 @@
 
     async def withdraw(self) -> None:
         """End the announcement, if the store can be reached."""
-        if self._lease is None:
+        if self.lease is None:
             return
         try:
-            await self._store.withdraw(self._lease)
+            await self._store.withdraw(self.lease)
         except StoreUnavailableError as exc:
             log.bind(reason=str(exc)).info("the announcement ends with its lease")
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_gateway.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_gateway.py
@@ -11,15 +11,20 @@
 from vanillashore_gateway._clock import now
 from vanillashore_gateway._dialect import Dialect
 from vanillashore_gateway._domain import CallerRequest, Route, ServingConfig, Workspace
+from vanillashore_gateway._duty import DutyBook
+from vanillashore_gateway._engine_calls import EngineCalls
 from vanillashore_gateway._errors import ErrorCode, RefusalError, Refused, refusal
 from vanillashore_gateway._front import FrontSettings, Inbound, Responder
 from vanillashore_gateway._generation import GenerationForwarder
 from vanillashore_gateway._job import BudgetBook, Job, Tools
 from vanillashore_gateway._membership import Membership
 from vanillashore_gateway._metrics import GatewayMetrics
+from vanillashore_gateway._place_finder import PlaceFinder
 from vanillashore_gateway._platform_store import (
     Change,
     ConfigWritten,
+    DutyRemoved,
+    DutyWritten,
     EndpointRemoved,
     EndpointWritten,
     EntryRemoved,
@@ -47,6 +52,7 @@
     ready: tuple[str, int]
     metrics: tuple[str, int]
     grace_s: float = 8.0
+    order_turn_s: float = 3.0
     expected_entries: int = 1
     retry_ratio: float = 0.2
     retry_slack: float = 50.0
@@ -62,6 +68,8 @@
         self.membership = Membership()
         self.pool = ConnectionPool()
         self.balancer = Balancer(cfg.data_centre, rng)
+        self.calls = EngineCalls(dialect, self.pool)
+        self.duty = DutyBook()
         self.is_stopping = False
         self.active = 0
         self._rng = rng
@@ -72,8 +80,16 @@
         self._has_list = False
         self._budgets = BudgetBook(cfg.retry_ratio * BUDGET_SHARE, cfg.retry_slack * BUDGET_SHARE)
         sender = Sender(dialect, self.pool, self.balancer, now)
+        places = PlaceFinder(self.calls, self.balancer, self.membership, now, rng)
         self._tools = Tools(
-            dialect, sender, self.balancer, self.membership, self._budgets, now, rng, self._hold_s
+            dialect,
+            sender,
+            places,
+            self.balancer,
+            self.membership,
+            self._budgets,
+            now,
+            rng,
         )
         self._count_entries()
         gauges = {
@@ -126,9 +142,10 @@
             self._forget_endpoint(gone)
         self._entries = {c.name for c in snapshot.items if isinstance(c, EntryWritten)}
         self._has_list = True
+        self.duty.free()
         for change in snapshot.items:
-            if isinstance(change, ConfigWritten):
-                self._install(change.config)
+            if isinstance(change, ConfigWritten | DutyWritten):
+                self.take_change(change)
         self._count_entries()
         log.bind(
             revision=snapshot.revision, endpoints=len(endpoints), entries=len(self._entries)
@@ -147,6 +164,10 @@
             case EndpointRemoved(instance):
                 if self.membership.remove(instance, now()):
                     self._forget_endpoint(instance)
+            case DutyWritten(_, holder, fence):
+                self.duty.take(holder, fence)
+            case DutyRemoved():
+                self.duty.free()
             case EntryWritten(name):
                 self._entries.add(name)
                 self._count_entries()
@@ -169,10 +190,10 @@
         workspace = table.workspace(req, route)
         if workspace is not None:
             self._take_quota(req, workspace)
-        service = pick_service(route, self._rng)
+        service = table.service(pick_service(route, self._rng))
         name = workspace.name if workspace is not None else ""
         job = Job(req, route, service, name, table.config.version)
-        job.note("admitted", route=route.name, service=service, workspace=name)
+        job.note("admitted", route=route.name, service=service.name, workspace=name)
         return job
 
     def _take_quota(self, req: CallerRequest, workspace: Workspace) -> None:
@@ -220,10 +241,6 @@
             workspaces=len(config.workspaces),
         ).info("a configuration is in force")
 
-    def _hold_s(self, service: str) -> float:
-        found = self._table.services.get(service) if self._table else None
-        return found.kv_hold_s if found else 0.0
-
     def _count_entries(self) -> None:
         count = max(self.cfg.expected_entries, len(self._entries))
         self._quota.entries = count
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_generation.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_generation.py
@@ -1,4 +1,4 @@
-"""Forwarding of generations: prefill, decode, and a stream that may go on elsewhere."""
+"""Forwarding of generations: a place, prefill, decode, and a stream that may go on elsewhere."""
 
 import asyncio
 from enum import Enum, auto
@@ -6,13 +6,14 @@
 import attrs
 
 from vanillashore_gateway._dialect import SendOrder
-from vanillashore_gateway._domain import Endpoint, EndpointRole, PrefillHandle, PromptShape
+from vanillashore_gateway._domain import Endpoint, EndpointRole, Hold, PrefillHandle, PromptShape
 from vanillashore_gateway._errors import ErrorCode, RefusalError, refusal
 from vanillashore_gateway._events import EventSplitter
 from vanillashore_gateway._front import Responder
 from vanillashore_gateway._http_client import LinkError, LinkFailure
 from vanillashore_gateway._http_messages import end_to_end
 from vanillashore_gateway._job import Job, Tools
+from vanillashore_gateway._place_finder import needed_tokens
 from vanillashore_gateway._sending import Sending
 
 PREFILL_SHARE = 0.6  # Of the target: a prefill that takes longer is tried elsewhere.
@@ -20,12 +21,13 @@
 STALL_GAPS = 2.0  # Longest pauses between events before a resumable stream moves.
 MIN_STALL_S = 0.4  # Streams pause for some hundred milliseconds when an endpoint is busy.
 HANDLE_MARGIN_S = 0.1  # A handle this near to its end is not worth a transfer.
+HOLD_MARGIN_S = 0.2  # A reservation this near to its end may lapse on the way.
+PREFILL_TOKENS = 16_384  # Prompt tokens of a full prefill engine: half a second of its work.
+PREFILL_FULL = 0.8  # A prompt is then left to the decode engine, which is slower but free.
 MAX_PREFILLS = 2
-MAX_DECODES = 4  # Endpoints asked for a place; those that did not run the request count too.
-QUEUE_SHARE = 0.5  # Of the target: as long a generation waits for a place.
-PLACE_POLL_S = 0.05  # Between tries when all were full; a few steps of a full batch.
-RETRY_AFTER_S = 1.5  # A usual generation takes half a second; a burst is over in some seconds.
+MAX_DECODES = 4  # Endpoints asked to run it; those that did not count too.
 MAX_WAIT_S = 60.0  # For callers and routes without a time limit.
+RETRY_AFTER_S = 1.0  # After engines that had a place took it back; usually a crash.
 
 
 class _End(Enum):
@@ -39,7 +41,7 @@
 
 @attrs.define
 class _Stream:
-    """What of the stream the caller has."""
+    """What of the stream the caller has, and how many endpoints may have run the request."""
 
     splitter: EventSplitter = attrs.field(factory=EventSplitter)
     runs: int = 0
@@ -51,7 +53,8 @@
     def __init__(self, tools: Tools, job: Job) -> None:
         self._tools = tools
         self._job = job
-        self._budget = tools.budgets.of(job.service)
+        self._budget = tools.budgets.of(job.service.name)
+        self._share = needed_tokens(job.req) / max(1, job.service.kv_tokens)
         self._stream = _Stream()
         self._stream.splitter.last_id = job.req.last_event_id
         self._reason = ""
@@ -66,50 +69,79 @@
             raise refusal(ErrorCode.TIMED_OUT, "the answer did not end in time") from None
 
     async def _run(self, responder: Responder) -> None:
-        handle = await self._prefill()
-        asked = 0
-        while True:
-            endpoint = await self._decode_place(asked)
-            asked += 1
-            usable = handle if handle is not None and self._is_fresh(handle) else None
-            end = await self._decode(endpoint, usable, responder)
+        handle: PrefillHandle | None = None
+        for asked in range(1, MAX_DECODES + 1):
+            hold = await self._take_hold()
+            endpoint = hold.endpoint
+            is_used = False
+            try:
+                if asked == 1:
+                    handle = await self._prefill()
+                usable = handle if handle is not None and self._is_fresh(handle) else None
+                current = hold if self._tools.clock() < self._hold_ends(hold) else None
+                is_used = current is not None
+                end = await self._decode(endpoint, usable, current, responder)
+            finally:
+                if not is_used:
+                    self._tools.places.release(hold)
             if end is _End.DONE:
                 responder.finish()
-                self._job.note(
-                    "answered", runs=self._stream.runs, events=self._stream.splitter.events
-                )
+                self._note_answered()
                 return
             if end is not _End.NOT_SENT:
                 handle = None
-            if not self._may_go_on(end, asked):
-                raise self._give_up(end)
+            if asked == MAX_DECODES or not self._may_go_on(end):
+                break
+        raise self._give_up(end)
+
+    async def _take_hold(self) -> Hold:
+        job = self._job
+        hold = await self._tools.places.find(job.req, job.route, job.service, job.tried)
+        job.tried.add(hold.endpoint.instance)
+        job.note(
+            "place reserved",
+            endpoint=hold.endpoint.instance,
+            waited_s=round(self._tools.clock() - job.req.arrived, 3),
+        )
+        return hold
+
+    def _hold_ends(self, hold: Hold) -> float:
+        return hold.taken_at + self._job.service.hold_s - HOLD_MARGIN_S
 
     async def _prefill(self) -> PrefillHandle | None:
-        """Have the prompt read; ``None`` leaves that to the decode endpoint."""
+        """Have the prompt read; ``None`` leaves that to the decode engine."""
         job, tools = self._job, self._tools
         if job.req.prompt is None:
             return None
-        for number in range(MAX_PREFILLS):
-            if number and not self._budget.spend():
-                return None
-            endpoint = job.choose(tools, EndpointRole.PREFILL)
+        share = job.req.prompt.read / PREFILL_TOKENS
+        for _ in range(MAX_PREFILLS):
+            endpoint = job.choose(tools, EndpointRole.PREFILL, share)
             if endpoint is None:
                 return None
+            pressure = tools.balancer.pressure(endpoint, tools.clock(), share)
+            if pressure > PREFILL_FULL:
+                job.note("prefill is left to decode", pressure=round(pressure, 2))
+                return None
             job.tried.add(endpoint.instance)
-            handle = await self._prefill_at(endpoint, job.req.prompt)
+            handle = await self._prefill_at(endpoint, job.req.prompt, share)
             tools.balancer.note_result(endpoint, handle is not None, tools.clock())
             if handle is not None:
                 return handle
+            # Each later arrival of the request counts as a repetition.
+            if not self._budget.spend():
+                return None
         return None
 
-    async def _prefill_at(self, endpoint: Endpoint, prompt: PromptShape) -> PrefillHandle | None:
+    async def _prefill_at(
+        self, endpoint: Endpoint, prompt: PromptShape, share: float
+    ) -> PrefillHandle | None:
         job, tools = self._job, self._tools
         left_s = job.give_up_at - tools.clock()
         order = SendOrder(job.req, endpoint, job.workspace, left_s, is_prefill=True)
         timeout_s = min(left_s, job.route.target_s * PREFILL_SHARE)
         try:
             async with asyncio.timeout(timeout_s):
-                async with tools.sender.send(order, _prefill_weight(prompt), timeout_s) as sent:
+                async with tools.sender.send(order, share, timeout_s) as sent:
                     body = await sent.read_whole()
                     if sent.head.status == 200:
                         name = tools.dialect.decode_handle(body)
@@ -119,55 +151,33 @@
             reason = "timed out"
         except (LinkError, ValueError) as exc:
             reason = str(exc)
-        job.note("prefill failed", endpoint=endpoint.instance, reason=reason)
+        job.note("prefill failed", endpoint=endpoint.instance, reason=reason, tokens=prompt.read)
         return None
 
     def _is_fresh(self, handle: PrefillHandle) -> bool:
         age_s = self._tools.clock() - handle.made_at
-        return age_s < self._tools.kv_hold_s(self._job.service) - HANDLE_MARGIN_S
-
-    async def _decode_place(self, asked: int) -> Endpoint:
-        """Choose a decode endpoint; wait a little if all of them were full."""
-        job, tools = self._job, self._tools
-        while True:
-            endpoint = job.choose(tools, EndpointRole.DECODE)
-            if endpoint is not None:
-                job.tried.add(endpoint.instance)
-                return endpoint
-            waited_s = tools.clock() - job.req.arrived
-            if asked == 0 or waited_s > job.route.target_s * QUEUE_SHARE:
-                code = ErrorCode.ENDPOINTS_FULL if asked else ErrorCode.NO_ENDPOINT
-                raise self._refuse(code, f"no decode endpoint of {job.service} is free")
-            await asyncio.sleep(PLACE_POLL_S * (1 + tools.rng.random()))
-            job.tried.clear()
+        return age_s < self._job.service.kv_hold_s - HANDLE_MARGIN_S
 
     async def _decode(
-        self, endpoint: Endpoint, handle: PrefillHandle | None, responder: Responder
+        self,
+        endpoint: Endpoint,
+        handle: PrefillHandle | None,
+        hold: Hold | None,
+        responder: Responder,
     ) -> _End:
         job, tools = self._job, self._tools
         left_s = job.give_up_at - tools.clock()
         resume_after = self._stream.splitter.last_id if job.route.is_resumable else None
         order = SendOrder(
-            job.req, endpoint, job.workspace, left_s, kv=handle, resume_after=resume_after
+            job.req,
+            endpoint,
+            job.workspace,
+            left_s,
+            kv=handle,
+            hold=hold,
+            resume_after=resume_after,
         )
-        timeout_s = self._first_event_timeout_s(left_s)
-        end = _End.BROKEN
-        try:
-            async with tools.sender.send(order, 1.0, timeout_s, not job.route.is_resumable) as sent:
-                if sent.head.was_not_run:
-                    await sent.read_whole()
-                    self._reason = f"not run, status {sent.head.status}"
-                    end = _End.NOT_RUN
-                else:
-                    self._stream.runs += 1
-                    await self._pass_on(sent, responder, timeout_s)
-                    end = _End.DONE
-        except TimeoutError:
-            self._reason = "the stream stalled"
-        except LinkError as exc:
-            self._reason = str(exc)
-            if exc.failure is LinkFailure.NOT_SENT:
-                end = _End.NOT_SENT
+        end = await self._send_decode(order, self._first_event_timeout_s(left_s), responder)
         if end is _End.BROKEN:
             self._stream.splitter.begin_again()
             self._stream.runs = max(1, self._stream.runs)
@@ -182,6 +192,26 @@
             )
         return end
 
+    async def _send_decode(self, order: SendOrder, timeout_s: float, responder: Responder) -> _End:
+        must_be_fresh = not self._job.route.is_resumable
+        sender = self._tools.sender
+        try:
+            async with sender.send(order, self._share, timeout_s, must_be_fresh) as sent:
+                if sent.head.was_not_run:
+                    await sent.read_whole()
+                    self._reason = f"not run, status {sent.head.status}"
+                    return _End.NOT_RUN
+                self._stream.runs += 1
+                await self._pass_on(sent, responder, timeout_s)
+                return _End.DONE
+        except TimeoutError:
+            self._reason = "the stream stalled"
+        except LinkError as exc:
+            self._reason = str(exc)
+            if exc.failure is LinkFailure.NOT_SENT:
+                return _End.NOT_SENT
+        return _End.BROKEN
+
     async def _pass_on(self, sent: Sending, responder: Responder, timeout_s: float) -> None:
         """Pass a stream on, whole events only; the head of the first run stands for all."""
         head = sent.head
@@ -217,9 +247,7 @@
         route = self._job.route
         return route.is_resumable and self._stream.runs < route.max_attempts
 
-    def _may_go_on(self, end: _End, asked: int) -> bool:
-        if asked >= MAX_DECODES:
-            return False
+    def _may_go_on(self, end: _End) -> bool:
         if end is _End.NOT_SENT:
             return True
         if end is _End.BROKEN and not self._may_move():
@@ -229,14 +257,11 @@
     def _give_up(self, end: _End) -> RefusalError:
         if end is _End.BROKEN or self._stream.runs:
             return refusal(ErrorCode.ENDPOINT_FAILED, f"the answer was lost: {self._reason}")
-        return self._refuse(ErrorCode.ENDPOINTS_FULL, "no decode endpoint takes the request now")
-
-    def _refuse(self, code: ErrorCode, text: str) -> RefusalError:
-        if self._stream.runs:
-            return refusal(ErrorCode.ENDPOINT_FAILED, text)
-        return refusal(code, text, RETRY_AFTER_S * (0.5 + self._tools.rng.random()))
-
+        text = "no decode engine takes the request now"
+        after_s = RETRY_AFTER_S * (0.5 + self._tools.rng.random())
+        return refusal(ErrorCode.ENDPOINTS_FULL, text, after_s)
 
-def _prefill_weight(prompt: PromptShape) -> float:
-    """Return a prompt's part of an engine's time, in places: one for each 1,000 tokens."""
-    return max(1.0, prompt.read / 1_000)
+    def _note_answered(self) -> None:
+        stream = self._stream
+        took_s = round(self._tools.clock() - self._job.req.arrived, 3)
+        self._job.note("answered", runs=stream.runs, events=stream.splitter.events, took_s=took_s)
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_job.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_job.py
@@ -8,8 +8,9 @@
 
 from vanillashore_gateway._balancing import Balancer
 from vanillashore_gateway._dialect import Dialect
-from vanillashore_gateway._domain import CallerRequest, Endpoint, EndpointRole, Route
+from vanillashore_gateway._domain import CallerRequest, Endpoint, EndpointRole, Route, Service
 from vanillashore_gateway._membership import Membership
+from vanillashore_gateway._place_finder import PlaceFinder
 from vanillashore_gateway._sending import Sender
 from vanillashore_outcome import RetryBudget
 
@@ -44,12 +45,12 @@
 
     dialect: Dialect
     sender: Sender
+    places: PlaceFinder
     balancer: Balancer
     membership: Membership
     budgets: BudgetBook
     clock: Callable[[], float]
     rng: random.Random
-    kv_hold_s: Callable[[str], float]
 
 
 @attrs.define
@@ -58,7 +59,7 @@
 
     req: CallerRequest
     route: Route
-    service: str
+    service: Service
     workspace: str
     config_version: int
     tried: set[str] = attrs.field(factory=set)
@@ -69,11 +70,11 @@
         """When the caller has to have a final answer."""
         return min(self.req.deadline, self.req.arrived + self.route.timeout_s)
 
-    def choose(self, tools: Tools, role: EndpointRole) -> Endpoint | None:
+    def choose(self, tools: Tools, role: EndpointRole, share: float) -> Endpoint | None:
         """Choose an endpoint that was not tried yet, and log why."""
         now = tools.clock()
-        endpoints = tools.membership.usable(self.service, role)
-        endpoint = tools.balancer.choose(endpoints, self.tried, now)
+        endpoints = tools.membership.usable(self.service.name, role)
+        endpoint = tools.balancer.choose(endpoints, self.tried, now, share)
         if endpoint is None:
             self.note("no endpoint is left", listed=len(endpoints), tried=len(self.tried))
             return None
@@ -81,7 +82,7 @@
             "endpoint chosen",
             endpoint=endpoint.instance,
             role=role.value,
-            pressure=round(tools.balancer.pressure(endpoint, now), 3),
+            pressure=round(tools.balancer.pressure(endpoint, now, share), 3),
             listed=len(endpoints),
             tried=len(self.tried),
         )
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_membership.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_membership.py
@@ -60,6 +60,10 @@
             and (role is None or endpoint.role is role)
         ]
 
+    def all_usable(self) -> list[Endpoint]:
+        """Return the endpoints of all services that take new work."""
+        return [endpoint for endpoint in self._endpoints.values() if not endpoint.is_leaving]
+
     def get(self, instance: str) -> Endpoint | None:
         """Return an endpoint, or ``None`` if it is gone."""
         return self._endpoints.get(instance)
--- /dev/null
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_place_finder.py
@@ -0,0 +1,194 @@
+"""Finds decode places for generations: a reservation at an engine, or a turn in the queue."""
+
+import asyncio
+import random
+from collections import defaultdict
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+import attrs
+from loguru import logger as log
+
+from vanillashore_gateway._balancing import Balancer
+from vanillashore_gateway._domain import CallerRequest, Endpoint, EndpointRole, Hold, Route, Service
+from vanillashore_gateway._engine_calls import EngineCalls, EngineUnreachableError
+from vanillashore_gateway._errors import ErrorCode, RefusalError, refusal
+from vanillashore_gateway._membership import Membership
+from vanillashore_gateway._place_queue import PlaceQueue, Waiting
+
+ASKED_AT_ONCE = 3  # Engines that are asked in turn before a generation waits.
+POLL_S = 0.03  # Between tries while all engines are full: a few steps of a full batch.
+ON_TIME_SHARE = 0.6  # Of the target; the rest is for prefill, transfer and the first steps.
+LATE_SHARE = 0.3  # Of the caller's time: as long a late generation waits before it is refused.
+LATE_TARGETS = 3.0  # In targets: callers leave a silent stream after four.
+LATE_QUEUE_S = 2.7  # A longer queue would not get its places in that time.
+UNKNOWN_SHARE = 0.35  # Of the longest answer, for callers that give no estimate.
+RETRY_SPREAD = 0.3  # Callers that were refused together do not return together.
+
+
+def needed_tokens(req: CallerRequest) -> int:
+    """Return the memory that a generation will likely take, in tokens."""
+    if req.prompt is None:
+        return 1
+    likely = req.prompt.likely_made
+    if likely is None:
+        likely = int(req.prompt.most_made * UNKNOWN_SHARE)
+    return req.prompt.read + likely
+
+
+@attrs.define(eq=False)
+class PlaceAsk:
+    """A generation that needs a place; ``avoided`` are engines that have failed it."""
+
+    req: CallerRequest
+    route: Route
+    service: Service
+    tokens: int
+    avoided: set[str]
+    fut: "asyncio.Future[Hold]"
+
+
+class PlaceFinder:
+    """Reserves places at decode engines, in the order of the queue."""
+
+    def __init__(
+        self,
+        calls: EngineCalls,
+        balancer: Balancer,
+        membership: Membership,
+        clock: Callable[[], float],
+        rng: random.Random,
+    ) -> None:
+        self._calls = calls
+        self._balancer = balancer
+        self._membership = membership
+        self._clock = clock
+        self._rng = rng
+        self._queues: dict[str, PlaceQueue[PlaceAsk]] = defaultdict(PlaceQueue)
+        self._tasks: set[asyncio.Task[Any]] = set()
+        self._pumping: set[str] = set()
+
+    async def find(
+        self, req: CallerRequest, route: Route, service: Service, avoided: set[str]
+    ) -> Hold:
+        """Return a reservation; raise RefusalError if none is to be had in time."""
+        queue = self._queues[service.name]
+        ask = PlaceAsk(req, route, service, needed_tokens(req), avoided, _future())
+        if not len(queue):
+            hold = await self._try(ask)
+            if hold is not None:
+                return hold
+        self._check_queue(queue, ask)
+        return await self._wait(queue, ask)
+
+    def release(self, hold: Hold) -> None:
+        """Give back a reservation that was not used."""
+        self._start(self._calls.drop_hold(hold))
+
+    def _check_queue(self, queue: PlaceQueue[PlaceAsk], ask: PlaceAsk) -> None:
+        if queue.would_wait_s() > LATE_QUEUE_S:
+            raise self._refusal(queue, ask, "too many generations wait for a place")
+
+    async def _wait(self, queue: PlaceQueue[PlaceAsk], ask: PlaceAsk) -> Hold:
+        req, route = ask.req, ask.route
+        longest_s = min((req.deadline - req.arrived) * LATE_SHARE, route.target_s * LATE_TARGETS)
+        give_up_at = req.arrived + longest_s
+        on_time_until = req.arrived + route.target_s * ON_TIME_SHARE
+        waiting = Waiting(ask, self._clock(), on_time_until, give_up_at)
+        queue.add(waiting)
+        log.bind(request=req.log_id, waiting=len(queue), tokens=ask.tokens).info(
+            "waits for a place"
+        )
+        if ask.service.name not in self._pumping:
+            self._pumping.add(ask.service.name)
+            self._start(self._pump(ask.service.name, queue))
+        try:
+            return await ask.fut
+        except asyncio.CancelledError:
+            if ask.fut.done() and not ask.fut.cancelled():
+                self.release(ask.fut.result())
+            raise
+        finally:
+            queue.remove(waiting)
+
+    async def _pump(self, service: str, queue: PlaceQueue[PlaceAsk]) -> None:
+        """Try for the first of the queue again and again, until nobody waits."""
+        try:
+            while len(queue):
+                now = self._clock()
+                for late in queue.overdue(now):
+                    self._refuse(queue, late.item)
+                first = queue.first(now)
+                if first is None:
+                    break
+                try:
+                    hold = await self._try(first.item)
+                except RefusalError as exc:
+                    queue.remove(first)
+                    _fail(first.item, exc)
+                    continue
+                if hold is None:
+                    await asyncio.sleep(POLL_S * (0.5 + self._rng.random()))
+                    continue
+                queue.remove(first)
+                queue.note_given(self._clock())
+                if first.item.fut.done():
+                    self.release(hold)
+                else:
+                    first.item.fut.set_result(hold)
+        finally:
+            queue.note_empty()
+            self._pumping.discard(service)
+
+    def _refuse(self, queue: PlaceQueue[PlaceAsk], ask: PlaceAsk) -> None:
+        _fail(ask, self._refusal(queue, ask, "no place became free in time"))
+
+    def _refusal(self, queue: PlaceQueue[PlaceAsk], ask: PlaceAsk, text: str) -> RefusalError:
+        after_s = queue.retry_after_s() * (1 + RETRY_SPREAD * self._rng.random())
+        log.bind(request=ask.req.log_id, waiting=len(queue)).info("no place in time")
+        return refusal(ErrorCode.ENDPOINTS_FULL, text, after_s)
+
+    async def _try(self, ask: PlaceAsk) -> Hold | None:
+        """Ask the engines with most room for a reservation."""
+        endpoints = self._membership.usable(ask.service.name, EndpointRole.DECODE)
+        if not endpoints:
+            raise refusal(ErrorCode.NO_ENDPOINT, "no engine decodes", LATE_QUEUE_S / 2)
+        tried = set(ask.avoided)
+        share = ask.tokens / max(1, ask.service.kv_tokens)
+        for _ in range(ASKED_AT_ONCE):
+            endpoint = self._balancer.choose(endpoints, tried, self._clock(), share)
+            if endpoint is None:
+                break
+            tried.add(endpoint.instance)
+            hold = await self._ask(ask, endpoint)
+            if hold is not None:
+                return hold
+        return None
+
+    async def _ask(self, ask: PlaceAsk, endpoint: Endpoint) -> Hold | None:
+        now = self._clock()
+        try:
+            hold = await self._calls.take_hold(endpoint, ask.tokens, ask.service.hold_s, now)
+        except EngineUnreachableError as exc:
+            self._balancer.note_result(endpoint, False, self._clock())
+            log.bind(request=ask.req.log_id, endpoint=endpoint.instance, reason=str(exc)).info(
+                "an engine does not answer"
+            )
+            return None
+        if hold is None:
+            self._balancer.note_full(endpoint, now)
+        return hold
+
+    def _start(self, work: Coroutine[Any, Any, Any]) -> None:
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+
+def _fail(ask: PlaceAsk, exc: RefusalError) -> None:
+    if not ask.fut.done():
+        ask.fut.set_exception(exc)
+
+
+def _future() -> "asyncio.Future[Hold]":
+    return asyncio.get_running_loop().create_future()
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_platform_store.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_platform_store.py
@@ -54,7 +54,31 @@
     name: str
 
 
-Change = ConfigWritten | EndpointWritten | EndpointRemoved | EntryWritten | EntryRemoved
+@attrs.frozen
+class DutyWritten:
+    """An entry process has taken a duty; ``fence`` is higher than that of all earlier holders."""
+
+    name: str
+    holder: str
+    fence: int
+
+
+@attrs.frozen
+class DutyRemoved:
+    """Nobody holds a duty any more."""
+
+    name: str
+
+
+Change = (
+    ConfigWritten
+    | EndpointWritten
+    | EndpointRemoved
+    | EntryWritten
+    | EntryRemoved
+    | DutyWritten
+    | DutyRemoved
+)
 
 
 @attrs.frozen
@@ -92,6 +116,14 @@
         """Renew a lease; raise LeaseGoneError if it has ended."""
         ...
 
+    async def take_duty(self, name: str, holder: str, lease: int) -> int | None:
+        """Take a duty that nobody holds, for as long as a lease lasts.
+
+        Returns the fence of the new holder, ``None`` if another one was faster. Raises
+        LeaseGoneError if the lease has ended.
+        """
+        ...
+
     async def withdraw(self, lease: int) -> None:
         """End a lease, and what was written under it."""
         ...
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_process.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_process.py
@@ -9,6 +9,7 @@
 
 from vanillashore_gateway._clock import now
 from vanillashore_gateway._dialect import Dialect
+from vanillashore_gateway._duty import RoleDuty
 from vanillashore_gateway._following import Announcement, Follower
 from vanillashore_gateway._front import CallerConnection, FrontSettings, Inbound, Responder
 from vanillashore_gateway._gateway import Gateway, GatewaySettings
@@ -31,7 +32,20 @@
         self._cfg = cfg
         self._gateway = Gateway(cfg, dialect, rng)
         self._follower = Follower(store, self._gateway, now, rng)
-        self._announcement = Announcement(store, cfg.node, rng)
+        self._announcement = Announcement(store, cfg.node, now, rng)
+        gateway = self._gateway
+        self._roles = RoleDuty(
+            cfg.node,
+            store,
+            gateway.duty,
+            gateway.membership,
+            gateway.calls,
+            self._follower,
+            self._announcement,
+            now,
+            rng,
+            cfg.order_turn_s,
+        )
         self._servers: list[asyncio.Server] = []
         self._tasks: list[asyncio.Task[None]] = []
         self._stop = asyncio.Event()
@@ -47,6 +61,7 @@
         await self._listen(self._cfg.metrics, FrontSettings(self._answer_metrics, now))
         self._start(self._follower.run())
         self._start(self._announcement.run())
+        self._start(self._roles.run())
         log.bind(front=self._cfg.front, data_centre=self._cfg.data_centre).info("started")
         await self._stop.wait()
         await self._shut_down()
--- /dev/null
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_role_plan.py
@@ -0,0 +1,71 @@
+"""How many engines prefill and how many decode.
+
+Answers a pool whose decode engines are short of memory while prefill engines idle, and the
+reverse. An engine that changes its role is away for some seconds, so small differences are left.
+"""
+
+from collections import defaultdict
+from collections.abc import Iterable
+
+import attrs
+
+from vanillashore_gateway._domain import Endpoint, EndpointRole
+
+PREFILL_SHARE = (
+    0.3  # A prompt keeps an engine busy for a fourth of what its answer does, plus peaks.
+)
+MAX_SHARE_AT_ONCE = 0.25  # Of a pool: so many engines may be away for a change at a time.
+
+
+@attrs.frozen
+class RoleChange:
+    """An engine that should change its role."""
+
+    endpoint: Endpoint
+    role: EndpointRole
+
+
+def plan_roles(engines: Iterable[Endpoint]) -> list[RoleChange]:
+    """Return the changes that bring each service's pool to its planned shape.
+
+    A pool keeps at least one engine of each role, and its prefill engines stay spread over the
+    data centres.
+    """
+    pools: dict[str, list[Endpoint]] = defaultdict(list)
+    for engine in engines:
+        if engine.role is not EndpointRole.SERVICE and not engine.is_leaving:
+            pools[engine.service].append(engine)
+    return [change for pool in pools.values() for change in _plan_pool(pool)]
+
+
+def wanted_prefills(engines: int) -> int:
+    """Return how many of a pool's engines should prefill."""
+    if engines < 2:
+        return 0
+    return max(1, round(engines * PREFILL_SHARE))
+
+
+def _plan_pool(pool: list[Endpoint]) -> list[RoleChange]:
+    prefills = [e for e in pool if e.role is EndpointRole.PREFILL]
+    decodes = [e for e in pool if e.role is EndpointRole.DECODE]
+    surplus = len(prefills) - wanted_prefills(len(pool))
+    most = max(1, int(len(pool) * MAX_SHARE_AT_ONCE))
+    if surplus > 0:
+        chosen = _from_fullest_data_centres(prefills, min(surplus, most))
+        return [RoleChange(e, EndpointRole.DECODE) for e in chosen]
+    if not prefills and len(decodes) > 1:
+        chosen = _from_fullest_data_centres(decodes, 1)
+        return [RoleChange(e, EndpointRole.PREFILL) for e in chosen]
+    return []
+
+
+def _from_fullest_data_centres(engines: list[Endpoint], count: int) -> list[Endpoint]:
+    """Pick engines one by one from the data centre that has most of them left."""
+    left: dict[str, list[Endpoint]] = defaultdict(list)
+    for engine in sorted(engines, key=lambda e: e.instance):
+        left[engine.data_centre].append(engine)
+    picked = []
+    for _ in range(count):
+        fullest = max(sorted(left), key=lambda name: len(left[name]))
+        picked.append(left[fullest].pop())
+    return picked
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_routing.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_routing.py
@@ -3,7 +3,7 @@
 import random
 from collections import defaultdict
 
-from vanillashore_gateway._domain import CallerRequest, Route, ServingConfig, Workspace
+from vanillashore_gateway._domain import CallerRequest, Route, Service, ServingConfig, Workspace
 from vanillashore_gateway._errors import ErrorCode, refusal
 
 
@@ -23,7 +23,11 @@
         for route in config.routes:
             self._by_host[route.host.lower()][route.path_prefix] = route
         self._by_key = {key: w for w in config.workspaces for key in w.keys}
-        self.services = {service.name: service for service in config.services}
+        self._services = {service.name: service for service in config.services}
+
+    def service(self, name: str) -> Service:
+        """Return a service; one that the configuration does not describe has no engines."""
+        return self._services.get(name) or Service(name, 0)
 
     def route(self, host: str, path: str) -> Route:
         """Return the route with the longest matching prefix; raise RefusalError if none does."""
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_sending.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_sending.py
@@ -54,7 +54,7 @@
 
     @asynccontextmanager
     async def send(
-        self, order: SendOrder, weight: float, head_timeout_s: float, must_be_fresh: bool = False
+        self, order: SendOrder, share: float, head_timeout_s: float, must_be_fresh: bool = False
     ) -> AsyncIterator[Sending]:
         """Send a request and wait for the head of its answer.
 
@@ -63,7 +63,7 @@
         """
         endpoint = order.endpoint
         conn: HttpConnection | None = None
-        self._balancer.begin(endpoint, weight)
+        self._balancer.begin(endpoint, share)
         try:
             conn = await self._connect(endpoint, must_be_fresh)
             request_id = order.req.request_id
@@ -79,7 +79,7 @@
                 self._pool.give_back(endpoint, conn)
                 conn = None
         finally:
-            self._balancer.end(endpoint, weight)
+            self._balancer.end(endpoint, share)
             if conn is not None:
                 conn.abort()
 
