Leave prompts to decode engines when prefill engines are slow, and refill the prefill pool

Ruled out: more entries colliding on one engine, since the timeouts follow the number of prefill engines.

--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_balancing.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_balancing.py
@@ -14,6 +14,7 @@
 from vanillashore_placement import Breaker
 
 FULL_KEPT_S = 0.1  # A place may have become free since.
+PACE_KEPT_S = 0.6  # Queues of prompts change with each prompt, of a tenth of a second.
 LOAD_KEPT_S = 1.0  # A load that an endpoint told of is outdated by then.
 FAILURE_WEIGHT = 2.0  # Loads that an endpoint which always fails seems to have on top.
 FAR_WEIGHT = 0.05  # Of a load, for another data centre: it decides between equals only.
@@ -26,6 +27,8 @@
     running: int = 0
     share: float = 0.0
     full_at: float = -1e9
+    pace_s: float = 0.0
+    paced_at: float = -1e9
     told: Load | None = None
     told_at: float = 0.0
 
@@ -95,6 +98,18 @@
             work = self._work[endpoint.instance]
             work.told, work.told_at = load, now
 
+    def note_pace(self, endpoint: Endpoint, seconds: float, units: int, now: float) -> None:
+        """Take in how long an endpoint took for some units of work, other entries' included."""
+        work = self._work[endpoint.instance]
+        pace_s = seconds / max(1, units)
+        old_s = work.pace_s if now - work.paced_at < PACE_KEPT_S else pace_s
+        work.pace_s, work.paced_at = (old_s + pace_s) / 2, now
+
+    def expected_s(self, endpoint: Endpoint, units: int, now: float) -> float | None:
+        """Return how long an endpoint would take for some units, ``None`` if it is not known."""
+        work = self._work[endpoint.instance]
+        return work.pace_s * units if now - work.paced_at < PACE_KEPT_S else None
+
     def note_result(self, endpoint: Endpoint, succeeded: bool, now: float) -> None:
         """Take in how a request ended there."""
         self.breaker.note(endpoint.instance, succeeded, now)
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_duty.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_duty.py
@@ -41,6 +41,12 @@
         self.holder = None
 
 
+@attrs.frozen
+class _Ordered:
+    change: RoleChange
+    at: float
+
+
 class RoleDuty:
     """Gives engines the roles that the plan wants, while this entry holds the duty.
 
@@ -73,7 +79,7 @@
         self._turn_s = turn_s
         self._may_order_at = 0.0
         self._wanted_since: float | None = None
-        self._ordered_at: dict[str, float] = {}
+        self._ordered: list[_Ordered] = []
 
     async def run(self) -> None:
         """Look at the plan now and then, and order what it wants."""
@@ -101,8 +107,13 @@
             self._wanted_since = now
         if now - self._wanted_since < SETTLE_S:
             return []
-        pending = [t for t in self._ordered_at.values() if now - t < REPEAT_ORDER_S]
-        return [] if pending else changes
+        return [] if any(self._is_pending(ordered, now) for ordered in self._ordered) else changes
+
+    def _is_pending(self, ordered: "_Ordered", now: float) -> bool:
+        """Whether an order may still be carried out."""
+        engine = self._membership.get(ordered.change.endpoint.instance)
+        is_done = engine is None or engine.role is ordered.change.role
+        return not is_done and now - ordered.at < REPEAT_ORDER_S
 
     async def _take(self) -> None:
         await asyncio.sleep(TAKE_SPREAD_S * self._rng.random())
@@ -130,7 +141,9 @@
 
     async def _order(self, change: RoleChange) -> None:
         endpoint = change.endpoint
-        self._ordered_at[endpoint.instance] = self._clock()
+        now = self._clock()
+        self._ordered = [o for o in self._ordered if now - o.at < REPEAT_ORDER_S]
+        self._ordered.append(_Ordered(change, now))
         answer = OrderAnswer.FAILED
         reason = ""
         try:
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_generation.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_generation.py
@@ -23,7 +23,7 @@
 HANDLE_MARGIN_S = 0.1  # A handle this near to its end is not worth a transfer.
 HOLD_MARGIN_S = 0.2  # A reservation this near to its end may lapse on the way.
 PREFILL_TOKENS = 16_384  # Prompt tokens of a full prefill engine: half a second of its work.
-PREFILL_FULL = 0.8  # A prompt is then left to the decode engine, which is slower but free.
+SLOW_PREFILL_SHARE = 0.35  # Of the target: a decode engine reads a usual prompt in that time.
 MAX_PREFILLS = 2
 MAX_DECODES = 4  # Endpoints asked to run it; those that did not count too.
 MAX_WAIT_S = 60.0  # For callers and routes without a time limit.
@@ -118,9 +118,7 @@
             endpoint = job.choose(tools, EndpointRole.PREFILL, share)
             if endpoint is None:
                 return None
-            pressure = tools.balancer.pressure(endpoint, tools.clock(), share)
-            if pressure > PREFILL_FULL:
-                job.note("prefill is left to decode", pressure=round(pressure, 2))
+            if self._is_slow(endpoint, job.req.prompt):
                 return None
             job.tried.add(endpoint.instance)
             handle = await self._prefill_at(endpoint, job.req.prompt, share)
@@ -132,6 +130,14 @@
                 return None
         return None
 
+    def _is_slow(self, endpoint: Endpoint, prompt: PromptShape) -> bool:
+        """Whether the decode engine would read the prompt sooner than a busy prefill engine."""
+        expected_s = self._tools.balancer.expected_s(endpoint, prompt.read, self._tools.clock())
+        if expected_s is None or expected_s < self._job.route.target_s * SLOW_PREFILL_SHARE:
+            return False
+        self._job.note("prefill is left to decode", expected_s=round(expected_s, 3))
+        return True
+
     async def _prefill_at(
         self, endpoint: Endpoint, prompt: PromptShape, share: float
     ) -> PrefillHandle | None:
@@ -139,16 +145,20 @@
         left_s = job.give_up_at - tools.clock()
         order = SendOrder(job.req, endpoint, job.workspace, left_s, is_prefill=True)
         timeout_s = min(left_s, job.route.target_s * PREFILL_SHARE)
+        began = tools.clock()
         try:
             async with asyncio.timeout(timeout_s):
                 async with tools.sender.send(order, share, timeout_s) as sent:
                     body = await sent.read_whole()
                     if sent.head.status == 200:
                         name = tools.dialect.decode_handle(body)
+                        took_s = tools.clock() - began
+                        tools.balancer.note_pace(endpoint, took_s, prompt.read, tools.clock())
                         return PrefillHandle(endpoint, name, tools.clock())
                     reason = f"status {sent.head.status}"
         except TimeoutError:
             reason = "timed out"
+            tools.balancer.note_pace(endpoint, timeout_s, prompt.read, tools.clock())
         except (LinkError, ValueError) as exc:
             reason = str(exc)
         job.note("prefill failed", endpoint=endpoint.instance, reason=reason, tokens=prompt.read)
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_role_plan.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_role_plan.py
@@ -53,7 +53,7 @@
     if surplus > 0:
         chosen = _from_fullest_data_centres(prefills, min(surplus, most))
         return [RoleChange(e, EndpointRole.DECODE) for e in chosen]
-    if not prefills and len(decodes) > 1:
+    if surplus < 0 and len(decodes) > 1:
         chosen = _from_fullest_data_centres(decodes, 1)
         return [RoleChange(e, EndpointRole.PREFILL) for e in chosen]
     return []
