Keep room for generations that can still be on time, and send refused ones back later

Change: a late generation gets a place only where a fifth of the engine's memory stays free, and a refusal names the time of a usual answer. Ruled out: shorter patience in the queue; the late ones were the waste.

--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_generation.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_generation.py
@@ -86,6 +86,8 @@
                     self._tools.places.release(hold)
             if end is _End.DONE:
                 responder.finish()
+                held_s = self._tools.clock() - hold.taken_at
+                self._tools.places.note_answered(self._job.service, held_s)
                 self._note_answered()
                 return
             if end is not _End.NOT_SENT:
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_place_finder.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_place_finder.py
@@ -23,6 +23,7 @@
 LATE_TARGETS = 3.0  # In targets: callers leave a silent stream after four.
 LATE_QUEUE_S = 2.7  # A longer queue would not get its places in that time.
 UNKNOWN_SHARE = 0.35  # Of the longest answer, for callers that give no estimate.
+LATE_ROOM = 0.2  # Of an engine's memory, left for those that can still be on time.
 RETRY_SPREAD = 0.3  # Callers that were refused together do not return together.
 
 
@@ -81,6 +82,10 @@
         self._check_queue(queue, ask)
         return await self._wait(queue, ask)
 
+    def note_answered(self, service: Service, seconds: float) -> None:
+        """Note how long an answer held its place."""
+        self._queues[service.name].note_answered(seconds)
+
     def release(self, hold: Hold) -> None:
         """Give back a reservation that was not used."""
         self._start(self._calls.drop_hold(hold))
@@ -122,7 +127,8 @@
                 if first is None:
                     break
                 try:
-                    hold = await self._try(first.item)
+                    is_late = now >= first.on_time_until
+                    hold = await self._try(first.item, LATE_ROOM if is_late else 0.0)
                 except RefusalError as exc:
                     queue.remove(first)
                     _fail(first.item, exc)
@@ -148,8 +154,11 @@
         log.bind(request=ask.req.log_id, waiting=len(queue)).info("no place in time")
         return refusal(ErrorCode.ENDPOINTS_FULL, text, after_s)
 
-    async def _try(self, ask: PlaceAsk) -> Hold | None:
-        """Ask the engines with most room for a reservation."""
+    async def _try(self, ask: PlaceAsk, spare: float = 0.0) -> Hold | None:
+        """Ask the engines with most room for a reservation.
+
+        ``spare`` is the part of an engine's memory that has to be free beside the place.
+        """
         endpoints = self._membership.usable(ask.service.name, EndpointRole.DECODE)
         if not endpoints:
             raise refusal(ErrorCode.NO_ENDPOINT, "no engine decodes", LATE_QUEUE_S / 2)
@@ -160,15 +169,16 @@
             if endpoint is None:
                 break
             tried.add(endpoint.instance)
-            hold = await self._ask(ask, endpoint)
+            hold = await self._ask(ask, endpoint, spare)
             if hold is not None:
                 return hold
         return None
 
-    async def _ask(self, ask: PlaceAsk, endpoint: Endpoint) -> Hold | None:
+    async def _ask(self, ask: PlaceAsk, endpoint: Endpoint, spare: float) -> Hold | None:
         now = self._clock()
+        tokens = ask.tokens + int(spare * ask.service.kv_tokens)
         try:
-            hold = await self._calls.take_hold(endpoint, ask.tokens, ask.service.hold_s, now)
+            hold = await self._calls.take_hold(endpoint, tokens, ask.service.hold_s, now)
         except EngineUnreachableError as exc:
             self._balancer.note_result(endpoint, False, self._clock())
             log.bind(request=ask.req.log_id, endpoint=endpoint.instance, reason=str(exc)).info(
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_place_queue.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_place_queue.py
@@ -14,7 +14,8 @@
 PACE_SMOOTHING = 0.2  # Of the newest interval; some ten places decide the pace.
 FIRST_PACE_S = 0.25  # Until two places were given: a few engines, some seconds for each answer.
 MAX_PACE_S = 2.0
-MIN_RETRY_S = 0.3
+FIRST_ANSWER_S = 3.0  # Until answers have ended: a usual answer of some hundred tokens.
+ANSWER_SMOOTHING = 0.05
 
 T = TypeVar("T")
 
@@ -48,6 +49,7 @@
         self._waiting: deque[Waiting[T]] = deque()
         self._pace_s = FIRST_PACE_S
         self._given_at: float | None = None
+        self._answer_s = FIRST_ANSWER_S
 
     def __len__(self) -> int:
         return len(self._waiting)
@@ -90,6 +92,14 @@
         """Return how long one that comes now would wait."""
         return len(self._waiting) * self._pace_s
 
+    def note_answered(self, seconds: float) -> None:
+        """Note how long an answer held its place."""
+        self._answer_s += ANSWER_SMOOTHING * (seconds - self._answer_s)
+
     def retry_after_s(self) -> float:
-        """Return when a place is expected for one that is refused now."""
-        return max(MIN_RETRY_S, (len(self._waiting) + 1) * self._pace_s)
+        """Return when a place is expected for one that is refused now.
+
+        Those that arrive meanwhile can still be on time and go first, so that a place is free for
+        one that is late when the answers under way now have ended.
+        """
+        return max(self._answer_s, (len(self._waiting) + 1) * self._pace_s)
