--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_calls.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_calls.py
@@ -89,6 +89,8 @@
             raise self._refuse(ErrorCode.TOO_LATE, "no time is left for the request")
         order = SendOrder(job.req, endpoint, job.workspace, time_left_s)
         result = await self._send(order)
+        if result.end in (_End.ANSWERED, _End.UNCLEAR):
+            job.sends += 1
         healthy = result.end in (_End.ANSWERED, _End.NOT_RUN) and not _is_failure(result)
         tools.balancer.note_result(endpoint, healthy, tools.clock())
         if result.end is not _End.ANSWERED or _is_failure(result):
@@ -113,15 +115,12 @@
                     if sent.head.was_not_run:
                         await sent.read_whole()
                         return _Result(_End.NOT_RUN, sent.head)
-                    self._job.sends += 1
                     return _Result(_End.ANSWERED, sent.head, await sent.read_whole())
         except TimeoutError:
-            self._job.sends += 1
             return _Result(_End.UNCLEAR, reason="timed out")
         except LinkError as exc:
             if exc.failure is LinkFailure.NOT_SENT:
                 return _Result(_End.NOT_SENT, reason=str(exc))
-            self._job.sends += 1
             return _Result(_End.UNCLEAR, reason=str(exc))
 
     def _has_sends_left(self) -> bool:
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_gateway.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_gateway.py
@@ -44,7 +44,11 @@
 
 @attrs.frozen
 class GatewaySettings:
-    """Settings of one entry; bounds are those of the whole fleet."""
+    """Settings of one entry; bounds are those of the whole fleet.
+
+    A stopping process still gets new connections for up to ``rotation_s``: the balancer asks once a
+    second and needs two misses. It has ``grace_s`` before it is killed.
+    """
 
     node: str
     data_centre: str
@@ -52,6 +56,7 @@
     ready: tuple[str, int]
     metrics: tuple[str, int]
     grace_s: float = 8.0
+    rotation_s: float = 3.0
     order_turn_s: float = 3.0
     expected_entries: int = 1
     retry_ratio: float = 0.2
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_process.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_process.py
@@ -18,7 +18,6 @@
 BACKLOG = 1_024
 READY_PATH = b"/-/readyz"
 METRICS_PATH = b"/metrics"
-OUT_OF_ROTATION_S = 3.0  # The balancer asks once a second and needs two misses.
 STOP_MARGIN_S = 0.8  # Left of the grace time for closing connections.
 STOP_POLL_S = 0.05
 TEXT = ((b"Content-Type", b"text/plain; charset=utf-8"),)
@@ -30,10 +29,10 @@
     def __init__(self, cfg: GatewaySettings, dialect: Dialect, store: PlatformStore) -> None:
         rng = random.Random()
         self._cfg = cfg
-        self._gateway = Gateway(cfg, dialect, rng)
-        self._follower = Follower(store, self._gateway, now, rng)
+        self.gateway = Gateway(cfg, dialect, rng)
+        self._follower = Follower(store, self.gateway, now, rng)
         self._announcement = Announcement(store, cfg.node, now, rng)
-        gateway = self._gateway
+        gateway = self.gateway
         self._roles = RoleDuty(
             cfg.node,
             store,
@@ -50,21 +49,35 @@
         self._tasks: list[asyncio.Task[None]] = []
         self._stop = asyncio.Event()
 
+    @property
+    def front_address(self) -> tuple[str, int]:
+        """Address that callers connect to, known once the process has started."""
+        return self._servers[0].sockets[0].getsockname()[:2]
+
+    @property
+    def ready_address(self) -> tuple[str, int]:
+        """Address that tells whether the process is ready."""
+        return self._servers[1].sockets[0].getsockname()[:2]
+
     async def run(self) -> None:
         """Serve until a stop signal, then finish what is under way."""
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self._stop.set)
         loop.add_signal_handler(signal.SIGHUP, self._note_reload)
-        await self._listen(self._cfg.front, self._gateway.front)
+        await self.start()
+        await self._stop.wait()
+        await self.shut_down()
+
+    async def start(self) -> None:
+        """Listen, and follow the platform."""
+        await self._listen(self._cfg.front, self.gateway.front)
         await self._listen(self._cfg.ready, FrontSettings(self._answer_ready, now))
         await self._listen(self._cfg.metrics, FrontSettings(self._answer_metrics, now))
         self._start(self._follower.run())
         self._start(self._announcement.run())
         self._start(self._roles.run())
         log.bind(front=self._cfg.front, data_centre=self._cfg.data_centre).info("started")
-        await self._stop.wait()
-        await self._shut_down()
 
     def _start(self, work: Awaitable[None]) -> None:
         task = asyncio.ensure_future(work)
@@ -88,7 +101,7 @@
     async def _answer_ready(self, inbound: Inbound, responder: Responder) -> None:
         if inbound.head.target.partition(b"?")[0] != READY_PATH:
             responder.answer(404, TEXT, b"not found\n")
-        elif self._gateway.is_ready:
+        elif self.gateway.is_ready:
             responder.answer(200, TEXT, b"ready\n")
         else:
             responder.answer(503, TEXT, b"not ready\n")
@@ -97,29 +110,40 @@
         if inbound.head.target.partition(b"?")[0] != METRICS_PATH:
             responder.answer(404, TEXT, b"not found\n")
         else:
-            responder.answer(200, TEXT, self._gateway.metrics.render())
+            responder.answer(200, TEXT, self.gateway.metrics.render())
 
     def _note_reload(self) -> None:
         log.info("reload: nothing in the settings of a running process can change")
 
-    async def _shut_down(self) -> None:
-        gateway = self._gateway
+    async def shut_down(self) -> None:
+        """Leave the rotation, finish what is under way, and close."""
+        gateway = self.gateway
         gateway.is_stopping = True
         gateway.front.is_closing = True
         began = now()
         log.bind(active=gateway.active, connections=len(gateway.front.connections)).info("stopping")
+        await asyncio.sleep(self._cfg.rotation_s)
+        # What is taken from now on might not end within the grace time.
+        self._close_idle()
         last = began + self._cfg.grace_s - STOP_MARGIN_S
-        while now() < last:
+        while gateway.front.connections and now() < last:
             await asyncio.sleep(STOP_POLL_S)
-            if now() - began >= OUT_OF_ROTATION_S and gateway.active == 0:
-                break
+        await self._announcement.withdraw()
+        self.close()
+        took_s = round(now() - began, 3)
+        log.bind(active=gateway.active, took_s=took_s).info("stopped")
+
+    def close(self) -> None:
+        """Close the listeners and idle connections, and end all tasks."""
+        self._close_idle()
         for server in self._servers:
             server.close()
-        for conn in list(gateway.front.connections):
-            if conn.is_idle:
-                conn.close()
-        await self._announcement.withdraw()
         for task in self._tasks:
             task.cancel()
-        took_s = round(now() - began, 3)
-        log.bind(active=gateway.active, took_s=took_s).info("stopped")
+
+    def _close_idle(self) -> None:
+        """Take no new callers, and close the connections of those that ask for nothing."""
+        self._servers[0].close()
+        for conn in list(self.gateway.front.connections):
+            if conn.is_idle:
+                conn.close()
--- /dev/null
+++ b/packages/vanillashore-standins/src/vanillashore_standins/platform_rig.py
@@ -0,0 +1,217 @@
+"""A gateway on loopback before stand-ins of the platform, for tests."""
+
+import asyncio
+import contextlib
+from collections import deque
+from collections.abc import Sequence
+from contextlib import AsyncExitStack
+from typing import Any, Self
+
+import attrs
+
+from vanillashore_adapter import HttpStore, PlatformDialect
+from vanillashore_gateway import GatewayProcess, GatewaySettings, QuotaSettings
+from vanillashore_standins._serving import ServedApp
+from vanillashore_standins._waiting import wait_until
+from vanillashore_standins.platform_endpoint import EndpointStandIn, EngineOptions, Fault
+from vanillashore_standins.platform_store import PlatformStoreStandIn
+
+HOST = "cakes.example"
+KEY = "key-of-counter"
+WORKSPACE = "counter"
+ORDERS = "orders"
+MODELS = "models"
+LOOPBACK = ("127.0.0.1", 0)
+
+
+def fail_first(endpoints: Sequence[EndpointStandIn], *faults: Fault) -> None:
+    """Let the first requests that arrive fail, whichever of the endpoints they reach."""
+    shared = deque(faults)
+    for endpoint in endpoints:
+        endpoint.faults = shared
+
+
+def route(path: str, kind: str, service: str, **changes: Any) -> dict[str, Any]:
+    """Return a route of the operators' configuration."""
+    return {
+        "name": f"r-{path.strip('/')}",
+        "host": HOST,
+        "path_prefix": path,
+        "kind": kind,
+        "service": service,
+        "timeout_ms": 5_000,
+        "target_latency_ms": 900,
+        "priority": 1,
+        "max_attempts": 1,
+        "auth_exempt": False,
+        "session_affinity": False,
+        "resumable": False,
+        "gap_target_ms": 300,
+    } | changes
+
+
+def configuration(version: int = 1, **changes: Any) -> dict[str, Any]:
+    """Return a configuration with a route of each kind."""
+    stream = {"session_affinity": True}
+    engine = {"slots": 8, "kv_capacity_tokens": 10_000, "kv_hold_s": 5.0, "hold_ms": 2_000}
+    return {
+        "version": version,
+        "routes": [
+            route("/pay/", "non_idempotent", ORDERS),
+            route("/stock/", "idempotent", ORDERS, max_attempts=2),
+            route("/open/", "idempotent", ORDERS, auth_exempt=True),
+            route("/quote/", "streaming", MODELS, resumable=True, max_attempts=2, **stream),
+            route("/idea/", "streaming", MODELS, **stream),
+        ],
+        "services": [
+            {"name": ORDERS, "health_path": "/healthz", "max_connections": 100},
+            {"name": MODELS, "health_path": "/healthz", "max_connections": 100, "engine": engine},
+        ],
+        "limits": {
+            "max_header_bytes": 4_096,
+            "max_body_bytes": 100_000,
+            "header_timeout_ms": 3_000,
+            "idle_timeout_ms": 15_000,
+        },
+        "tenants": [{"name": WORKSPACE, "api_keys": [KEY], "unit": "token_stream"}],
+    } | changes
+
+
+@attrs.frozen
+class Answer:
+    """What a caller got; ``is_whole`` if the body ended as its framing said."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+    is_whole: bool
+
+
+class PlatformRig:
+    """A store, endpoints and one gateway.
+
+    Example::
+
+        async with PlatformRig(services=2) as rig:
+            answer = await rig.ask("GET", "/stock/1", "id-1")
+    """
+
+    def __init__(
+        self,
+        services: int = 0,
+        prefills: int = 0,
+        decodes: int = 0,
+        engine: EngineOptions | None = None,
+        quota: QuotaSettings | None = None,
+    ) -> None:
+        options = engine or EngineOptions()
+        self.store = PlatformStoreStandIn()
+        self.services = [EndpointStandIn(f"s{i}", ORDERS) for i in range(services)]
+        self.prefills = [
+            EndpointStandIn(f"p{i}", MODELS, attrs.evolve(options, stage="prefill"))
+            for i in range(prefills)
+        ]
+        self.decodes = [
+            EndpointStandIn(f"d{i}", MODELS, attrs.evolve(options)) for i in range(decodes)
+        ]
+        self.process: GatewayProcess
+        self._quota = quota or QuotaSettings()
+        self._stack = AsyncExitStack()
+
+    @property
+    def endpoints(self) -> list[EndpointStandIn]:
+        """All endpoints."""
+        return [*self.services, *self.prefills, *self.decodes]
+
+    async def __aenter__(self) -> Self:
+        """Start all, and wait until the gateway is ready."""
+        self.store.put("op/config", configuration())
+        for endpoint in self.endpoints:
+            await self._stack.enter_async_context(endpoint)
+            self.store.put(f"servers/{endpoint.instance}", endpoint.entry())
+        self.served_store = await self._stack.enter_async_context(ServedApp(self.store.app()))
+        self.process = GatewayProcess(self._settings(), PlatformDialect(), self.new_client())
+        await self.process.start()
+        await wait_until(lambda: self.process.gateway.is_ready)
+        return self
+
+    async def __aexit__(self, *exc_info: object) -> None:
+        """Stop all at once."""
+        self.process.close()
+        await self._stack.aclose()
+
+    def new_client(self) -> HttpStore:
+        """Return another client of the store."""
+        host, _, port = self.served_store.address.removeprefix("http://").partition(":")
+        return HttpStore((host, int(port)), 1.0)
+
+    async def ask(
+        self,
+        method: str,
+        path: str,
+        request_id: str,
+        body: bytes = b"",
+        key: str = KEY,
+        **headers: str,
+    ) -> Answer:
+        """Send one request on a connection of its own, and read the answer."""
+        named = {name.replace("_", "-"): value for name, value in headers.items()}
+        rows = {
+            "Host": HOST,
+            "X-Request-Id": request_id,
+            "X-Deadline-Ms": "4000",
+            "Authorization": f"Bearer {key}",
+            "Content-Length": str(len(body)),
+            "Connection": "close",
+        } | named
+        lines = [f"{method} {path} HTTP/1.1", *(f"{k}: {v}" for k, v in rows.items()), "", ""]
+        return await self.send("\r\n".join(lines).encode() + body)
+
+    async def send(self, data: bytes) -> Answer:
+        """Send bytes as they are, and read one answer."""
+        reader, writer = await asyncio.open_connection(*self.process.front_address)
+        writer.write(data)
+        try:
+            return await _read_answer(reader)
+        finally:
+            writer.transport.abort()
+
+    async def generate(self, path: str, request_id: str, **headers: str) -> Answer:
+        """Ask for a generation of a usual size."""
+        sizes = {"X_Token_Count": "1000,500", "X_Length_Hint": "100"}
+        return await self.ask("POST", path, request_id, b"prompt", **(sizes | headers))
+
+    def arrivals(self, request_id: str) -> list[str]:
+        """Return the endpoints that have worked on a request."""
+        return [e.instance for e in self.endpoints for a in e.runs if a.request_id == request_id]
+
+    def _settings(self) -> GatewaySettings:
+        return GatewaySettings(
+            node="entry-1",
+            data_centre="dc-a",
+            front=LOOPBACK,
+            ready=LOOPBACK,
+            metrics=LOOPBACK,
+            grace_s=3.0,
+            rotation_s=0.2,
+            quota=self._quota,
+        )
+
+
+async def _read_answer(reader: asyncio.StreamReader) -> Answer:
+    head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+    line, *rows = head.strip().split("\r\n")
+    headers = {name.lower(): value for name, value in (row.split(": ", 1) for row in rows)}
+    status = int(line.split(" ")[1])
+    body = b""
+    is_whole = False
+    with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+        if "content-length" in headers:
+            body = await reader.readexactly(int(headers["content-length"]))
+            is_whole = True
+        else:
+            while size := int((await reader.readuntil(b"\r\n")).strip(), 16):
+                body += await reader.readexactly(size)
+                await reader.readexactly(2)
+            is_whole = True
+    return Answer(status, headers, body, is_whole)
--- /dev/null
+++ b/tests/gateway/test_generation.py
@@ -0,0 +1,126 @@
+"""Generations through a gateway: whole streams once, under each fault."""
+
+import asyncio
+
+import pytest
+
+from vanillashore_standins import wait_until
+from vanillashore_standins.platform_endpoint import PIECE, EngineOptions, Fault
+from vanillashore_standins.platform_rig import PlatformRig, fail_first
+
+EVENTS = 5
+WHOLE = "".join(f"id: {n}\ndata: {PIECE % n}\n\n" for n in range(1, EVENTS + 1)).encode()
+
+
+async def test_prompt_is_prefilled_and_the_stream_comes_whole() -> None:
+    async with PlatformRig(prefills=1, decodes=1) as rig:
+        answer = await rig.generate("/quote/1", "id-1")
+        assert (answer.status, answer.body, answer.is_whole) == (200, WHOLE, True)
+        prefill, decode = rig.prefills[0].arrivals[0], rig.decodes[0].arrivals[0]
+        assert prefill.headers["x-stage"] == "prefill"
+        assert decode.headers["x-kv-source"] == f"{rig.prefills[0].address}/kv1"
+        assert decode.headers["x-kv-hold"] == "h1"
+        assert decode.headers["x-token-count"] == "1000,500"
+
+
+@pytest.mark.parametrize("fault", [Fault.BREAKS_MID_EVENT, Fault.STALLS, Fault.RESET_AFTER_RUN])
+async def test_resumable_stream_goes_on_at_another_engine(fault: Fault) -> None:
+    async with PlatformRig(prefills=1, decodes=2) as rig:
+        fail_first(rig.decodes, fault)
+        answer = await rig.generate("/quote/1", "id-1")
+        assert (answer.status, answer.body, answer.is_whole) == (200, WHOLE, True)
+        assert len(set(rig.arrivals("id-1"))) == 2
+
+
+@pytest.mark.parametrize(
+    ("fault", "status"),
+    [(Fault.BREAKS_MID_EVENT, 200), (Fault.RESET_AFTER_RUN, 502), (Fault.GARBAGE, 502)],
+)
+async def test_other_streams_run_once_and_never_look_complete(fault: Fault, status: int) -> None:
+    async with PlatformRig(prefills=1, decodes=2) as rig:
+        fail_first(rig.decodes, fault)
+        answer = await rig.generate("/idea/1", "id-1")
+        assert answer.status == status
+        assert len(rig.arrivals("id-1")) == 1
+        if status == 200:
+            assert not answer.is_whole
+            assert WHOLE.startswith(answer.body)
+
+
+async def test_resumable_stream_is_not_sent_to_more_engines_than_the_route_allows() -> None:
+    async with PlatformRig(prefills=1, decodes=4) as rig:
+        for engine in rig.decodes:
+            engine.faults.extend([Fault.BREAKS_MID_EVENT] * 2)
+        answer = await rig.generate("/quote/1", "id-1")
+        assert not answer.is_whole
+        assert len(rig.arrivals("id-1")) == 2
+
+
+async def test_callers_own_resumption_is_passed_on() -> None:
+    async with PlatformRig(prefills=1, decodes=1) as rig:
+        answer = await rig.generate("/quote/1", "id-1", Last_Event_Id="3")
+        assert answer.body == WHOLE[WHOLE.index(b"id: 4") :]
+
+
+async def test_engine_that_takes_its_word_back_costs_no_answer() -> None:
+    async with PlatformRig(prefills=1, decodes=2) as rig:
+        fail_first(rig.decodes, Fault.SHED)
+        answer = await rig.generate("/idea/1", "id-1")
+        assert (answer.status, answer.is_whole) == (200, True)
+        assert len(rig.arrivals("id-1")) == 1
+
+
+@pytest.mark.parametrize("fault", [Fault.ERROR, Fault.RESET_UNREAD, Fault.SILENT, Fault.SHED])
+async def test_prompt_that_is_not_prefilled_is_read_by_the_decode_engine(fault: Fault) -> None:
+    async with PlatformRig(prefills=1, decodes=1) as rig:
+        rig.prefills[0].faults.append(fault)
+        answer = await rig.generate("/idea/1", "id-1")
+        assert (answer.status, answer.is_whole) == (200, True)
+        assert "x-kv-source" not in rig.decodes[0].arrivals[0].headers
+
+
+async def test_generation_waits_for_a_place_before_its_prompt_is_read() -> None:
+    async with PlatformRig(prefills=1, decodes=1, engine=EngineOptions(room=500)) as rig:
+        engine = rig.decodes[0]
+        asking = asyncio.ensure_future(rig.generate("/quote/1", "id-1"))
+        await wait_until(lambda: len(engine.calls) >= 3)
+        assert rig.prefills[0].arrivals == []
+        engine.engine.room = 1_000_000
+        assert (await asking).is_whole
+
+
+async def test_generation_without_a_place_is_refused_as_not_run() -> None:
+    async with PlatformRig(prefills=1, decodes=1, engine=EngineOptions(room=500)) as rig:
+        answer = await rig.generate("/quote/1", "id-1", X_Deadline_Ms="1000")
+        assert answer.status == 503
+        assert b'"ran":"no"' in answer.body
+        assert float(answer.headers["retry-after"]) > 0
+        assert rig.prefills[0].arrivals == []
+        assert rig.arrivals("id-1") == []
+
+
+async def test_hold_is_given_back_when_the_caller_leaves_before_decode() -> None:
+    async with PlatformRig(prefills=1, decodes=1) as rig:
+        rig.prefills[0].faults.append(Fault.SILENT)
+        asking = asyncio.ensure_future(rig.generate("/idea/1", "id-1"))
+        await wait_until(lambda: bool(rig.prefills[0].arrivals))
+        asking.cancel()
+        await wait_until(lambda: rig.decodes[0].dropped_holds == ["h1"])
+        assert rig.arrivals("id-1") == []
+
+
+async def test_stream_ends_at_the_engine_when_its_caller_leaves() -> None:
+    options = EngineOptions(events=1_000, pause_s=0.01)
+    async with PlatformRig(prefills=1, decodes=1, engine=options) as rig:
+        asking = asyncio.ensure_future(rig.generate("/idea/1", "id-1"))
+        await wait_until(lambda: bool(rig.decodes[0].runs))
+        asking.cancel()
+        await wait_until(lambda: rig.decodes[0].left == ["id-1"])
+
+
+async def test_surplus_prefill_engines_are_ordered_to_decode() -> None:
+    async with PlatformRig(prefills=4, decodes=2) as rig:
+        engines = [*rig.prefills, *rig.decodes]
+        await wait_until(lambda: sum(e.engine.stage == "prefill" for e in engines) < 4, wait_s=20.0)
+        ordered = [e for e in engines if ("POST", "/-/order") in e.calls]
+        assert 1 <= len(ordered) <= 2
