--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_front.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_front.py
@@ -55,6 +55,19 @@
     limits: CallerLimits = attrs.field(factory=CallerLimits)
     is_closing: bool = False
     connections: set["CallerConnection"] = attrs.field(factory=set)
+    _all_closed: "asyncio.Future[None] | None" = None
+
+    async def wait_closed(self) -> None:
+        """Wait until no connection is open."""
+        while self.connections:
+            self._all_closed = asyncio.get_running_loop().create_future()
+            await self._all_closed
+
+    def note_closed(self, conn: "CallerConnection") -> None:
+        """Forget a connection that is closed."""
+        self.connections.discard(conn)
+        if not self.connections and self._all_closed is not None and not self._all_closed.done():
+            self._all_closed.set_result(None)
 
 
 class Responder:
@@ -161,7 +174,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the request under way: its caller is gone."""
-        self._settings.connections.discard(self)
+        self._settings.note_closed(self)
         self._transport = None
         self._waiting.clear()
         if self._timer is not None:
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_process.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_process.py
@@ -1,6 +1,7 @@
 """Life of a gateway process: listeners, signals, and a stop that cuts no request."""
 
 import asyncio
+import contextlib
 import random
 import signal
 from collections.abc import Awaitable
@@ -19,7 +20,6 @@
 READY_PATH = b"/-/readyz"
 METRICS_PATH = b"/metrics"
 STOP_MARGIN_S = 0.8  # Left of the grace time for closing connections.
-STOP_POLL_S = 0.05
 TEXT = ((b"Content-Type", b"text/plain; charset=utf-8"),)
 
 
@@ -125,9 +125,10 @@
         await asyncio.sleep(self._cfg.rotation_s)
         # What is taken from now on might not end within the grace time.
         self._close_idle()
-        last = began + self._cfg.grace_s - STOP_MARGIN_S
-        while gateway.front.connections and now() < last:
-            await asyncio.sleep(STOP_POLL_S)
+        left_s = self._cfg.grace_s - STOP_MARGIN_S - (now() - began)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(left_s):
+                await gateway.front.wait_closed()
         await self._announcement.withdraw()
         self.close()
         took_s = round(now() - began, 3)
--- a/packages/vanillashore-standins/src/vanillashore_standins/platform_store.py
+++ b/packages/vanillashore-standins/src/vanillashore_standins/platform_store.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import base64
+import itertools
 from typing import Any
 
 import attrs
@@ -39,6 +40,7 @@
         self._events: list[dict[str, Any]] = []
         self._oldest = 0
         self._leases: set[int] = set()
+        self._numbers = itertools.count(1_000)
         self._changed = asyncio.Event()
 
     def app(self) -> web.Application:
@@ -152,7 +154,7 @@
         return web.json_response({"revision": self.revision})
 
     async def _lease(self, request: web.Request) -> web.Response:
-        lease = len(self._leases) + 1_000
+        lease = next(self._numbers)
         self._leases.add(lease)
         return web.json_response({"lease": lease, "ttl_ms": (await request.json())["ttl_ms"]})
 
--- /dev/null
+++ b/tests/adapter/test_decoding.py
@@ -0,0 +1,188 @@
+"""Decoding of what the platform writes."""
+
+import orjson
+import pytest
+
+from vanillashore_adapter import (
+    PlatformDialect,
+    SettingsError,
+    decode_config,
+    decode_endpoint,
+    parse_settings,
+)
+from vanillashore_gateway import (
+    EndpointRole,
+    RefusalError,
+    RequestHead,
+    ResponseHead,
+    RouteKind,
+    Target,
+)
+
+SETTINGS = """node_name=edge-a-1
+zone=alex-a
+listen.front=10.1.0.3:8360
+listen.ready=10.1.0.3:8365
+internal_ports=7500,7515
+seeds=10.1.0.3:8367,10.2.0.18:8367
+platform.address=10.200.1.7:8361
+bounds.retry_slack=52
+a.new.field=whatever
+"""
+CONFIG = {
+    "version": 7,
+    "routes": [
+        {
+            "name": "r-1",
+            "host": "ficu95.example",
+            "path_prefix": "/lohu930/",
+            "kind": "streaming",
+            "timeout_ms": 14000,
+            "target_latency_ms": 900,
+            "priority": 1,
+            "traffic_split": [{"service": "a", "weight": 90}, {"service": "b", "weight": 10}],
+            "max_attempts": 2,
+            "auth_exempt": False,
+            "session_affinity": True,
+            "resumable": True,
+            "gap_target_ms": 300,
+        }
+    ],
+    "services": [{"name": "a", "max_connections": 160, "engine": {"kv_hold_s": 0.5, "slots": 16}}],
+    "limits": {"idle_timeout_ms": 15000},
+    "tenants": [
+        {
+            "name": "t",
+            "api_keys": ["k1", "k2"],
+            "unit": "token_stream",
+            "plain_tokens": 200,
+            "rate_per_s": 47000,
+            "burst": 47000,
+        }
+    ],
+}
+ENTRY = {
+    "service": "a",
+    "address": "10.128.0.9:8080",
+    "zone": "alex-a",
+    "slots": 16,
+    "state": "ready",
+    "stage": "decode",
+    "sequence": 4,
+}
+
+
+def test_configuration_is_decoded() -> None:
+    config = decode_config(orjson.dumps(CONFIG))
+    route = config.routes[0]
+    assert (route.kind, route.timeout_s, route.target_s) == (RouteKind.STREAMING, 14.0, 0.9)
+    assert route.targets == (Target("a", 90), Target("b", 10))
+    assert (route.is_resumable, route.is_generation, route.max_attempts) == (True, True, 2)
+    assert config.services[0].kv_hold_s == 0.5
+    assert config.workspaces[0].keys == {"k1", "k2"}
+    assert config.workspaces[0].plain_tokens == 200
+    assert config.limits.idle_timeout_s == 15.0
+
+
+@pytest.mark.parametrize(
+    "change",
+    [{"version": "7"}, {"routes": {}}, {"routes": [{}]}, {"routes": [7]}, {"tenants": [{}]}],
+)
+def test_malformed_configuration_is_an_error(change: dict[str, object]) -> None:
+    with pytest.raises(ValueError, match=r"."):
+        decode_config(orjson.dumps(CONFIG | change))
+
+
+def test_endpoint_is_decoded() -> None:
+    endpoint = decode_endpoint("i-1", orjson.dumps(ENTRY))
+    assert (endpoint.address, endpoint.role) == ("10.128.0.9:8080", EndpointRole.DECODE)
+    assert (endpoint.data_centre, endpoint.orders_taken) == ("alex-a", 4)
+    plain = {k: v for k, v in ENTRY.items() if k != "stage"}
+    assert decode_endpoint("i-1", orjson.dumps(plain)).role is EndpointRole.SERVICE
+    assert decode_endpoint("i-1", orjson.dumps(ENTRY | {"state": "draining"})).is_leaving
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"state": "asleep"},
+        {"state": 1},
+        {"address": "10.0.0.1"},
+        {"address": "host:80"},
+        {"service": None},
+        {"stage": "both"},
+        {"slots": "many"},
+    ],
+)
+def test_entry_that_names_no_endpoint_is_an_error(change: dict[str, object]) -> None:
+    with pytest.raises(ValueError, match=r"."):
+        decode_endpoint("i-1", orjson.dumps(ENTRY | change))
+
+
+def test_settings_are_read() -> None:
+    settings = parse_settings(SETTINGS)
+    assert (settings.node, settings.front, settings.store) == (
+        "edge-a-1",
+        ("10.1.0.3", 8360),
+        ("10.200.1.7", 8361),
+    )
+    assert (settings.internal_port, settings.seeds, settings.retry_slack) == (7515, 2, 52.0)
+
+
+def test_wrong_settings_are_named_all_at_once() -> None:
+    text = SETTINGS.replace("zone=alex-a", "zone=").replace("8360", "x").replace("=52", "=lots")
+    with pytest.raises(SettingsError) as caught:
+        parse_settings(text)
+    for part in ("zone is missing", "listen.front=10.1.0.3:x", "bounds.retry_slack=lots"):
+        assert part in str(caught.value)
+
+
+def _head(*headers: tuple[bytes, bytes]) -> RequestHead:
+    own = ((b"Host", b"a.example"), (b"X-Request-Id", b"id-1"))
+    return RequestHead(b"POST", b"/p/x?y=1", (*own, *headers))
+
+
+@pytest.mark.parametrize(
+    "header",
+    [
+        (b"X-Request-Id", b"id-2"),
+        (b"Host", b"b.example"),
+        (b"X-Deadline-Ms", b"soon"),
+        (b"X-Token-Count", b"many"),
+        (b"X-Token-Count", b"1"),
+        (b"Last-Event-Id", b"-1"),
+    ],
+)
+def test_request_that_is_ambiguous_is_refused(header: tuple[bytes, bytes]) -> None:
+    with pytest.raises(RefusalError):
+        PlatformDialect().decode_request(_head(header), b"", 0.0)
+
+
+def test_request_is_decoded() -> None:
+    head = _head(
+        (b"X-Token-Count", b"1460,80"),
+        (b"X-Length-Hint", b"500"),
+        (b"X-Deadline-Ms", b"14000"),
+        (b"authorization", b"bearer k1"),
+    )
+    req = PlatformDialect().decode_request(head, b"", 5.0)
+    assert (req.path, req.key, req.deadline) == ("/p/x", "k1", 19.0)
+    assert (req.prompt.read, req.prompt.most_made, req.prompt.likely_made) == (1460, 80, 80)
+
+
+@pytest.mark.parametrize(
+    ("status", "headers", "not_run"),
+    [
+        (503, ((b"X-Not-Executed", b"1"),), True),
+        (503, (), False),
+        (421, (), True),
+        (500, ((b"X-Server-Seal", b"s"),), False),
+        (200, ((b"X-Server-Seal", b"s"),), False),
+    ],
+)
+def test_only_the_endpoints_word_counts_as_not_run(
+    status: int, headers: tuple[tuple[bytes, bytes], ...], not_run: bool
+) -> None:
+    assert (
+        PlatformDialect().decode_answer(ResponseHead(status, b"", headers)).was_not_run is not_run
+    )
--- /dev/null
+++ b/tests/gateway/test_balancing.py
@@ -0,0 +1,69 @@
+"""Choice of endpoints by room, failures and distance."""
+
+import random
+from collections import Counter
+
+from vanillashore_gateway import Endpoint, Load
+from vanillashore_gateway._balancing import Balancer
+
+ENDPOINTS = [Endpoint(f"e{i}", "s", "10.0.0.1", 80, f"dc-{i}", 8) for i in range(3)]
+SHARE = 1 / 8
+
+
+def _balancer() -> Balancer:
+    return Balancer("dc-0", random.Random(1))
+
+
+def test_work_spreads_over_equal_endpoints() -> None:
+    balancer = _balancer()
+    for _ in range(24):
+        balancer.begin(balancer.choose(ENDPOINTS, (), 0.0, SHARE), SHARE)
+    assert {round(balancer.pressure(e, 0.0, SHARE), 3) for e in ENDPOINTS} == {1.0}
+
+
+def test_nearest_endpoint_is_first_among_idle_ones() -> None:
+    chosen = Counter(_balancer().choose(ENDPOINTS, (), 0.0, SHARE).instance for _ in range(20))
+    assert chosen == {"e0": 20}
+
+
+def test_work_of_other_entries_counts_while_the_word_of_it_is_new() -> None:
+    balancer = _balancer()
+    balancer.note_load(ENDPOINTS[0], Load(6, 0, 8), 0.0)
+    assert balancer.choose(ENDPOINTS, (), 0.5, SHARE).instance != "e0"
+    assert balancer.choose(ENDPOINTS, (), 2.0, SHARE).instance == "e0"
+
+
+def test_endpoint_that_had_no_room_is_passed_over_for_a_moment() -> None:
+    balancer = _balancer()
+    balancer.note_full(ENDPOINTS[0], 0.0)
+    assert balancer.choose(ENDPOINTS, (), 0.05, SHARE).instance != "e0"
+    assert balancer.choose(ENDPOINTS, (), 1.0, SHARE).instance == "e0"
+
+
+def test_endpoint_that_fails_often_gets_less_than_the_others() -> None:
+    balancer = _balancer()
+    rng = random.Random(2)
+    chosen: Counter[str] = Counter()
+    for step in range(600):
+        endpoint = balancer.choose(ENDPOINTS, (), step * 0.02, SHARE)
+        chosen[endpoint.instance] += 1
+        failed = endpoint.instance == "e0" and rng.random() < 0.4
+        balancer.note_result(endpoint, not failed, step * 0.02)
+    assert chosen["e0"] < 120
+
+
+def test_dead_endpoint_is_left_out_at_once_and_probed_later() -> None:
+    balancer = _balancer()
+    balancer.note_dead(ENDPOINTS[0], 0.0)
+    assert all(balancer.choose(ENDPOINTS, (), 0.1, SHARE).instance != "e0" for _ in range(20))
+    balancer.note_dead(ENDPOINTS[1], 0.0)
+    balancer.note_dead(ENDPOINTS[2], 0.0)
+    assert balancer.choose(ENDPOINTS, (), 0.1, SHARE) is not None
+
+
+def test_recent_pace_tells_how_long_work_would_take() -> None:
+    balancer = _balancer()
+    assert balancer.expected_s(ENDPOINTS[0], 3_000, 0.0) is None
+    balancer.note_pace(ENDPOINTS[0], 0.3, 3_000, 0.0)
+    assert balancer.expected_s(ENDPOINTS[0], 6_000, 0.1) == 0.6
+    assert balancer.expected_s(ENDPOINTS[0], 6_000, 5.0) is None
--- /dev/null
+++ b/tests/gateway/test_events.py
@@ -0,0 +1,25 @@
+"""Splitting of streams into whole events."""
+
+import pytest
+
+from vanillashore_gateway._events import EventSplitter
+
+STREAM = b"id: 1\ndata: a\n\nid: 2\ndata: b\ndata: id: 9\n\nid: 3\r\ndata: c\r\n\r\n"
+
+
+@pytest.mark.parametrize("size", [1, 2, 3, 5, 7, 100])
+def test_events_come_whole_however_they_are_cut(size: int) -> None:
+    splitter = EventSplitter()
+    got = [splitter.feed(STREAM[i : i + size]) for i in range(0, len(STREAM), size)]
+    assert b"".join(got) == STREAM
+    assert (splitter.last_id, splitter.events) == (3, 3)
+    assert not splitter.has_partial_event
+
+
+def test_partial_event_is_dropped_when_the_stream_goes_on_elsewhere() -> None:
+    splitter = EventSplitter()
+    splitter.feed(b"id: 1\ndata: a\n\nid: 2\nda")
+    assert splitter.has_partial_event
+    splitter.begin_again()
+    assert splitter.feed(b"id: 2\ndata: b\n\n") == b"id: 2\ndata: b\n\n"
+    assert splitter.last_id == 2
--- /dev/null
+++ b/tests/gateway/test_following.py
@@ -0,0 +1,113 @@
+"""Following the platform's store through its faults."""
+
+import asyncio
+
+from vanillashore_standins import wait_until
+from vanillashore_standins.platform_rig import KEY, PlatformRig, configuration
+
+
+async def test_new_configuration_comes_into_force_and_older_ones_never() -> None:
+    async with PlatformRig(services=1) as rig:
+        rig.store.put("op/config", configuration(5, tenants=[{"name": "other", "api_keys": ["k"]}]))
+        await wait_until(lambda: rig.process.gateway.config_version == 5)
+        assert (await rig.ask("GET", "/stock/1", "id-1", key=KEY)).status == 401
+        rig.store.put("op/config", configuration(4))
+        rig.store.put("servers/x", b"\xff not json")
+        await wait_until(lambda: rig.store.calls.count("kv-watch") > 3)
+        assert rig.process.gateway.config_version == 5
+        assert (await rig.ask("GET", "/stock/1", "id-2", key=KEY)).status == 401
+
+
+async def test_configuration_that_cannot_be_read_leaves_the_old_one_in_force() -> None:
+    async with PlatformRig(services=1) as rig:
+        rig.store.put("op/config", {"version": 9, "routes": "none"})
+        rig.store.put("op/config", b"garbage")
+        await wait_until(lambda: rig.store.calls.count("kv-watch") > 2)
+        assert rig.process.gateway.config_version == 1
+        assert (await rig.ask("GET", "/stock/1", "id-1")).status == 200
+
+
+async def test_lost_history_is_read_again() -> None:
+    async with PlatformRig(services=2) as rig:
+        await wait_until(lambda: rig.store.calls[-1] == "kv-watch")
+        rig.store.faults.status = 503
+        rig.store.put("op/config", configuration(7))
+        rig.store.remove("servers/s0")
+        rig.store.drop_history()
+        rig.store.faults.status = 0
+        await wait_until(lambda: rig.process.gateway.config_version == 7)
+
+
+async def test_requests_are_served_while_the_store_is_away_and_lapsed_entries_return() -> None:
+    async with PlatformRig(services=2) as rig:
+        await wait_until(lambda: rig.store.calls[-1] == "kv-watch")
+        rig.store.faults.status = 503
+        rig.store.drop_history()
+        for endpoint in rig.services:
+            rig.store.remove(f"servers/{endpoint.instance}")
+        await wait_until(lambda: not rig.process._follower.contact.is_reached)
+        assert (await rig.ask("POST", "/pay/1", "id-1", b"pay")).status == 200
+        rig.store.faults.status = 0
+        await wait_until(lambda: rig.process._follower.contact.is_reached)
+        assert (await rig.ask("POST", "/pay/1", "id-2", b"pay")).status == 200
+        rig.store.put("servers/s0", rig.services[0].entry())
+        await wait_until(lambda: len(rig.process.gateway.membership) == 1)
+        assert rig.process.gateway.membership.get("s0") is not None
+
+
+async def test_entries_that_name_no_endpoint_leave_the_others() -> None:
+    async with PlatformRig(services=2) as rig:
+        good = rig.services[0].entry()
+        for number, bad in enumerate(
+            [b"\x00", [1], good | {"state": "asleep"}, good | {"address": 7}, {"service": "orders"}]
+        ):
+            rig.store.put(f"servers/bad{number}", bad)
+        rig.store.put("servers/s1", good | {"address": "nowhere"})
+        await wait_until(lambda: rig.process.gateway.membership.get("s1") is None)
+        assert len(rig.process.gateway.membership) == 1
+        assert (await rig.ask("POST", "/pay/1", "id-1", b"pay")).status == 200
+
+
+async def test_lapsed_announcement_is_made_again() -> None:
+    async with PlatformRig() as rig:
+        key = "vanillashore/entries/entry-1"
+        await wait_until(lambda: key in rig.store.items)
+        first = rig.store.items[key].lease
+        rig.store.end_lease(first)
+        await wait_until(lambda: key in rig.store.items, wait_s=10.0)
+        assert rig.store.items[key].lease != first
+
+
+async def test_entry_without_a_configuration_refuses_with_503_and_is_not_ready() -> None:
+    async with PlatformRig(services=1) as rig:
+        rig.process.gateway._table = None
+        answer = await rig.ask("GET", "/stock/1", "id-1")
+        assert answer.status == 503
+        assert b'"ran":"no"' in answer.body
+        assert not rig.process.gateway.is_ready
+
+
+async def test_silent_store_counts_as_lost() -> None:
+    async with PlatformRig(services=1) as rig:
+        await wait_until(lambda: rig.store.calls[-1] == "kv-watch")
+        rig.store.faults.is_silent = True
+        rig.store.put("op/config", configuration(3))
+        await wait_until(lambda: not rig.process._follower.contact.is_reached, wait_s=8.0)
+        rig.store.faults.is_silent = False
+        await wait_until(lambda: rig.process.gateway.config_version == 3, wait_s=8.0)
+
+
+async def test_duty_is_taken_by_one() -> None:
+    async with PlatformRig() as rig:
+        stores = [rig.new_client() for _ in range(3)]
+        leases = [await store.announce(f"e{i}", 5.0) for i, store in enumerate(stores)]
+        fences = await asyncio.gather(
+            *(store.take_duty("roles", f"e{i}", leases[i]) for i, store in enumerate(stores))
+        )
+        assert sum(fence is not None for fence in fences) == 1
+        holder = next(i for i, fence in enumerate(fences) if fence is not None)
+        rig.store.end_lease(leases[holder])
+        other = (holder + 1) % 3
+        again = await stores[other].take_duty("roles", f"e{other}", leases[other])
+        assert again is not None
+        assert again > fences[holder]
--- /dev/null
+++ b/tests/gateway/test_membership.py
@@ -0,0 +1,59 @@
+"""The list of endpoints over outages of the store."""
+
+import attrs
+
+from vanillashore_gateway import Endpoint
+from vanillashore_gateway._membership import RETURN_GRACE_S, Membership
+
+
+def _endpoint(name: str, **changes: object) -> Endpoint:
+    return attrs.evolve(Endpoint(name, "s", "10.0.0.1", 80, "dc", 8), **changes)
+
+
+def _names(members: Membership) -> set[str]:
+    return {e.instance for e in members.usable("s")}
+
+
+def test_removed_and_leaving_endpoints_get_nothing_new() -> None:
+    members = Membership()
+    members.replace_all([_endpoint("a"), _endpoint("b"), _endpoint("c")], 0.0)
+    members.put(_endpoint("b", is_leaving=True))
+    assert members.remove("c", 1.0)
+    assert _names(members) == {"a"}
+    assert members.get("b") is not None
+
+
+def test_entries_that_lapsed_in_an_outage_are_kept_until_they_can_be_back() -> None:
+    members = Membership()
+    members.replace_all([_endpoint("a"), _endpoint("b")], 0.0)
+    members.note_return(10.0)
+    assert members.replace_all([], 10.0) == []
+    assert _names(members) == {"a", "b"}
+    members.put(_endpoint("a"))
+    assert members.expire(10.0 + RETURN_GRACE_S / 2) == []
+    assert members.expire(10.0 + RETURN_GRACE_S) == ["b"]
+    assert _names(members) == {"a"}
+
+
+def test_removal_right_after_an_outage_counts_when_the_grace_time_is_over() -> None:
+    members = Membership()
+    members.replace_all([_endpoint("a")], 0.0)
+    members.note_return(10.0)
+    assert not members.remove("a", 10.5)
+    assert members.expire(10.0 + RETURN_GRACE_S) == ["a"]
+
+
+def test_leaving_is_known_at_once_also_right_after_an_outage() -> None:
+    members = Membership()
+    members.replace_all([_endpoint("a")], 0.0)
+    members.note_return(10.0)
+    members.put(_endpoint("a", is_leaving=True))
+    assert _names(members) == set()
+
+
+def test_removal_in_calm_times_counts_at_once() -> None:
+    members = Membership()
+    members.replace_all([_endpoint("a")], 0.0)
+    assert members.remove("a", 5.0)
+    assert not members.remove("a", 5.0)
+    assert len(members) == 0
--- /dev/null
+++ b/tests/gateway/test_place_queue.py
@@ -0,0 +1,97 @@
+"""Order of waiting generations, and a played burst that compares it with plain arrival order."""
+
+import attrs
+import pytest
+
+from vanillashore_gateway._place_queue import PlaceQueue, Waiting
+
+
+def _waiting(name: str, arrived: float, on_time_s: float = 0.5, longest_s: float = 2.7) -> Waiting:
+    return Waiting(name, arrived, arrived + on_time_s, arrived + longest_s)
+
+
+def test_those_on_time_go_first_in_order_of_arrival_then_the_late() -> None:
+    queue: PlaceQueue[str] = PlaceQueue()
+    for name, arrived in (("late-1", 0.0), ("late-2", 0.1), ("new-1", 0.7), ("new-2", 0.8)):
+        queue.add(_waiting(name, arrived))
+    order = []
+    while len(queue):
+        first = queue.first(0.9)
+        order.append(first.item)
+        queue.remove(first)
+    assert order == ["new-1", "new-2", "late-1", "late-2"]
+
+
+def test_those_that_waited_too_long_are_taken_out() -> None:
+    queue: PlaceQueue[str] = PlaceQueue()
+    queue.add(_waiting("a", 0.0))
+    queue.add(_waiting("b", 1.0))
+    assert [w.item for w in queue.overdue(2.7)] == ["a"]
+    assert len(queue) == 1
+
+
+def test_wait_is_told_from_the_pace_of_places() -> None:
+    queue: PlaceQueue[str] = PlaceQueue()
+    for number in range(60):
+        queue.note_given(number * 0.1)
+    for number in range(10):
+        queue.add(_waiting(str(number), 6.0))
+    assert queue.would_wait_s() == pytest.approx(1.0, rel=0.1)
+
+
+def test_pause_without_waiters_says_nothing_of_the_pace() -> None:
+    queue: PlaceQueue[str] = PlaceQueue()
+    for number in range(60):
+        queue.note_given(number * 0.1)
+    queue.note_empty()
+    queue.note_given(100.0)
+    queue.add(_waiting("a", 100.0))
+    assert queue.would_wait_s() == pytest.approx(0.1, rel=0.1)
+
+
+def test_refused_callers_return_when_the_answers_under_way_have_ended() -> None:
+    queue: PlaceQueue[str] = PlaceQueue()
+    for _ in range(200):
+        queue.note_answered(4.0)
+    assert queue.retry_after_s() == pytest.approx(4.0, rel=0.05)
+
+
+@attrs.frozen
+class Played:
+    """What callers got: served in time for the target, served late, refused."""
+
+    on_time: int
+    late: int
+    refused: int
+
+
+def _play(rate_per_s: float, places: int, answer_s: float, is_first_come: bool) -> Played:
+    """Play ten seconds of arrivals on places that are each taken for ``answer_s``."""
+    queue: PlaceQueue[float] = PlaceQueue()
+    free_at = [0.0] * places
+    counts = {"on_time": 0, "late": 0, "refused": 0}
+    for step in range(2_000):
+        now = step * 0.01
+        if now < 10.0 and int(now * rate_per_s) > int((now - 0.01) * rate_per_s):
+            on_time_s = 100.0 if is_first_come else 0.5
+            queue.add(_waiting(str(now), now, on_time_s))
+        counts["refused"] += len(queue.overdue(now))
+        for place, at in enumerate(free_at):
+            first = queue.first(now) if at <= now else None
+            if first is not None:
+                queue.remove(first)
+                free_at[place] = now + answer_s
+                counts["on_time" if now - first.arrived <= 0.5 else "late"] += 1
+    return Played(**counts)
+
+
+def test_burst_at_twice_the_capacity_serves_many_more_on_time_than_arrival_order() -> None:
+    first_come = _play(20.0, places=35, answer_s=3.5, is_first_come=True)
+    played = _play(20.0, places=35, answer_s=3.5, is_first_come=False)
+    assert played.on_time > 1.5 * first_come.on_time
+    assert played.on_time + played.late >= 0.95 * (first_come.on_time + first_come.late)
+
+
+def test_no_place_idles_while_one_waits_below_capacity() -> None:
+    played = _play(8.0, places=35, answer_s=3.5, is_first_come=False)
+    assert (played.late, played.refused) == (0, 0)
--- /dev/null
+++ b/tests/gateway/test_role_plan.py
@@ -0,0 +1,65 @@
+"""Which engines change their role."""
+
+import pytest
+
+from vanillashore_gateway import Endpoint, EndpointRole
+from vanillashore_gateway._role_plan import plan_roles, wanted_prefills
+
+
+def _pool(prefills: int, decodes: int, service: str = "m", leaving: int = 0) -> list[Endpoint]:
+    roles = [EndpointRole.PREFILL] * prefills + [EndpointRole.DECODE] * decodes
+    return [
+        Endpoint(f"{service}{i}", service, "10.0.0.1", 80, f"dc-{i % 3}", 8, role, i < leaving)
+        for i, role in enumerate(roles)
+    ]
+
+
+@pytest.mark.parametrize(
+    ("prefills", "decodes", "to_decode", "to_prefill"),
+    [
+        (4, 5, 1, 0),
+        (3, 6, 0, 0),
+        (2, 7, 0, 1),
+        (0, 9, 0, 1),
+        (9, 0, 2, 0),
+        (1, 1, 0, 0),
+        (2, 0, 1, 0),
+        (0, 1, 0, 0),
+        (1, 0, 1, 0),
+        (0, 0, 0, 0),
+    ],
+)
+def test_pool_moves_to_its_shape_a_few_at_a_time(
+    prefills: int, decodes: int, to_decode: int, to_prefill: int
+) -> None:
+    changes = plan_roles(_pool(prefills, decodes))
+    roles = [change.role for change in changes]
+    assert roles.count(EndpointRole.DECODE) == to_decode
+    assert roles.count(EndpointRole.PREFILL) == to_prefill
+
+
+@pytest.mark.parametrize("size", range(2, 60))
+def test_plan_comes_to_rest(size: int) -> None:
+    pool = _pool(size, 0)
+    for _ in range(size):
+        changed = {c.endpoint.instance: c.role for c in plan_roles(pool)}
+        pool = [
+            Endpoint(
+                e.instance, "m", e.host, e.port, e.data_centre, 8, changed.get(e.instance, e.role)
+            )
+            for e in pool
+        ]
+    assert plan_roles(pool) == []
+    assert sum(e.role is EndpointRole.PREFILL for e in pool) == wanted_prefills(size)
+
+
+def test_prefill_engines_stay_spread_over_the_data_centres() -> None:
+    changes = plan_roles(_pool(6, 3))
+    assert len({change.endpoint.data_centre for change in changes}) == len(changes)
+
+
+def test_plain_services_and_leaving_engines_are_left_alone() -> None:
+    services = [Endpoint("s", "s", "10.0.0.1", 80, "dc-0", 8)]
+    assert plan_roles(services) == []
+    leaving = _pool(4, 5, leaving=1)
+    assert all(change.endpoint.instance != "m0" for change in plan_roles(leaving))
