--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_following.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_following.py
@@ -36,6 +36,10 @@
         """Take one change."""
         ...
 
+    def note_read(self) -> None:
+        """Note that the store has just told all that is new."""
+        ...
+
     def note_store(self, is_reached: bool) -> None:
         """Note that contact with the store was lost or regained."""
         ...
@@ -95,6 +99,7 @@
         self._revision = max(self._revision, changes.revision)
 
     def _note_success(self) -> None:
+        self._view.note_read()
         if self.contact.is_reached:
             return
         lost_s = self._clock() - self.contact.changed_at
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_gateway.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_gateway.py
@@ -83,6 +83,7 @@
         self._quota = QuotaBook(cfg.quota)
         self._entries: set[str] = set()
         self._has_list = False
+        self._read_at = now()
         self._budgets = BudgetBook(cfg.retry_ratio * BUDGET_SHARE, cfg.retry_slack * BUDGET_SHARE)
         sender = Sender(dialect, self.pool, self.balancer, now)
         places = PlaceFinder(self.calls, self.balancer, self.membership, now, rng)
@@ -180,6 +181,10 @@
                 self._entries.discard(name)
                 self._count_entries()
 
+    def note_read(self) -> None:
+        """Note that the store has just told all that is new."""
+        self._read_at = now()
+
     def note_store(self, is_reached: bool) -> None:
         """Keep endpoints whose entries lapsed while the store was away for a little longer."""
         if is_reached:
@@ -198,13 +203,21 @@
         service = table.service(pick_service(route, self._rng))
         name = workspace.name if workspace is not None else ""
         job = Job(req, route, service, name, table.config.version)
-        job.note("admitted", route=route.name, service=service.name, workspace=name)
+        job.note(
+            "admitted",
+            route=route.name,
+            service=service.name,
+            workspace=name,
+            state_age_s=round(now() - self._read_at, 2),
+        )
         return job
 
     def _take_quota(self, req: CallerRequest, workspace: Workspace) -> None:
         tokens = req.prompt.total if req.prompt is not None else workspace.plain_tokens
         wait_s = self._quota.take(workspace, tokens, now())
         if wait_s is not None:
+            bound = log.bind(request=req.log_id, workspace=workspace.name, tokens=tokens)
+            bound.bind(entries=self._quota.entries, wait_s=round(wait_s, 3)).info("over its rate")
             text = f"workspace {workspace.name} is over its rate"
             raise refusal(ErrorCode.RATE_LIMITED, text, wait_s)
 
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_place_finder.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_place_finder.py
@@ -151,7 +151,8 @@
 
     def _refusal(self, queue: PlaceQueue[PlaceAsk], ask: PlaceAsk, text: str) -> RefusalError:
         after_s = queue.retry_after_s() * (1 + RETRY_SPREAD * self._rng.random())
-        log.bind(request=ask.req.log_id, waiting=len(queue)).info("no place in time")
+        bound = log.bind(request=ask.req.log_id, waiting=len(queue), tokens=ask.tokens)
+        bound.bind(would_wait_s=round(queue.would_wait_s(), 3)).info("no place in time")
         return refusal(ErrorCode.ENDPOINTS_FULL, text, after_s)
 
     async def _try(self, ask: PlaceAsk, spare: float = 0.0) -> Hold | None:
