Let one entry be the home of a workspace's rate, and gather changes of the store

Change: a workspace's home, chosen by rendezvous hash over the entries that the store lists, grants tokens by datagram; a home that does not answer is passed over for its substitute at half the rate, and then each entry grants a small part alone. A request waits a part of its target for tokens.

--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_following.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_following.py
@@ -17,7 +17,7 @@
     StoreUnavailableError,
 )
 
-WATCH_S = 2.0  # A connection that has gone silent is noticed within the contact time of 3 s.
+GATHER_S = 0.2  # Between watches after a change: changes come in groups, and each call is paid.
 RETRY_MIN_S = 0.1
 RETRY_MAX_S = 0.8  # Well under the time in which a change has to be in force.
 ANNOUNCE_TTL_S = 8.0  # Two renewals may fail before other entries count one less.
@@ -63,10 +63,12 @@
         view: View,
         clock: Callable[[], float],
         rng: random.Random,
+        watch_s: float,
     ) -> None:
         self._store = store
         self._view = view
         self._clock = clock
+        self._watch_s = watch_s
         self._rng = rng
         self._revision: int | None = None
         self.contact = Contact(changed_at=clock())
@@ -91,12 +93,14 @@
             self._revision = snapshot.revision
             return
         # After a failure the first watch returns at once, to tell soon whether the store is back.
-        wait_s = WATCH_S if self.contact.is_reached else 0.0
+        wait_s = self._watch_s if self.contact.is_reached else 0.0
         changes = await self._store.changes(self._revision, wait_s)
         self._note_success()
         for change in changes.items:
             self._view.take_change(change)
         self._revision = max(self._revision, changes.revision)
+        if changes.items:
+            await asyncio.sleep(GATHER_S)
 
     def _note_success(self) -> None:
         self._view.note_read()
@@ -124,10 +128,16 @@
     """Keeps this entry process known to the others, under a lease."""
 
     def __init__(
-        self, store: PlatformStore, name: str, clock: Callable[[], float], rng: random.Random
+        self,
+        store: PlatformStore,
+        name: str,
+        address: tuple[str, int],
+        clock: Callable[[], float],
+        rng: random.Random,
     ) -> None:
         self._store = store
         self._name = name
+        self.address = address
         self._clock = clock
         self._rng = rng
         self._renewed_at = 0.0
@@ -144,7 +154,9 @@
             asked_at = self._clock()
             try:
                 if self.lease is None:
-                    self.lease = await self._store.announce(self._name, ANNOUNCE_TTL_S)
+                    self.lease = await self._store.announce(
+                        self._name, self.address, ANNOUNCE_TTL_S
+                    )
                     log.bind(lease=self.lease).info("announced to the other entries")
                 else:
                     await self._store.renew(self.lease)
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_gateway.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_gateway.py
@@ -32,13 +32,15 @@
     Snapshot,
 )
 from vanillashore_gateway._pool import ConnectionPool
-from vanillashore_gateway._quota import QuotaBook, QuotaSettings
+from vanillashore_gateway._quota import QuotaSettings
+from vanillashore_gateway._quota_asking import Quotas
 from vanillashore_gateway._routing import RouteTable, pick_service
 from vanillashore_gateway._sending import Sender
 
 GRACE_CHECK_S = 2.0  # A little more than the grace time of the list of endpoints.
 START_RETRY_S = 0.5  # Until a process that has just started knows its configuration.
 BUDGET_SHARE = 0.8  # Of the platform's bounds; the rest covers entries that restart.
+RATE_PATIENCE_SHARE = 0.3  # Of the target: as long a request waits for tokens of its rate.
 UNKNOWN_ROUTE = "none"
 
 
@@ -47,7 +49,8 @@
     """Settings of one entry; bounds are those of the whole fleet.
 
     A stopping process still gets new connections for up to ``rotation_s``: the balancer asks once a
-    second and needs two misses. It has ``grace_s`` before it is killed.
+    second and needs two misses. It has ``grace_s`` before it is killed. A watch at the store waits
+    for ``watch_s``, which bounds how long a connection that has gone silent stays unnoticed.
     """
 
     node: str
@@ -55,9 +58,11 @@
     front: tuple[str, int]
     ready: tuple[str, int]
     metrics: tuple[str, int]
+    peers: tuple[str, int]
     grace_s: float = 8.0
     rotation_s: float = 3.0
     order_turn_s: float = 3.0
+    watch_s: float = 2.0
     expected_entries: int = 1
     retry_ratio: float = 0.2
     retry_slack: float = 50.0
@@ -80,8 +85,8 @@
         self._rng = rng
         self._dialect = dialect
         self._table: RouteTable | None = None
-        self._quota = QuotaBook(cfg.quota)
-        self._entries: set[str] = set()
+        self.quotas = Quotas(cfg.node, cfg.quota, now)
+        self._entries: dict[str, tuple[str, int]] = {}
         self._has_list = False
         self._read_at = now()
         self._budgets = BudgetBook(cfg.retry_ratio * BUDGET_SHARE, cfg.retry_slack * BUDGET_SHARE)
@@ -125,7 +130,7 @@
             try:
                 req = self._dialect.decode_request(inbound.head, inbound.body, inbound.arrived)
                 log_id = req.log_id
-                job = self._admit(req)
+                job = await self._admit(req)
                 route_name = job.route.name
                 await self._forwarder(job).run(responder)
                 status = 200
@@ -146,7 +151,8 @@
         endpoints = [c.endpoint for c in snapshot.items if isinstance(c, EndpointWritten)]
         for gone in self.membership.replace_all(endpoints, now()):
             self._forget_endpoint(gone)
-        self._entries = {c.name for c in snapshot.items if isinstance(c, EntryWritten)}
+        written = [c for c in snapshot.items if isinstance(c, EntryWritten)]
+        self._entries = {c.name: c.address for c in written}
         self._has_list = True
         self.duty.free()
         for change in snapshot.items:
@@ -174,11 +180,11 @@
                 self.duty.take(holder, fence)
             case DutyRemoved():
                 self.duty.free()
-            case EntryWritten(name):
-                self._entries.add(name)
+            case EntryWritten(name, address):
+                self._entries[name] = address
                 self._count_entries()
             case EntryRemoved(name):
-                self._entries.discard(name)
+                self._entries.pop(name, None)
                 self._count_entries()
 
     def note_read(self) -> None:
@@ -191,7 +197,7 @@
             self.membership.note_return(now())
             asyncio.get_running_loop().call_later(GRACE_CHECK_S, self._expire_endpoints)
 
-    def _admit(self, req: CallerRequest) -> Job:
+    async def _admit(self, req: CallerRequest) -> Job:
         table = self._table
         if table is None:
             text = "this entry has no configuration yet"
@@ -199,7 +205,7 @@
         route = table.route(req.host, req.path)
         workspace = table.workspace(req, route)
         if workspace is not None:
-            self._take_quota(req, workspace)
+            await self._take_quota(req, workspace, route.target_s * RATE_PATIENCE_SHARE)
         service = table.service(pick_service(route, self._rng))
         name = workspace.name if workspace is not None else ""
         job = Job(req, route, service, name, table.config.version)
@@ -212,12 +218,14 @@
         )
         return job
 
-    def _take_quota(self, req: CallerRequest, workspace: Workspace) -> None:
+    async def _take_quota(
+        self, req: CallerRequest, workspace: Workspace, patience_s: float
+    ) -> None:
         tokens = req.prompt.total if req.prompt is not None else workspace.plain_tokens
-        wait_s = self._quota.take(workspace, tokens, now())
+        wait_s = await self.quotas.take(workspace, tokens, patience_s)
         if wait_s is not None:
             bound = log.bind(request=req.log_id, workspace=workspace.name, tokens=tokens)
-            bound.bind(entries=self._quota.entries, wait_s=round(wait_s, 3)).info("over its rate")
+            bound.bind(entries=len(self._entries), wait_s=round(wait_s, 3)).info("over its rate")
             text = f"workspace {workspace.name} is over its rate"
             raise refusal(ErrorCode.RATE_LIMITED, text, wait_s)
 
@@ -251,7 +259,7 @@
         before = self.config_version
         self._table = RouteTable(config)
         self.front.limits = config.limits
-        self._quota.keep_only({workspace.name for workspace in config.workspaces})
+        self.quotas.take_workspaces({workspace.name: workspace for workspace in config.workspaces})
         log.bind(
             config=config.version,
             before=before,
@@ -261,7 +269,7 @@
 
     def _count_entries(self) -> None:
         count = max(self.cfg.expected_entries, len(self._entries))
-        self._quota.entries = count
+        self.quotas.take_entries(self._entries)
         self._budgets.resize(self.cfg.retry_slack * BUDGET_SHARE / count)
 
     def _expire_endpoints(self) -> None:
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_platform_store.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_platform_store.py
@@ -42,9 +42,10 @@
 
 @attrs.frozen
 class EntryWritten:
-    """An entry process has announced itself."""
+    """An entry process has announced itself, and where other entries reach it."""
 
     name: str
+    address: tuple[str, int]
 
 
 @attrs.frozen
@@ -108,7 +109,7 @@
         """Wait for changes; raise HistoryGoneError if those after ``after`` are unknown."""
         ...
 
-    async def announce(self, name: str, ttl_s: float) -> int:
+    async def announce(self, name: str, address: tuple[str, int], ttl_s: float) -> int:
         """Write this entry process under a new lease, and return the lease."""
         ...
 
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_process.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_process.py
@@ -30,8 +30,8 @@
         rng = random.Random()
         self._cfg = cfg
         self.gateway = Gateway(cfg, dialect, rng)
-        self._follower = Follower(store, self.gateway, now, rng)
-        self._announcement = Announcement(store, cfg.node, now, rng)
+        self._follower = Follower(store, self.gateway, now, rng, cfg.watch_s)
+        self._announcement = Announcement(store, cfg.node, cfg.peers, now, rng)
         gateway = self.gateway
         self._roles = RoleDuty(
             cfg.node,
@@ -47,6 +47,7 @@
         )
         self._servers: list[asyncio.Server] = []
         self._tasks: list[asyncio.Task[None]] = []
+        self._peers: asyncio.DatagramTransport | None = None
         self._stop = asyncio.Event()
 
     @property
@@ -74,6 +75,12 @@
         await self._listen(self._cfg.front, self.gateway.front)
         await self._listen(self._cfg.ready, FrontSettings(self._answer_ready, now))
         await self._listen(self._cfg.metrics, FrontSettings(self._answer_metrics, now))
+        loop = asyncio.get_running_loop()
+        transport, _ = await loop.create_datagram_endpoint(
+            lambda: self.gateway.quotas, local_addr=self._cfg.peers
+        )
+        self._peers = transport
+        self._announcement.address = transport.get_extra_info("sockname")[:2]
         self._start(self._follower.run())
         self._start(self._announcement.run())
         self._start(self._roles.run())
@@ -139,6 +146,8 @@
         self._close_idle()
         for server in self._servers:
             server.close()
+        if self._peers is not None:
+            self._peers.close()
         for task in self._tasks:
             task.cancel()
 
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_quota.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_quota.py
@@ -1,24 +1,45 @@
-"""Rates of workspaces over all entries, kept by each entry on its own.
+"""Rates of workspaces over all entries.
 
-Answers the load of a workspace that sends many times its rate, through any of the entries. Each
-entry grants a part of the rate and of the platform's tolerance; parts add up to the whole without
-a message between entries.
+Answers a workspace that sends many times its rate, through any of the entries, and one that stays
+inside its rate but comes through a few of many entries. One entry is the home of a workspace and
+grants tokens to the others; an entry that reaches no home grants a small part by itself, so that
+all together stay inside the platform's tolerance.
 """
 
+from collections.abc import Sequence
+
 import attrs
+import xxhash
 
 from vanillashore_gateway._domain import Workspace
 
-SLACK_SHARE = 0.5  # Of the tolerance; the rest covers entries that are not counted yet.
-MIN_ENTRIES = 1
+SLACK_SHARE = 0.35  # Of the tolerance, for bursts; the rest covers substitutes and new homes.
+SUBSTITUTE_SHARE = 0.5  # Of the rate: the home itself may still grant to others.
+ALONE_SHARE = 0.25  # Of the rate, shared by all entries that reach no home.
+FIRST_LEVEL_S = 0.25  # Of the rate: what a new home grants at once, not knowing what was used.
+SPARE_TOKENS = 2_000  # Asked beyond a need: some plain requests without another ask.
+CREDIT_S = 1.0  # Spare tokens are dropped then; they would add up to a burst otherwise.
 
 
 @attrs.frozen
 class QuotaSettings:
-    """How strictly rates are judged: ``slack_tokens`` more in each window of ``window_s``."""
+    """How strictly rates are judged, and how long a home may take to answer.
+
+    In each window of ``window_s`` the platform bears ``slack_tokens`` more than a rate allows.
+    ``ask_timeout_s`` is some round trips between data centres, and a fraction of any target.
+    """
 
     window_s: float = 8.0
     slack_tokens: float = 0.0
+    ask_timeout_s: float = 0.04
+
+
+@attrs.frozen
+class Grant:
+    """Tokens that were granted; if too few, ``wait_s`` is when the rest may be."""
+
+    tokens: int
+    wait_s: float = 0.0
 
 
 @attrs.define
@@ -26,38 +47,69 @@
     level: float
     filled_at: float
 
+    def fill(self, rate: float, capacity: float, now: float) -> None:
+        """Add what has accrued since the last time."""
+        passed_s = max(0.0, now - self.filled_at)
+        self.level = min(capacity, self.level + rate * passed_s)
+        self.filled_at = now
 
-class QuotaBook:
-    """Token buckets of the workspaces at one entry."""
+
+class QuotaHome:
+    """Grants tokens of the workspaces that have their home here; time is passed in."""
 
     def __init__(self, settings: QuotaSettings) -> None:
-        self._settings = settings
+        self._slack = settings.slack_tokens * SLACK_SHARE
         self._buckets: dict[str, _Bucket] = {}
-        self.entries = MIN_ENTRIES
 
-    def take(self, workspace: Workspace, tokens: int, now: float) -> float | None:
-        """Take tokens; return ``None`` if they are granted, else the seconds until they may be."""
-        if workspace.tokens_per_s <= 0:
-            return None
-        rate, capacity = self._part_of(workspace)
+    def grant(
+        self, workspace: Workspace, need: int, spare: int, now: float, share: float = 1.0
+    ) -> Grant:
+        """Grant ``need`` tokens and what there is of ``spare``, or nothing.
+
+        A request larger than the bucket is granted once the bucket is full, and leaves a debt.
+        """
+        rate = workspace.tokens_per_s * share
+        capacity = (workspace.burst_tokens + self._slack) * share
         bucket = self._buckets.get(workspace.name)
         if bucket is None:
-            bucket = self._buckets[workspace.name] = _Bucket(capacity, now)
-        passed_s = max(0.0, now - bucket.filled_at)
-        bucket.level = min(capacity, bucket.level + rate * passed_s)
-        bucket.filled_at = now
-        if bucket.level < min(tokens, capacity):
-            return (min(tokens, capacity) - bucket.level) / rate
-        bucket.level -= tokens
-        return None
+            bucket = self._buckets[workspace.name] = _Bucket(rate * FIRST_LEVEL_S, now)
+        bucket.fill(rate, capacity, now)
+        asked = min(need, capacity)
+        if bucket.level < asked:
+            return Grant(0, (asked - bucket.level) / rate)
+        extra = int(max(0.0, min(spare, bucket.level - need)))
+        bucket.level -= need + extra
+        return Grant(need + extra)
 
     def keep_only(self, names: set[str]) -> None:
         """Forget workspaces that are gone."""
         self._buckets = {name: b for name, b in self._buckets.items() if name in names}
 
-    def _part_of(self, workspace: Workspace) -> tuple[float, float]:
-        """Return this entry's part of the rate, in tokens a second, and of the burst."""
-        entries = max(MIN_ENTRIES, self.entries)
-        slack = self._settings.slack_tokens * SLACK_SHARE
-        rate = workspace.tokens_per_s + slack / self._settings.window_s / 2
-        return rate / entries, (workspace.burst_tokens + slack / 2) / entries
+
+class CreditBook:
+    """Spare tokens that an entry was granted and has not used yet."""
+
+    def __init__(self) -> None:
+        self._credits: dict[str, tuple[int, float]] = {}
+
+    def spend(self, workspace: str, tokens: int, now: float) -> bool:
+        """Take tokens; False if there are not enough."""
+        left, ends_at = self._credits.get(workspace, (0, 0.0))
+        if now >= ends_at or left < tokens:
+            return False
+        self._credits[workspace] = (left - tokens, ends_at)
+        return True
+
+    def add(self, workspace: str, tokens: int, asked_at: float) -> None:
+        """Keep spare tokens for a short while, counted from when they were asked for."""
+        self._credits[workspace] = (tokens, asked_at + CREDIT_S)
+
+
+def homes_of(workspace: str, entries: Sequence[str]) -> list[str]:
+    """Return the entries in the order in which they are home of a workspace."""
+    digest = xxhash.xxh64_intdigest(workspace.encode())
+
+    def weight(entry: str) -> int:
+        return xxhash.xxh64_intdigest(entry.encode(), seed=digest)
+
+    return sorted(entries, key=weight, reverse=True)
--- a/packages/vanillashore-standins/src/vanillashore_standins/platform_rig.py
+++ b/packages/vanillashore-standins/src/vanillashore_standins/platform_rig.py
@@ -192,6 +192,7 @@
             front=LOOPBACK,
             ready=LOOPBACK,
             metrics=LOOPBACK,
+            peers=LOOPBACK,
             grace_s=3.0,
             rotation_s=0.2,
             quota=self._quota,
--- a/tests/gateway/test_following.py
+++ b/tests/gateway/test_following.py
@@ -100,7 +100,9 @@
 async def test_duty_is_taken_by_one() -> None:
     async with PlatformRig() as rig:
         stores = [rig.new_client() for _ in range(3)]
-        leases = [await store.announce(f"e{i}", 5.0) for i, store in enumerate(stores)]
+        leases = [
+            await store.announce(f"e{i}", ("127.0.0.1", 1), 5.0) for i, store in enumerate(stores)
+        ]
         fences = await asyncio.gather(
             *(store.take_duty("roles", f"e{i}", leases[i]) for i, store in enumerate(stores))
         )
