Leave a stalled stream where it is until a place elsewhere is reserved; add the soak

Change: a place elsewhere is reserved first, and the stream stays if there is none; an answer that has begun goes before all others in the queue. Two tests of tests/gateway/test_generation.py fail without it. The soak runs real entry processes behind loopback proxies, with kills, freezes, stops, faults of store and endpoints, changes and leavings, and judges what callers and endpoints saw.

--- a/Makefile
+++ b/Makefile
@@ -3,11 +3,12 @@
 SEED ?= 1
 QUICK ?= 0
 KEEP ?= 0
+MINUTES ?= 2
 VENV := .venv
 BIN := $(VENV)/bin
 PACKAGES := $(wildcard packages/*) platform
 
-.PHONY: venv demo test lint format ci
+.PHONY: venv demo test lint format ci soak
 
 venv: $(VENV)/.ready
 
@@ -34,5 +35,8 @@
 ci:
 	bash .ci/run
 
+soak: venv
+	$(BIN)/python -m vanillashore_standins.soak --seed $(SEED) --minutes $(MINUTES)
+
 bench-%: venv
 	$(BIN)/python benches/$*.py --seed $(SEED) $(if $(filter 1,$(QUICK)),--quick)
--- a/deploy/entry.py
+++ b/deploy/entry.py
@@ -1,8 +1,12 @@
 """Starts an entry from a checkout; only third-party libraries have to be installed."""
 
+import signal
 import sys
 from pathlib import Path
 
+# Until the process serves, a stop signal ends it in good order.
+signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(0))
+
 ROOT = Path(__file__).resolve().parent.parent
 sys.pycache_prefix = str(ROOT / "target" / "pycache")
 sys.path[:0] = [str(path) for path in (*ROOT.glob("packages/*/src"), ROOT / "platform" / "src")]
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_gateway.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_gateway.py
@@ -91,11 +91,11 @@
         self._read_at = now()
         self._budgets = BudgetBook(cfg.retry_ratio * BUDGET_SHARE, cfg.retry_slack * BUDGET_SHARE)
         sender = Sender(dialect, self.pool, self.balancer, now)
-        places = PlaceFinder(self.calls, self.balancer, self.membership, now, rng)
+        self.places = PlaceFinder(self.calls, self.balancer, self.membership, now, rng)
         self._tools = Tools(
             dialect,
             sender,
-            places,
+            self.places,
             self.balancer,
             self.membership,
             self._budgets,
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_generation.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_generation.py
@@ -58,6 +58,7 @@
         self._stream = _Stream()
         self._stream.splitter.last_id = job.req.last_event_id
         self._reason = ""
+        self._next_hold: Hold | None = None
 
     async def run(self, responder: Responder) -> None:
         """Forward the request; raise RefusalError if it is given up."""
@@ -67,6 +68,9 @@
                 await self._run(responder)
         except TimeoutError:
             raise refusal(ErrorCode.TIMED_OUT, "the answer did not end in time") from None
+        finally:
+            if self._next_hold is not None:
+                self._tools.places.release(self._next_hold)
 
     async def _run(self, responder: Responder) -> None:
         handle: PrefillHandle | None = None
@@ -98,7 +102,11 @@
 
     async def _take_hold(self) -> Hold:
         job = self._job
-        hold = await self._tools.places.find(job.req, job.route, job.service, job.tried)
+        hold, self._next_hold = self._next_hold, None
+        if hold is None:
+            hold = await self._tools.places.find(
+                job.req, job.route, job.service, job.tried, has_begun=self._stream.runs > 0
+            )
         job.tried.add(hold.endpoint.instance)
         job.note(
             "place reserved",
@@ -238,12 +246,34 @@
         elif not is_stream:
             raise LinkError(LinkFailure.BROKEN, f"the stream went on with status {head.status}")
         splitter = self._stream.splitter
-        while data := await sent.read(timeout_s):
+        while data := await self._read_on(sent, timeout_s):
             await responder.write(splitter.feed(data))
             timeout_s = self._stall_timeout_s()
         if splitter.has_partial_event:
             raise LinkError(LinkFailure.BROKEN, "the stream ended inside an event")
 
+    async def _read_on(self, sent: Sending, timeout_s: float) -> bytes:
+        """Read on; raise TimeoutError if the stream stalls and a place elsewhere is reserved."""
+        while True:
+            try:
+                return await sent.read(timeout_s)
+            except TimeoutError:
+                if await self._reserve_elsewhere():
+                    raise
+
+    async def _reserve_elsewhere(self) -> bool:
+        """Reserve a place for a stream that stalls; without one it is better left where it is."""
+        job, tools = self._job, self._tools
+        if not self._may_move():
+            return False
+        hold = await tools.places.find_now(job.req, job.service, job.route, job.tried)
+        if hold is not None and not self._budget.spend():
+            tools.places.release(hold)
+            hold = None
+        self._next_hold = hold
+        job.note("the stream stalls", moves=hold is not None)
+        return hold is not None
+
     def _first_event_timeout_s(self, left_s: float) -> float:
         if not self._may_move():
             return min(left_s, MAX_WAIT_S)
@@ -260,7 +290,7 @@
         return route.is_resumable and self._stream.runs < route.max_attempts
 
     def _may_go_on(self, end: _End) -> bool:
-        if end is _End.NOT_SENT:
+        if end is _End.NOT_SENT or self._next_hold is not None:
             return True
         if end is _End.BROKEN and not self._may_move():
             return False
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_place_finder.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_place_finder.py
@@ -23,6 +23,7 @@
 LATE_TARGETS = 3.0  # In targets: callers leave a silent stream after four.
 LATE_QUEUE_S = 2.7  # A longer queue would not get its places in that time.
 UNKNOWN_SHARE = 0.35  # Of the longest answer, for callers that give no estimate.
+GO_ON_S = 2.0  # Callers leave a silent stream after 3.6 s; the new engine needs the rest.
 LATE_ROOM = 0.2  # Of an engine's memory, left for those that can still be on time.
 RETRY_SPREAD = 0.3  # Callers that were refused together do not return together.
 
@@ -70,21 +71,43 @@
         self._pumping: set[str] = set()
 
     async def find(
-        self, req: CallerRequest, route: Route, service: Service, avoided: set[str]
+        self,
+        req: CallerRequest,
+        route: Route,
+        service: Service,
+        avoided: set[str],
+        has_begun: bool = False,
     ) -> Hold:
-        """Return a reservation; raise RefusalError if none is to be had in time."""
-        queue = self._queues[service.name]
+        """Return a reservation; raise RefusalError if none is to be had in time.
+
+        An answer that ``has_begun`` goes before all others: its caller has a part of it.
+        """
+        queue = self.queue(service.name)
         ask = PlaceAsk(req, route, service, needed_tokens(req), avoided, _future())
-        if not len(queue):
+        if has_begun or not len(queue):
             hold = await self._try(ask)
             if hold is not None:
                 return hold
+        if has_begun:
+            until = self._clock() + GO_ON_S
+            return await self._wait(queue, Waiting(ask, self._clock(), until, until), is_first=True)
         self._check_queue(queue, ask)
-        return await self._wait(queue, ask)
+        return await self._wait(queue, self._waiting(ask))
+
+    async def find_now(
+        self, req: CallerRequest, service: Service, route: Route, avoided: set[str]
+    ) -> Hold | None:
+        """Return a reservation if an engine has room at once."""
+        ask = PlaceAsk(req, route, service, needed_tokens(req), avoided, _future())
+        return await self._try(ask)
+
+    def queue(self, service: str) -> PlaceQueue[PlaceAsk]:
+        """Return the queue for places of a service."""
+        return self._queues[service]
 
     def note_answered(self, service: Service, seconds: float) -> None:
         """Note how long an answer held its place."""
-        self._queues[service.name].note_answered(seconds)
+        self.queue(service.name).note_answered(seconds)
 
     def release(self, hold: Hold) -> None:
         """Give back a reservation that was not used."""
@@ -94,16 +117,23 @@
         if queue.would_wait_s() > LATE_QUEUE_S:
             raise self._refusal(queue, ask, "too many generations wait for a place")
 
-    async def _wait(self, queue: PlaceQueue[PlaceAsk], ask: PlaceAsk) -> Hold:
+    def _waiting(self, ask: PlaceAsk) -> Waiting[PlaceAsk]:
         req, route = ask.req, ask.route
         longest_s = min((req.deadline - req.arrived) * LATE_SHARE, route.target_s * LATE_TARGETS)
         give_up_at = req.arrived + longest_s
         on_time_until = req.arrived + route.target_s * ON_TIME_SHARE
-        waiting = Waiting(ask, self._clock(), on_time_until, give_up_at)
-        queue.add(waiting)
-        log.bind(request=req.log_id, waiting=len(queue), tokens=ask.tokens).info(
-            "waits for a place"
-        )
+        return Waiting(ask, self._clock(), on_time_until, give_up_at)
+
+    async def _wait(
+        self,
+        queue: PlaceQueue[PlaceAsk],
+        waiting: Waiting[PlaceAsk],
+        is_first: bool = False,
+    ) -> Hold:
+        ask = waiting.item
+        queue.add(waiting, is_first)
+        bound = log.bind(request=ask.req.log_id, waiting=len(queue), tokens=ask.tokens)
+        bound.info("waits for a place")
         if ask.service.name not in self._pumping:
             self._pumping.add(ask.service.name)
             self._start(self._pump(ask.service.name, queue))
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_place_queue.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_place_queue.py
@@ -54,9 +54,12 @@
     def __len__(self) -> int:
         return len(self._waiting)
 
-    def add(self, waiting: Waiting[T]) -> None:
-        """Let one wait."""
-        self._waiting.append(waiting)
+    def add(self, waiting: Waiting[T], is_first: bool = False) -> None:
+        """Let one wait, behind the others or before them."""
+        if is_first:
+            self._waiting.appendleft(waiting)
+        else:
+            self._waiting.append(waiting)
 
     def remove(self, waiting: Waiting[T]) -> None:
         """Take one out, wherever it stands."""
--- a/packages/vanillashore-standins/src/vanillashore_standins/platform_endpoint.py
+++ b/packages/vanillashore-standins/src/vanillashore_standins/platform_endpoint.py
@@ -56,6 +56,8 @@
     pause_s: float = 0.0
     room: int = 1_000_000
     break_after: int = 2
+    stall_s: float = 3_600.0
+    stall_s: float = 3_600.0
 
 
 class EndpointStandIn:
@@ -146,10 +148,11 @@
         await asyncio.wait([watch, work], return_when=asyncio.FIRST_COMPLETED)
         if watch.done() and not work.done():
             work.cancel()
+            watch.exception()
             self.left.append(arrival.request_id)
             return False
         watch.cancel()
-        with contextlib.suppress(asyncio.CancelledError):
+        with contextlib.suppress(asyncio.CancelledError, ConnectionError):
             await watch
         return await work
 
@@ -222,8 +225,8 @@
                 await asyncio.sleep(0.01)
                 _reset(writer)
                 return False
-            if number > self.engine.break_after and fault is Fault.STALLS:
-                await asyncio.sleep(3_600)
+            if number == self.engine.break_after + 1 and fault is Fault.STALLS:
+                await asyncio.sleep(self.engine.stall_s)
             writer.write(_chunk(event))
             await writer.drain()
             await asyncio.sleep(self.engine.pause_s)
--- /dev/null
+++ b/packages/vanillashore-standins/src/vanillashore_standins/soak/__init__.py
@@ -0,0 +1,8 @@
+"""A randomized soak: real entry processes under faults from outside, checked while they run.
+
+Run it by hand with ``make soak SEED=7 MINUTES=2``.
+"""
+
+from vanillashore_standins.soak._run import SoakPlan, SoakReport, run_soak
+
+__all__ = ["SoakPlan", "SoakReport", "run_soak"]
--- /dev/null
+++ b/packages/vanillashore-standins/src/vanillashore_standins/soak/_mutants.py
@@ -0,0 +1,82 @@
+"""Starts an entry that breaks one promise, to show that the soak sees it.
+
+Usage: ``python _mutants.py NAME entry --settings FILE``.
+"""
+
+import sys
+from collections.abc import Callable
+
+import attrs
+
+from vanillashore_adapter import main
+from vanillashore_gateway import (
+    HttpConnection,
+    LinkError,
+    LinkFailure,
+    _calls,
+    _gateway,
+    _generation,
+    _http_client,
+)
+from vanillashore_gateway._membership import Membership
+
+
+def _resend_unclear_calls() -> None:
+    """Send a payment again after its answer was lost."""
+    _calls.CallForwarder._may_send_again = lambda self, result: self._job.sends < 3
+
+
+def _rerun_broken_streams() -> None:
+    """Let every stream go on elsewhere, also one that must run once."""
+    _generation.GenerationForwarder._may_move = lambda self: self._stream.runs < 3
+
+
+def _complete_broken_answers() -> None:
+    """Take the end of a connection for the end of the answer."""
+
+    def lose(self: HttpConnection, exc: Exception | None) -> None:
+        self._is_open = False
+        if self._answer is not None and self._answer.head.done():
+            self._answer.is_complete = True
+            _http_client._wake(self._answer)
+        self._fail(LinkError(LinkFailure.BROKEN, "closed"))
+
+    HttpConnection.connection_lost = lose
+
+
+def _ignore_leaving() -> None:
+    """Send new work to endpoints that are leaving."""
+    put = Membership.put
+    Membership.put = lambda self, endpoint: put(self, attrs.evolve(endpoint, is_leaving=False))
+
+
+def _keep_old_keys() -> None:
+    """Stay with the first configuration."""
+    install = _gateway.Gateway._install
+
+    def install_first(self: _gateway.Gateway, config: object) -> None:
+        if self.config_version == 0:
+            install(self, config)
+
+    _gateway.Gateway._install = install_first
+
+
+def _refuse_after_run() -> None:
+    """Say "not run" of a request whose answer was lost."""
+    _calls.CallForwarder._give_up = lambda self, result: (_ for _ in ()).throw(
+        _calls.refusal(_calls.ErrorCode.ENDPOINTS_FULL, "not true")
+    )
+
+
+MUTANTS: dict[str, Callable[[], None]] = {
+    "resend-unclear-calls": _resend_unclear_calls,
+    "rerun-broken-streams": _rerun_broken_streams,
+    "complete-broken-answers": _complete_broken_answers,
+    "ignore-leaving": _ignore_leaving,
+    "keep-old-keys": _keep_old_keys,
+    "refuse-after-run": _refuse_after_run,
+}
+
+if __name__ == "__main__":
+    MUTANTS[sys.argv[1]]()
+    sys.exit(main(sys.argv[2:]))
--- a/tests/gateway/test_generation.py
+++ b/tests/gateway/test_generation.py
@@ -124,3 +124,31 @@
         await wait_until(lambda: sum(e.engine.stage == "prefill" for e in engines) < 4, wait_s=20.0)
         ordered = [e for e in engines if ("POST", "/-/order") in e.calls]
         assert 1 <= len(ordered) <= 2
+
+
+async def test_stream_that_stalls_stays_where_it_is_when_there_is_no_place_elsewhere() -> None:
+    options = EngineOptions(stall_s=1.5)
+    async with PlatformRig(prefills=1, decodes=2, engine=options) as rig:
+        fail_first(rig.decodes, Fault.STALLS)
+        asking = asyncio.ensure_future(rig.generate("/quote/1", "id-1"))
+        await wait_until(lambda: bool(rig.arrivals("id-1")))
+        for engine in rig.decodes:
+            engine.engine.room = 0
+        answer = await asking
+        assert (answer.status, answer.body, answer.is_whole) == (200, WHOLE, True)
+        assert len(rig.arrivals("id-1")) == 1
+
+
+async def test_broken_stream_goes_on_before_all_that_wait() -> None:
+    async with PlatformRig(prefills=1, decodes=2, engine=EngineOptions(pause_s=0.1)) as rig:
+        fail_first(rig.decodes, Fault.BREAKS_MID_EVENT)
+        begun = asyncio.ensure_future(rig.generate("/quote/1", "begun"))
+        await wait_until(lambda: bool(rig.arrivals("begun")))
+        for engine in rig.decodes:
+            engine.engine.room = 0
+        waiting = [asyncio.ensure_future(rig.generate("/idea/1", f"id-{n}")) for n in range(3)]
+        await wait_until(lambda: len(rig.process.gateway.places.queue("models")) == 4)
+        next(e for e in rig.decodes if not e.runs).engine.room = 1_000_000
+        answer = await begun
+        assert (answer.status, answer.body, answer.is_whole) == (200, WHOLE, True)
+        await asyncio.gather(*waiting)
