--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_process.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_process.py
@@ -4,7 +4,7 @@
 import contextlib
 import random
 import signal
-from collections.abc import Awaitable
+from collections.abc import Awaitable, Callable
 
 from loguru import logger as log
 
@@ -26,7 +26,14 @@
 class GatewayProcess:
     """One running gateway."""
 
-    def __init__(self, cfg: GatewaySettings, dialect: Dialect, store: PlatformStore) -> None:
+    def __init__(
+        self,
+        cfg: GatewaySettings,
+        dialect: Dialect,
+        store: PlatformStore,
+        reload: Callable[[], None] | None = None,
+    ) -> None:
+        """Prepare a process; ``reload`` reads the settings again on SIGHUP."""
         rng = random.Random()
         self._cfg = cfg
         self.gateway = Gateway(cfg, dialect, rng)
@@ -45,6 +52,7 @@
             rng,
             cfg.order_turn_s,
         )
+        self._reload = reload
         self._servers: list[asyncio.Server] = []
         self._tasks: list[asyncio.Task[None]] = []
         self._peers: asyncio.DatagramTransport | None = None
@@ -65,7 +73,8 @@
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self._stop.set)
-        loop.add_signal_handler(signal.SIGHUP, self._note_reload)
+        if self._reload is not None:
+            loop.add_signal_handler(signal.SIGHUP, self._reload)
         await self.start()
         await self._stop.wait()
         await self.shut_down()
@@ -119,9 +128,6 @@
         else:
             responder.answer(200, TEXT, self.gateway.metrics.render())
 
-    def _note_reload(self) -> None:
-        log.info("reload: nothing in the settings of a running process can change")
-
     async def shut_down(self) -> None:
         """Leave the rotation, finish what is under way, and close."""
         gateway = self.gateway
--- /dev/null
+++ b/tests/adapter/test_main.py
@@ -0,0 +1,45 @@
+"""The command line, and reading the settings again."""
+
+from pathlib import Path
+
+import pytest
+
+from vanillashore_adapter import HttpStore, main, parse_settings
+from vanillashore_adapter._main import reload_settings
+
+SETTINGS = """node_name=edge-a-1
+zone=alex-a
+listen.front=10.1.0.3:8360
+listen.ready=10.1.0.3:8365
+internal_ports=7500,7515
+platform.address=10.200.1.7:8361
+"""
+
+
+def test_check_accepts_good_settings_and_names_what_is_wrong(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    path = tmp_path / "settings.conf"
+    path.write_text(SETTINGS)
+    assert main(["entry", "--settings", str(path), "--check"]) == 0
+    path.write_text(SETTINGS.replace("zone=alex-a\n", "").replace(":8361", ":x"))
+    assert main(["entry", "--settings", str(path), "--check"]) == 2
+    err = capsys.readouterr().err
+    assert str(path) in err
+    assert "zone is missing" in err
+    assert "platform.address=10.200.1.7:x" in err
+    assert main(["entry", "--settings", str(tmp_path / "none"), "--check"]) == 2
+
+
+def test_reload_moves_to_another_store_and_keeps_to_the_old_one_if_the_file_is_bad(
+    tmp_path: Path,
+) -> None:
+    path = tmp_path / "settings.conf"
+    settings = parse_settings(SETTINGS)
+    store = HttpStore(settings.store, 1.0)
+    path.write_text(SETTINGS.replace("10.200.1.7", "10.200.1.8"))
+    reload_settings(path, settings, store)
+    assert store._address == ("10.200.1.8", 8361)
+    path.write_text("nothing")
+    reload_settings(path, settings, store)
+    assert store._address == ("10.200.1.8", 8361)
