--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_errors.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_errors.py
@@ -23,6 +23,7 @@
     NO_ENDPOINT = "no_endpoint"
     ENDPOINTS_FULL = "endpoints_full"
     TOO_LATE = "too_late"
+    STOPPING = "stopping"
     ENDPOINT_FAILED = "endpoint_failed"
     TIMED_OUT = "timed_out"
 
@@ -40,6 +41,7 @@
     ErrorCode.NO_ENDPOINT: 503,
     ErrorCode.ENDPOINTS_FULL: 503,
     ErrorCode.TOO_LATE: 503,
+    ErrorCode.STOPPING: 503,
     ErrorCode.TIMED_OUT: 504,
 }
 NOT_RUN_STATUSES = frozenset({400, 401, 404, 408, 413, 429, 431, 503})
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_gateway.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_gateway.py
@@ -41,6 +41,8 @@
 START_RETRY_S = 0.5  # Until a process that has just started knows its configuration.
 BUDGET_SHARE = 0.8  # Of the platform's bounds; the rest covers entries that restart.
 RATE_PATIENCE_SHARE = 0.3  # Of the target: as long a request waits for tokens of its rate.
+USUAL_ANSWERS = 1.3  # In usual answers: most take no longer, and the rest may still finish.
+STOPPING_RETRY_S = 0.1  # Another try reaches another entry.
 UNKNOWN_ROUTE = "none"
 
 
@@ -80,7 +82,8 @@
         self.balancer = Balancer(cfg.data_centre, rng)
         self.calls = EngineCalls(dialect, self.pool)
         self.duty = DutyBook()
-        self.is_stopping = False
+        self.stops_at: float | None = None
+        self.out_of_rotation_at = 0.0
         self.active = 0
         self._rng = rng
         self._dialect = dialect
@@ -118,7 +121,7 @@
     @property
     def is_ready(self) -> bool:
         """Whether the entry takes new callers."""
-        return self._table is not None and self._has_list and not self.is_stopping
+        return self._table is not None and self._has_list and self.stops_at is None
 
     async def handle(self, inbound: Inbound, responder: Responder) -> None:
         """Answer one request of a caller."""
@@ -209,6 +212,7 @@
         service = table.service(pick_service(route, self._rng))
         name = workspace.name if workspace is not None else ""
         job = Job(req, route, service, name, table.config.version)
+        self._check_stop(job)
         job.note(
             "admitted",
             route=route.name,
@@ -218,6 +222,23 @@
         )
         return job
 
+    def _check_stop(self, job: Job) -> None:
+        """Refuse what would not end before a stopping process does.
+
+        Callers still come while no other entry is in rotation, as in a quick rolling restart. Calls
+        that come in the first seconds have all of the grace time, far more than they usually take.
+        """
+        if self.stops_at is None:
+            return
+        ends_at = job.give_up_at
+        if job.route.is_generation:
+            usual_s = self.places.queue(job.service.name).answer_s * USUAL_ANSWERS
+            ends_at = min(ends_at, now() + usual_s)
+        elif now() < self.out_of_rotation_at:
+            return
+        if ends_at > self.stops_at:
+            raise refusal(ErrorCode.STOPPING, "this entry stops", STOPPING_RETRY_S)
+
     async def _take_quota(
         self, req: CallerRequest, workspace: Workspace, patience_s: float
     ) -> None:
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_place_queue.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_place_queue.py
@@ -51,6 +51,11 @@
         self._given_at: float | None = None
         self._answer_s = FIRST_ANSWER_S
 
+    @property
+    def answer_s(self) -> float:
+        """How long a usual answer holds its place."""
+        return self._answer_s
+
     def __len__(self) -> int:
         return len(self._waiting)
 
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_process.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_process.py
@@ -129,18 +129,21 @@
             responder.answer(200, TEXT, self.gateway.metrics.render())
 
     async def shut_down(self) -> None:
-        """Leave the rotation, finish what is under way, and close."""
+        """Leave the rotation, finish what is under way, and close.
+
+        New callers are served until the end, as far as their requests end before it: the balancer
+        sends them here when no other entry is in rotation.
+        """
         gateway = self.gateway
-        gateway.is_stopping = True
-        gateway.front.is_closing = True
         began = now()
+        gateway.stops_at = began + self._cfg.grace_s - STOP_MARGIN_S
+        gateway.out_of_rotation_at = began + self._cfg.rotation_s
+        gateway.front.is_closing = True
         log.bind(active=gateway.active, connections=len(gateway.front.connections)).info("stopping")
         await asyncio.sleep(self._cfg.rotation_s)
-        # What is taken from now on might not end within the grace time.
         self._close_idle()
-        left_s = self._cfg.grace_s - STOP_MARGIN_S - (now() - began)
         with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(left_s):
+            async with asyncio.timeout(gateway.stops_at - now()):
                 await gateway.front.wait_closed()
         await self._announcement.withdraw()
         self.close()
@@ -149,17 +152,16 @@
 
     def close(self) -> None:
         """Close the listeners and idle connections, and end all tasks."""
-        self._close_idle()
         for server in self._servers:
             server.close()
+        self._close_idle()
         if self._peers is not None:
             self._peers.close()
         for task in self._tasks:
             task.cancel()
 
     def _close_idle(self) -> None:
-        """Take no new callers, and close the connections of those that ask for nothing."""
-        self._servers[0].close()
+        """Close the connections of callers that ask for nothing."""
         for conn in list(self.gateway.front.connections):
             if conn.is_idle:
                 conn.close()
--- a/tests/gateway/test_stop.py
+++ b/tests/gateway/test_stop.py
@@ -61,3 +61,25 @@
         assert not stopping.done()
         streaming.cancel()
         await stopping
+
+
+async def test_new_callers_are_served_to_the_end_and_long_streams_refused_at_once() -> None:
+    options = EngineOptions(events=1_000, pause_s=0.02)
+    async with PlatformRig(services=1, prefills=1, decodes=1, engine=options) as rig:
+        streaming = asyncio.ensure_future(rig.generate("/idea/1", "long"))
+        await wait_until(lambda: bool(rig.decodes[0].runs))
+        stopping = asyncio.ensure_future(rig.process.shut_down())
+        await wait_until(lambda: rig.process.gateway.stops_at is not None)
+        short = await rig.ask("POST", "/pay/1", "id-1", b"pay", X_Deadline_Ms="500")
+        assert short.status == 200
+        long = await rig.generate("/idea/1", "id-2")
+        assert (long.status, rig.arrivals("id-2")) == (503, [])
+        assert b'"ran":"no"' in long.body
+        assert float(long.headers["retry-after"]) > 0
+        await asyncio.sleep(rig.process._cfg.rotation_s)
+        late = await rig.ask("POST", "/pay/1", "id-3", b"pay", X_Deadline_Ms="60000")
+        assert (late.status, rig.arrivals("id-3")) == (503, [])
+        again = await rig.ask("POST", "/pay/1", "id-4", b"pay", X_Deadline_Ms="500")
+        assert again.status == 200
+        streaming.cancel()
+        await stopping
