--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_domain.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_domain.py
@@ -45,7 +45,6 @@
     targets: tuple[Target, ...]
     timeout_s: float
     target_s: float
-    priority: int = 0
     max_attempts: int = 1
     is_open: bool = False
     is_generation: bool = False
@@ -66,8 +65,6 @@
     """
 
     name: str
-    max_connections: int
-    slots: int = 0
     kv_tokens: int = 0
     kv_hold_s: float = 0.0
     hold_s: float = 0.0
@@ -120,7 +117,6 @@
     slots: int
     role: EndpointRole = EndpointRole.SERVICE
     is_leaving: bool = False
-    orders_taken: int = 0
 
     @property
     def address(self) -> str:
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_gateway.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_gateway.py
@@ -10,7 +10,7 @@
 from vanillashore_gateway._calls import CallForwarder
 from vanillashore_gateway._clock import now
 from vanillashore_gateway._dialect import Dialect
-from vanillashore_gateway._domain import CallerRequest, Route, ServingConfig, Workspace
+from vanillashore_gateway._domain import CallerRequest, ServingConfig, Workspace
 from vanillashore_gateway._duty import DutyBook
 from vanillashore_gateway._engine_calls import EngineCalls
 from vanillashore_gateway._errors import ErrorCode, RefusalError, Refused, refusal
@@ -251,7 +251,7 @@
             raise refusal(ErrorCode.RATE_LIMITED, text, wait_s)
 
     def _forwarder(self, job: Job) -> CallForwarder | GenerationForwarder:
-        if _is_generation(job.route):
+        if job.route.is_generation:
             return GenerationForwarder(self._tools, job)
         return CallForwarder(self._tools, job)
 
@@ -314,7 +314,3 @@
                 leaving=endpoint.is_leaving,
                 is_new=known is None,
             ).info("an endpoint has changed")
-
-
-def _is_generation(route: Route) -> bool:
-    return route.is_generation
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_process.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_process.py
@@ -61,12 +61,17 @@
     @property
     def front_address(self) -> tuple[str, int]:
         """Address that callers connect to, known once the process has started."""
-        return self._servers[0].sockets[0].getsockname()[:2]
+        return _address_of(self._servers[0])
 
     @property
     def ready_address(self) -> tuple[str, int]:
         """Address that tells whether the process is ready."""
-        return self._servers[1].sockets[0].getsockname()[:2]
+        return _address_of(self._servers[1])
+
+    @property
+    def metrics_address(self) -> tuple[str, int]:
+        """Address that serves the metrics."""
+        return _address_of(self._servers[2])
 
     async def run(self) -> None:
         """Serve until a stop signal, then finish what is under way."""
@@ -165,3 +170,7 @@
         for conn in list(self.gateway.front.connections):
             if conn.is_idle:
                 conn.close()
+
+
+def _address_of(server: asyncio.Server) -> tuple[str, int]:
+    return server.sockets[0].getsockname()[:2]
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_routing.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_routing.py
@@ -27,7 +27,7 @@
 
     def service(self, name: str) -> Service:
         """Return a service; one that the configuration does not describe has no engines."""
-        return self._services.get(name) or Service(name, 0)
+        return self._services.get(name) or Service(name)
 
     def route(self, host: str, path: str) -> Route:
         """Return the route with the longest matching prefix; raise RefusalError if none does."""
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_sending.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_sending.py
@@ -73,6 +73,8 @@
             )
             async with asyncio.timeout(head_timeout_s):
                 head = self._dialect.decode_answer(await conn.head())
+            if 200 <= head.status < 300 and not head.is_sealed and not order.is_prefill:
+                raise LinkError(LinkFailure.GARBLED, "a success that no endpoint has sealed")
             self._balancer.note_load(endpoint, head.load, self._clock())
             yield Sending(endpoint, head, conn)
             if conn.may_keep:
--- a/packages/vanillashore-standins/src/vanillashore_standins/platform_endpoint.py
+++ b/packages/vanillashore-standins/src/vanillashore_standins/platform_endpoint.py
@@ -28,6 +28,7 @@
     TRUNCATED = auto()
     GARBAGE = auto()
     EXTRA_ANSWER = auto()
+    UNSEALED = auto()
     UNFRAMED = auto()
     UNFRAMED_RESET = auto()
     SILENT = auto()
@@ -182,6 +183,8 @@
             "X-Server-Seal": SEAL + self.instance,
             "X-Server-Load": "1,0,8",
         }
+        if fault is Fault.UNSEALED:
+            del own["X-Server-Seal"]
         if fault is Fault.ERROR:
             return await _reply(writer, 500, own, b"failed")
         if arrival.headers.get("x-stage") == "prefill":
--- a/tests/adapter/test_decoding.py
+++ b/tests/adapter/test_decoding.py
@@ -96,7 +96,7 @@
 def test_endpoint_is_decoded() -> None:
     endpoint = decode_endpoint("i-1", orjson.dumps(ENTRY))
     assert (endpoint.address, endpoint.role) == ("10.128.0.9:8080", EndpointRole.DECODE)
-    assert (endpoint.data_centre, endpoint.orders_taken) == ("alex-a", 4)
+    assert (endpoint.data_centre, endpoint.slots) == ("alex-a", 16)
     plain = {k: v for k, v in ENTRY.items() if k != "stage"}
     assert decode_endpoint("i-1", orjson.dumps(plain)).role is EndpointRole.SERVICE
     assert decode_endpoint("i-1", orjson.dumps(ENTRY | {"state": "draining"})).is_leaving
--- a/tests/gateway/test_calls.py
+++ b/tests/gateway/test_calls.py
@@ -21,6 +21,7 @@
     (Fault.UNFRAMED, 200, 1),
     (Fault.UNFRAMED_RESET, 502, 1),
     (Fault.EXTRA_ANSWER, 200, 1),
+    (Fault.UNSEALED, 502, 1),
 ]
 
 
@@ -48,6 +49,7 @@
         Fault.UNFRAMED_RESET,
         Fault.SHED,
         Fault.SILENT,
+        Fault.UNSEALED,
     ],
 )
 async def test_idempotent_request_is_answered_by_another_endpoint(fault: Fault) -> None:
--- a/tests/gateway/test_generation.py
+++ b/tests/gateway/test_generation.py
@@ -34,7 +34,12 @@
 
 @pytest.mark.parametrize(
     ("fault", "status"),
-    [(Fault.BREAKS_MID_EVENT, 200), (Fault.RESET_AFTER_RUN, 502), (Fault.GARBAGE, 502)],
+    [
+        (Fault.BREAKS_MID_EVENT, 200),
+        (Fault.RESET_AFTER_RUN, 502),
+        (Fault.GARBAGE, 502),
+        (Fault.UNSEALED, 502),
+    ],
 )
 async def test_other_streams_run_once_and_never_look_complete(fault: Fault, status: int) -> None:
     async with PlatformRig(prefills=1, decodes=2) as rig:
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -1,11 +1,13 @@
 """Packages may import only those below them, and the product never imports the stand-ins."""
 
 import ast
+import re
 from pathlib import Path
 
 import pytest
 
-ROOT = Path(__file__).parent.parent / "packages"
+TOP = Path(__file__).parent.parent
+ROOT = TOP / "packages"
 DEPENDENCIES = {
     "wire": set(),
     "schema": {"wire"},
@@ -14,6 +16,8 @@
     "placement": {"wire"},
     "outcome": {"wire"},
     "node": {"wire", "schema", "store", "share", "placement", "outcome"},
+    "gateway": {"placement", "outcome"},
+    "adapter": {"gateway"},
     "cli": {"wire", "schema", "store"},
 }
 
@@ -29,7 +33,8 @@
 
 
 def _modules(package: str) -> list[Path]:
-    found = sorted((ROOT / f"vanillashore-{package}" / "src").rglob("*.py"))
+    folder = TOP / "platform" if package == "adapter" else ROOT / f"vanillashore-{package}"
+    found = sorted((folder / "src").rglob("*.py"))
     assert found
     return found
 
@@ -48,3 +53,16 @@
         for name in _imports(path):
             top, _, rest = name.partition(".")
             assert top == f"vanillashore_{package}" or not rest, f"{path.name} imports {name}"
+
+
+PLATFORM_NAMES = re.compile(
+    r"x-(server-seal|kv-\w+|not-executed|expect-instance|token-count|pin-ms|tenant|stage)"
+    r"|/-/(kv|hold|order|report)|op/config|servers/|fencing_token|traffic_split",
+    re.IGNORECASE,
+)
+
+
+@pytest.mark.parametrize("package", [name for name in DEPENDENCIES if name != "adapter"])
+def test_names_of_the_platform_stay_in_its_adapter(package: str) -> None:
+    for path in _modules(package):
+        assert PLATFORM_NAMES.search(path.read_text()) is None, path.name
