--- a/tests/gateway/test_calls.py
+++ b/tests/gateway/test_calls.py
@@ -57,6 +57,7 @@
         fail_first(rig.services, fault)
         answer = await rig.ask("GET", "/stock/1", "id-1")
         assert (answer.status, answer.body) == (200, b"answer to id-1")
+        assert answer.headers["x-server-seal"].startswith(SEAL)
 
 
 async def test_late_extra_answers_never_reach_the_next_request() -> None:
