--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_following.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_following.py
@@ -22,6 +22,7 @@
 RETRY_MAX_S = 0.8  # Well below the time limit for applying a change.
 REGISTRATION_TTL_S = 8.0  # Two renewals may fail before other entries drop this one.
 RENEW_EVERY_S = 2.5
+OUTAGE_LOG_EVERY_S = 5.0
 LEASE_MARGIN_S = 1.5  # A duty's holder sends no orders this close to its lease's expiry.
 
 
@@ -71,6 +72,7 @@
         self._watch_s = watch_s
         self._rng = rng
         self._revision: int | None = None
+        self._outage_logged_at = 0.0
         self.contact = StoreContact(changed_at=clock())
 
     async def run(self) -> None:
@@ -115,12 +117,26 @@
 
     def _record_failure(self, reason: str) -> None:
         self.contact.failures += 1
+        now = self._clock()
         if not self.contact.is_reached:
+            self._log_outage(reason, now)
             return
-        self.contact = StoreContact(False, self._clock(), 1)
+        self.contact = StoreContact(False, now, 1)
+        self._outage_logged_at = now
         log.bind(reason=reason, revision=self._revision).warning("lost contact with the store")
         self._listener.record_store_contact(False)
 
+    def _log_outage(self, reason: str, now: float) -> None:
+        if now - self._outage_logged_at < OUTAGE_LOG_EVERY_S:
+            return
+        self._outage_logged_at = now
+        log.bind(
+            reason=reason,
+            revision=self._revision,
+            failures=self.contact.failures,
+            for_s=round(now - self.contact.changed_at, 3),
+        ).warning("still without contact with the store")
+
     def _retry_delay_s(self) -> float:
         max_delay_s = min(RETRY_MAX_S, RETRY_MIN_S * 2 ** min(self.contact.failures, 6))
         return max_delay_s * (0.5 + self._rng.random() / 2)
--- a/tests/gateway/test_following.py
+++ b/tests/gateway/test_following.py
@@ -4,8 +4,15 @@
 import random
 
 import pytest
-
-from vanillashore_gateway import Change, Changes, EndpointRemoved, Snapshot
+from loguru import logger as log
+
+from vanillashore_gateway import (
+    Change,
+    Changes,
+    EndpointRemoved,
+    Snapshot,
+    StoreUnavailableError,
+)
 from vanillashore_gateway._following import Follower
 from vanillashore_standins import wait_until
 from vanillashore_standins.platform_rig import KEY, PlatformRig, configuration
@@ -166,3 +173,37 @@
         await follower.run()
     assert store.calls <= 20
     assert max(pauses) <= 1.0
+
+
+class _AwayStore:
+    """A store that is out of reach."""
+
+    async def snapshot(self) -> Snapshot:
+        raise StoreUnavailableError("no answer")
+
+
+async def test_outage_is_logged_again_every_few_seconds(monkeypatch: pytest.MonkeyPatch) -> None:
+    now = 0.0
+    lines = []
+
+    async def sleep(delay_s: float) -> None:
+        nonlocal now
+        now += delay_s
+        if now > 21.0:
+            raise asyncio.CancelledError
+
+    monkeypatch.setattr("vanillashore_gateway._following.asyncio.sleep", sleep)
+    handler = log.add(lambda line: lines.append(line.record), level="WARNING")
+    follower = Follower(
+        _AwayStore(), _IgnoringListener(), lambda: now, random.Random(1), watch_s=2.0
+    )
+    follower.contact.is_reached = True
+    with pytest.raises(asyncio.CancelledError):
+        await follower.run()
+    log.remove(handler)
+    assert [line["message"] for line in lines] == [
+        "lost contact with the store",
+        *["still without contact with the store"] * 3,
+    ]
+    assert lines[-1]["extra"]["failures"] > 15
+    assert lines[-1]["extra"]["reason"] == "no answer"
