Add a failing test of an entry that never gets the configurations it missed

On a link of 5 Mbit/s two versions of a configuration with 1,400 routes, missed during an outage of the store, never arrive: each answer is cut off at the call's time limit and asked for again. Callers are served by the old configuration until the store drops its history.

--- a/packages/vanillashore-standins/src/vanillashore_standins/slow_link.py
+++ b/packages/vanillashore-standins/src/vanillashore_standins/slow_link.py
@@ -1,13 +1,13 @@
 """Stand-in for the connections to a store behind a slow link, without sockets."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import Any
 from urllib.parse import parse_qs, urlsplit
 
 import attrs
 
-from vanillashore_gateway import HttpConnection
+from vanillashore_gateway import HttpConnection, LinkError, LinkFailure
 
 PIECE_BYTES = 4_096
 
@@ -21,7 +21,7 @@
     query: dict[str, str]
 
 
-StoreAnswer = Callable[[StoreCall], bytes]
+StoreAnswer = Callable[[StoreCall], Awaitable[bytes]]
 
 
 class SlowLink:
@@ -30,7 +30,7 @@
     The body of each answer comes from ``answer``; ``stalls_after`` is the number of bytes after
     which an answer stops arriving. Use `open_connection` in place of the real one::
 
-        link = SlowLink(lambda call: b"{}", bytes_per_s=625_000)
+        link = SlowLink(answer, bytes_per_s=625_000)
         monkeypatch.setattr("vanillashore_adapter._store.open_connection", link.open_connection)
     """
 
@@ -43,11 +43,28 @@
         self._bytes_per_s = bytes_per_s
         self._stalls_after = stalls_after
         self._link = asyncio.Lock()
+        self._is_up = True
+        self._conns: list[HttpConnection] = []
+
+    def go_down(self) -> None:
+        """Break all connections and refuse new ones."""
+        self._is_up = False
+        for conn in self._conns:
+            conn.abort()
+            conn.connection_lost(None)
+        self._conns.clear()
+
+    def come_up(self) -> None:
+        """Accept connections again."""
+        self._is_up = True
 
     async def open_connection(self, host: str, port: int, timeout_s: float = 0.0) -> HttpConnection:
-        """Return a connection to the store."""
+        """Return a connection to the store; raise LinkError while the link is down."""
+        if not self._is_up:
+            raise LinkError(LinkFailure.NOT_SENT, "the link is down")
         conn = HttpConnection()
         conn.connection_made(_SlowTransport(self, conn))
+        self._conns.append(conn)
         return conn
 
     async def transfer(self, conn: HttpConnection, request: bytes) -> None:
@@ -57,7 +74,7 @@
         query = {name: values[0] for name, values in parse_qs(parts.query).items()}
         call = StoreCall(method.decode(), parts.path, query)
         self.calls.append(call)
-        body = self._answer(call)
+        body = await self._answer(call)
         data = f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n".encode() + body
         for start in range(0, len(data), PIECE_BYTES):
             if self._stalls_after is not None and start >= self._stalls_after:
--- a/tests/gateway/test_following.py
+++ b/tests/gateway/test_following.py
@@ -1,21 +1,32 @@
 """Following the platform's store across outages, history loss and malformed values."""
 
 import asyncio
+import base64
+import contextlib
 import random
+from typing import Any
 
+import orjson
 import pytest
 from loguru import logger as log
 
+from vanillashore_adapter import HttpStore
 from vanillashore_gateway import (
     Change,
     Changes,
+    ConfigWritten,
     EndpointRemoved,
     Snapshot,
     StoreUnavailableError,
 )
 from vanillashore_gateway._following import Follower
 from vanillashore_standins import wait_until
-from vanillashore_standins.platform_rig import KEY, PlatformRig, configuration
+from vanillashore_standins.platform_rig import KEY, ORDERS, PlatformRig, configuration, route
+from vanillashore_standins.slow_link import SlowLink, StoreCall
+from vanillashore_standins.virtual_time import run_in_virtual_time
+
+LINK_BYTES_PER_S = 625_000  # 5 Mbit/s, the slowest link of an entry.
+APPLY_LIMIT_S = 3.0  # Within which a change must be in force.
 
 
 async def test_newer_configuration_is_applied_and_older_ones_are_ignored() -> None:
@@ -207,3 +218,81 @@
     ]
     assert lines[-1]["extra"]["failures"] > 15
     assert lines[-1]["extra"]["reason"] == "no answer"
+
+
+class _History:
+    """A store's configuration key and its changes."""
+
+    def __init__(self) -> None:
+        self._rows: list[dict[str, Any]] = []
+        self._changed = asyncio.Event()
+
+    def put(self, config: dict[str, Any]) -> None:
+        value = base64.b64encode(orjson.dumps(config)).decode()
+        row = {"key": "op/config", "value": value, "revision": len(self._rows) + 1}
+        self._rows.append(row)
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def answer(self, call: StoreCall) -> bytes:
+        if call.path == "/-/kv-range":
+            return orjson.dumps({"items": self._rows[-1:], "at": len(self._rows)})
+        after = int(call.query["after"])
+        if after == len(self._rows):
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(int(call.query["wait_ms"]) / 1_000):
+                    await self._changed.wait()
+        return orjson.dumps({"events": self._rows[after:], "at": len(self._rows)})
+
+
+class _VersionListener(_IgnoringListener):
+    """Keeps the version of the last configuration and the time at which it arrived."""
+
+    def __init__(self) -> None:
+        self.version = 0
+        self.changed_at = 0.0
+
+    def apply_snapshot(self, snapshot: Snapshot) -> None:
+        for change in snapshot.items:
+            self.apply_change(change)
+
+    def apply_change(self, change: Change) -> None:
+        if isinstance(change, ConfigWritten):
+            self.version = change.config.version
+            self.changed_at = asyncio.get_running_loop().time()
+
+
+def _large_configuration(version: int) -> dict[str, Any]:
+    return configuration(
+        version, routes=[route(f"/{i}/", "idempotent", ORDERS) for i in range(1_400)]
+    )
+
+
+@pytest.mark.parametrize("versions", [1, 2, 4])
+def test_large_configurations_arrive_over_a_slow_link_after_an_outage(
+    versions: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def follow() -> None:
+        history = _History()
+        history.put(configuration(1))
+        link = SlowLink(history.answer, bytes_per_s=LINK_BYTES_PER_S)
+        monkeypatch.setattr("vanillashore_adapter._store.open_connection", link.open_connection)
+        loop, listener = asyncio.get_running_loop(), _VersionListener()
+        follower = Follower(
+            HttpStore(("127.0.0.1", 1), 1.0), listener, loop.time, random.Random(1), watch_s=3.0
+        )
+        task = asyncio.create_task(follower.run())
+        await asyncio.sleep(1.0)
+        assert listener.version == 1
+        link.go_down()
+        await asyncio.sleep(5.0)
+        for version in range(2, versions + 2):
+            history.put(_large_configuration(version))
+        link.come_up()
+        began = loop.time()
+        await asyncio.sleep(10.0)
+        task.cancel()
+        assert listener.version == versions + 1
+        assert listener.changed_at - began <= APPLY_LIMIT_S
+
+    run_in_virtual_time(follow())
