--- a/tests/adapter/test_store.py
+++ b/tests/adapter/test_store.py
@@ -1,5 +1,7 @@
 """The client of the platform's store."""
 
+import asyncio
+
 import pytest
 
 from vanillashore_adapter import HttpStore
@@ -23,3 +25,21 @@
             await HttpStore(ADDRESS, 1.0).changes(1, 0.0)
 
     run_in_virtual_time(watch())
+
+
+def test_lease_is_renewed_while_a_large_snapshot_arrives(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def answer(call: StoreCall) -> bytes:
+        padding = " " * 2_000_000 if call.path == "/-/kv-range" else ""
+        return b'{"items":[],"at":1}' + padding.encode()
+
+    async def read_and_renew() -> None:
+        link = SlowLink(answer, bytes_per_s=625_000)
+        monkeypatch.setattr("vanillashore_adapter._store.open_connection", link.open_connection)
+        store = HttpStore(ADDRESS, 1.0)
+        snapshot = asyncio.create_task(store.snapshot())
+        await asyncio.sleep(0.1)
+        await store.renew(7)
+        assert not snapshot.done()
+        assert (await snapshot).revision == 1
+
+    run_in_virtual_time(read_and_renew())
