--- a/packages/vanillashore-gateway/src/vanillashore_gateway/__init__.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/__init__.py
@@ -39,6 +39,7 @@
 )
 from vanillashore_gateway._logs import set_up_logging
 from vanillashore_gateway._platform_store import (
+    AnswerTooLargeError,
     Change,
     Changes,
     ConfigWritten,
@@ -58,6 +59,7 @@
 from vanillashore_gateway._quota import QuotaSettings
 
 __all__ = [
+    "AnswerTooLargeError",
     "AnswerHead",
     "CallerLimits",
     "CallerRequest",
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_following.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_following.py
@@ -9,6 +9,7 @@
 from loguru import logger as log
 
 from vanillashore_gateway._platform_store import (
+    AnswerTooLargeError,
     Change,
     HistoryCompactedError,
     LeaseExpiredError,
@@ -20,6 +21,7 @@
 BATCH_DELAY_S = 0.6  # Before the next watch: changes come in groups, and each call is billed.
 RETRY_MIN_S = 0.1
 RETRY_MAX_S = 0.8  # Well below the time limit for applying a change.
+SNAPSHOT_MARGIN_BYTES = 65_536  # Up to here, changes are cheaper than a snapshot and two calls.
 REGISTRATION_TTL_S = 8.0  # Two renewals may fail before other entries drop this one.
 RENEW_EVERY_S = 2.5
 OUTAGE_LOG_EVERY_S = 5.0
@@ -72,6 +74,7 @@
         self._watch_s = watch_s
         self._rng = rng
         self._revision: int | None = None
+        self._snapshot_bytes = 0  # Estimate.
         self._outage_logged_at = 0.0
         self.contact = StoreContact(changed_at=clock())
 
@@ -85,6 +88,11 @@
                     "the store has dropped the needed history; reading a new snapshot"
                 )
                 self._revision = None
+            except AnswerTooLargeError as exc:
+                log.bind(revision=self._revision, reason=str(exc)).info(
+                    "the missed changes are larger than a snapshot; reading a new one"
+                )
+                self._revision = None
             except StoreUnavailableError as exc:
                 self._record_failure(str(exc))
                 await asyncio.sleep(self._retry_delay_s())
@@ -95,14 +103,18 @@
             self._record_success()
             self._listener.apply_snapshot(snapshot)
             self._revision = snapshot.revision
+            self._snapshot_bytes = snapshot.size_bytes
             return
         # After a failure, the first watch returns at once, to detect a recovered store early.
         wait_s = self._watch_s if self.contact.is_reached else 0.0
-        changes = await self._store.changes(self._revision, wait_s)
+        # The history has every version of a key, and a snapshot only the last one.
+        max_bytes = self._snapshot_bytes + SNAPSHOT_MARGIN_BYTES
+        changes = await self._store.changes(self._revision, wait_s, max_bytes)
         self._record_success()
         for change in changes.items:
             self._listener.apply_change(change)
         self._revision = max(self._revision, changes.revision)
+        self._snapshot_bytes = max(self._snapshot_bytes, changes.size_bytes)
         if changes.items:
             await asyncio.sleep(BATCH_DELAY_S)
 
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_platform_store.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_platform_store.py
@@ -15,6 +15,10 @@
     """The store has dropped the history that a watch needs to continue."""
 
 
+class AnswerTooLargeError(Exception):
+    """The answer has more bytes than the caller accepts."""
+
+
 class LeaseExpiredError(Exception):
     """A lease has expired or was ended."""
 
@@ -87,18 +91,26 @@
 
 @attrs.frozen
 class Snapshot:
-    """Everything the store holds for a gateway; changes after ``revision`` may be missing."""
+    """Everything the store holds for a gateway; changes after ``revision`` may be missing.
+
+    ``size_bytes`` is what was transferred for it.
+    """
 
     revision: int
     items: tuple[Change, ...]
+    size_bytes: int = 0
 
 
 @attrs.frozen
 class Changes:
-    """Changes after the requested revision, up to and including ``revision``."""
+    """Changes after the requested revision, up to and including ``revision``.
+
+    ``size_bytes`` is what was transferred for them.
+    """
 
     revision: int
     items: tuple[Change, ...]
+    size_bytes: int = 0
 
 
 class PlatformStore(Protocol):
@@ -108,8 +120,12 @@
         """Read everything, in its state at the time of the call or later."""
         ...
 
-    async def changes(self, after: int, wait_s: float) -> Changes:
-        """Wait for changes; raise HistoryCompactedError if those after ``after`` were dropped."""
+    async def changes(self, after: int, wait_s: float, max_bytes: int) -> Changes:
+        """Wait for changes.
+
+        Raises HistoryCompactedError if those after ``after`` were dropped, and
+        AnswerTooLargeError, early in the transfer, if they take more than ``max_bytes``.
+        """
         ...
 
     async def register_entry(self, name: str, address: tuple[str, int], ttl_s: float) -> int:
--- a/tests/adapter/test_store.py
+++ b/tests/adapter/test_store.py
@@ -22,7 +22,7 @@
         link = SlowLink(answer, bytes_per_s=1e6, stalls_after=50_000)
         monkeypatch.setattr("vanillashore_adapter._store.open_connection", link.open_connection)
         with pytest.raises(StoreUnavailableError, match=r"received 5\d{4} bytes"):
-            await HttpStore(ADDRESS, 1.0).changes(1, 0.0)
+            await HttpStore(ADDRESS, 1.0).changes(1, 0.0, 1_000_000)
 
     run_in_virtual_time(watch())
 
--- a/tests/gateway/test_following.py
+++ b/tests/gateway/test_following.py
@@ -148,7 +148,7 @@
     async def snapshot(self) -> Snapshot:
         return Snapshot(1, ())
 
-    async def changes(self, after: int, wait_s: float) -> Changes:
+    async def changes(self, after: int, wait_s: float, max_bytes: int) -> Changes:
         self.calls += 1
         return Changes(after + 1, (EndpointRemoved("x"),))
 
