Stop without cutting what was taken too late: weigh the risk, refuse the rest

Callers lost whole answers in rolling restarts: an entry took a generation in the fourth second after SIGTERM, because the mean answer would have ended, and cut it 4.2 s later.

What it takes is now decided by the distribution of recent answers while it is in the balancer's rotation, against the risk that a refused caller meets another stopping entry, and by the request's own limits after that. Entries tell each other that they stop, and Retry-After is when another one is expected. What waited for a slot is checked again when it gets one.

The tests of a long stream out of rotation and of a queued generation failed before.

--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_gateway.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_gateway.py
@@ -42,8 +42,10 @@
 from vanillashore_gateway._prefill_scheduler import PrefillScheduler
 from vanillashore_gateway._quota import QuotaSettings
 from vanillashore_gateway._quota_requests import Quotas
+from vanillashore_gateway._rotation import Rotation
 from vanillashore_gateway._routing import RouteTable, pick_service
 from vanillashore_gateway._sending import Sender
+from vanillashore_gateway._shutdown import Shutdown
 from vanillashore_gateway._slot_finder import SlotFinder
 
 EXPIRY_CHECK_DELAY_S = 2.0  # Slightly longer than Membership's grace period.
@@ -52,10 +54,6 @@
 # entries that restart.
 BUDGET_SHARE = 0.8
 QUOTA_WAIT_SHARE = 0.3  # Longest wait for rate-limit tokens, as a share of the target latency.
-# Multiple of the mean duration after which a stopping process expects a new generation to end; one
-# that takes longer may still finish.
-USUAL_ANSWER_FACTOR = 1.3
-STOPPING_RETRY_AFTER_S = 0.1  # A retry reaches another entry.
 UNKNOWN_ROUTE = "none"
 
 
@@ -97,8 +95,8 @@
         self.balancer = Balancer(cfg.data_centre, rng)
         self.calls = EngineCalls(dialect, self.pool)
         self.duty = DutyState()
-        self.stops_at: float | None = None
-        self.out_of_rotation_at = 0.0
+        self.rotation = Rotation(cfg.node, now)
+        self.shutdown = Shutdown(self.rotation, now, rng)
         self.active = 0
         self._rng = rng
         self._dialect = dialect
@@ -127,6 +125,7 @@
             self.crashes,
             self.membership,
             self._budgets,
+            self.shutdown,
             now,
             rng,
         )
@@ -146,7 +145,7 @@
     @property
     def is_ready(self) -> bool:
         """Whether the entry accepts new callers."""
-        return self._table is not None and self._has_snapshot and self.stops_at is None
+        return self._table is not None and self._has_snapshot and self.shutdown.ends_at is None
 
     async def handle(self, inbound: Inbound, responder: Responder) -> None:
         """Answer one request of a caller."""
@@ -252,22 +251,11 @@
         return job
 
     def _check_shutdown(self, job: Job) -> None:
-        """Refuse a request that may not finish before a stopping process exits.
-
-        Callers still connect while no other entry is in rotation, as in a quick rolling restart.
-        Plain requests that arrive while this process is in rotation are always accepted: they have
-        nearly the whole grace time, far more than they usually take.
-        """
-        if self.stops_at is None:
-            return
-        ends_at = job.give_up_at
         if job.route.is_generation:
-            usual_s = self.slot_finder.queue(job.service.name).answer_s * USUAL_ANSWER_FACTOR
-            ends_at = min(ends_at, now() + usual_s)
-        elif now() < self.out_of_rotation_at:
-            return
-        if ends_at > self.stops_at:
-            raise refusal(ErrorCode.STOPPING, "this entry is shutting down", STOPPING_RETRY_AFTER_S)
+            wait_s = self.slot_finder.queue(job.service.name).expected_wait_s()
+            job.check_shutdown(self.shutdown, wait_s)
+        else:
+            self.shutdown.check_call(job.give_up_at)
 
     async def _acquire_quota(
         self, req: CallerRequest, workspace: Workspace, max_wait_s: float
@@ -329,6 +317,7 @@
         self.quotas.update_entries(self._entries)
         self.crashes.update_entries(self._entries)
         self.prefills.update_entries(self._entries)
+        self.rotation.update_entries(self._entries)
         self._budgets.resize(self.cfg.retry_slack * BUDGET_SHARE / count)
 
     def _prefill_engines(self, service: str) -> list[Endpoint]:
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_generation.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_generation.py
@@ -91,6 +91,7 @@
             is_used = False
             try:
                 if attempt == 1:
+                    self._job.check_shutdown(self._tools.shutdown)
                     handle = await self._prefill(endpoint)
                 usable = handle if handle is not None and self._is_fresh(handle) else None
                 current = hold if self._tools.clock() < self._hold_usable_until(hold) else None
@@ -104,6 +105,9 @@
                 self._tools.crashes.record_success(self._job.fingerprint)
                 held_s = self._tools.clock() - hold.taken_at
                 self._tools.slot_finder.record_answer_time(self._job.service, held_s)
+                self._tools.shutdown.record_answer(
+                    self._job.service.name, self._job.req.generation_size, held_s
+                )
                 self._log_answered()
                 return
             if outcome is not _Outcome.NOT_SENT:
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_job.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_job.py
@@ -14,6 +14,7 @@
 from vanillashore_gateway._prefill_estimator import PrefillEstimator
 from vanillashore_gateway._prefill_scheduler import PrefillScheduler
 from vanillashore_gateway._sending import Sender
+from vanillashore_gateway._shutdown import Shutdown
 from vanillashore_gateway._slot_finder import SlotFinder
 from vanillashore_resilience import RetryBudget
 
@@ -55,6 +56,7 @@
     crashes: CrashMonitor
     membership: Membership
     budgets: RetryBudgets
+    shutdown: Shutdown
     clock: Callable[[], float]
     rng: random.Random
 
@@ -98,6 +100,12 @@
         )
         return endpoint
 
+    def check_shutdown(self, shutdown: Shutdown, wait_s: float = 0.0) -> None:
+        """Raise RefusalError if this generation may not end before a stopping process does."""
+        shutdown.check_generation(
+            self.service.name, self.req.generation_size, self.req.arrived, self.give_up_at, wait_s
+        )
+
     def record_disconnect(self, tools: Tools, endpoint: Endpoint) -> None:
         """Record that an endpoint's connection broke while it ran the request."""
         tools.crashes.record_disconnect(self.fingerprint, endpoint, self.req.log_id)
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_process.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_process.py
@@ -92,7 +92,7 @@
         await self._listen(self._cfg.metrics, ListenerState(self._answer_metrics, now))
         loop, gateway = asyncio.get_running_loop(), self.gateway
         transport, _ = await loop.create_datagram_endpoint(
-            lambda: PeerSocket(gateway.quotas, gateway.crashes, gateway.prefills),
+            lambda: PeerSocket(gateway.quotas, gateway.crashes, gateway.prefills, gateway.rotation),
             local_addr=self._cfg.peers,
         )
         self._peers = transport
@@ -148,14 +148,16 @@
         """
         gateway = self.gateway
         began = now()
-        gateway.stops_at = began + self._cfg.grace_s - STOP_MARGIN_S
-        gateway.out_of_rotation_at = began + self._cfg.rotation_s
+        ends_at = began + self._cfg.grace_s - STOP_MARGIN_S
+        out_of_rotation_at = began + self._cfg.rotation_s
+        gateway.shutdown.begin(ends_at, out_of_rotation_at)
+        self._start_task(gateway.rotation.announce_stop(out_of_rotation_at, ends_at))
         gateway.front.is_closing = True
         log.bind(active=gateway.active, connections=len(gateway.front.connections)).info("stopping")
         await asyncio.sleep(self._cfg.rotation_s)
         self._close_idle()
         with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(gateway.stops_at - now()):
+            async with asyncio.timeout(ends_at - now()):
                 await gateway.front.wait_closed()
         await self._registration.withdraw()
         self.close()
--- a/tests/gateway/test_prefill_scheduler.py
+++ b/tests/gateway/test_prefill_scheduler.py
@@ -20,6 +20,7 @@
     decode_prefill,
 )
 from vanillashore_gateway._quota_requests import Quotas
+from vanillashore_gateway._rotation import Rotation
 from vanillashore_standins import wait_until
 
 TARGET_S = 0.9
@@ -180,7 +181,10 @@
         scheduler = PrefillScheduler(name, estimator, lambda service: ENGINES[:2], loop.time)
         transport, _ = await loop.create_datagram_endpoint(
             lambda name=name, scheduler=scheduler: PeerSocket(
-                Quotas(name, QuotaSettings(), loop.time), CrashMonitor(name, loop.time), scheduler
+                Quotas(name, QuotaSettings(), loop.time),
+                CrashMonitor(name, loop.time),
+                scheduler,
+                Rotation(name, loop.time),
             ),
             local_addr=("127.0.0.1", 0),
         )
--- /dev/null
+++ b/tests/gateway/test_shutdown.py
@@ -0,0 +1,107 @@
+"""Which generations a stopping entry accepts."""
+
+import random
+
+import pytest
+
+from vanillashore_gateway import RefusalError
+from vanillashore_gateway._domain import GenerationSize
+from vanillashore_gateway._rotation import Rotation, StoppingNotice
+from vanillashore_gateway._shutdown import AnswerTimes, Shutdown
+
+SERVICE = "models"
+USUAL_TOKENS = 60
+PACE_S = 0.05
+OUT_OF_ROTATION_AT = 3.0
+ENDS_AT = 7.0
+FAR = 60.0
+
+
+class _Entry:
+    """An entry named a that stops at time 0, among ``entries``."""
+
+    def __init__(self, entries: int, seconds: list[float]) -> None:
+        self.now = 0.0
+        names = "abcdefghij"[:entries]
+        self.rotation = Rotation("a", lambda: self.now)
+        self.rotation.update_entries(dict.fromkeys(names, ("127.0.0.1", 1)))
+        self.shutdown = Shutdown(self.rotation, lambda: self.now, random.Random(1))
+        for taken_s in seconds:
+            self.shutdown.record_answer(SERVICE, GenerationSize(3_000, USUAL_TOKENS), taken_s)
+        self.shutdown.begin(ENDS_AT, OUT_OF_ROTATION_AT)
+        self.stop("a")
+
+    def stop(self, name: str, out_of_rotation_at: float = OUT_OF_ROTATION_AT) -> None:
+        notice = StoppingNotice(name, out_of_rotation_at, ENDS_AT)
+        self.rotation.datagram_received(notice.encode(), ("127.0.0.1", 1))
+
+    def accepts(
+        self,
+        now: float,
+        tokens: int = USUAL_TOKENS,
+        arrived: float | None = None,
+        give_up_at: float = FAR,
+        wait_s: float = 0.0,
+    ) -> bool:
+        self.now = now
+        size = GenerationSize(3_000, tokens)
+        arrived = now if arrived is None else arrived
+        try:
+            self.shutdown.check_generation(SERVICE, size, arrived, give_up_at, wait_s)
+        except RefusalError as exc:
+            return exc.refused.ran != "no" or not exc.refused.retry_after_s
+        return True
+
+
+def test_out_of_rotation_a_long_generation_is_refused_although_most_are_short() -> None:
+    entry = _Entry(entries=3, seconds=[2.0] * 100)
+    assert entry.accepts(3.1)
+    assert not entry.accepts(3.1, tokens=3 * USUAL_TOKENS)
+    assert not entry.accepts(5.0)
+
+
+def test_out_of_rotation_the_pace_of_the_slowest_recent_answer_counts() -> None:
+    entry = _Entry(entries=3, seconds=[2.0] * 99 + [4.0])
+    assert not entry.accepts(3.1)
+
+
+def test_in_rotation_the_risk_of_a_cut_is_weighed_against_a_second_refusal() -> None:
+    assert not _Entry(entries=10, seconds=[2.0] * 80 + [6.5] * 20).accepts(1.0)
+    assert _Entry(entries=3, seconds=[2.0] * 80 + [6.5] * 20).accepts(1.0)
+
+
+def test_in_rotation_an_answer_that_is_likely_to_be_cut_is_refused() -> None:
+    entry = _Entry(entries=1, seconds=[2.0] * 70 + [6.5] * 30)
+    assert entry.accepts(0.1)
+    assert not entry.accepts(1.0)
+
+
+def test_wait_for_a_slot_counts() -> None:
+    entry = _Entry(entries=3, seconds=[4.0] * 100)
+    assert entry.accepts(1.0)
+    assert not entry.accepts(1.0, wait_s=2.5)
+
+
+def test_generation_that_arrived_in_rotation_is_checked_again_by_its_arrival() -> None:
+    entry = _Entry(entries=3, seconds=[2.0] * 90 + [6.5] * 10)
+    for other in "bc":
+        entry.stop(other, out_of_rotation_at=4.0)
+    assert entry.accepts(3.5, arrived=2.9)
+    assert not entry.accepts(3.5, arrived=3.1)
+
+
+@pytest.mark.parametrize("answers", [0, 3])
+def test_while_few_answers_are_known_usual_ones_are_assumed_in_rotation_only(answers: int) -> None:
+    entry = _Entry(entries=3, seconds=[0.1] * answers)
+    assert entry.accepts(2.9)
+    assert not entry.accepts(2.9, wait_s=0.2)
+    assert entry.accepts(3.1, give_up_at=ENDS_AT)
+    assert not entry.accepts(3.1, give_up_at=ENDS_AT + 0.1)
+
+
+def test_longest_time_grows_with_the_size() -> None:
+    times = AnswerTimes()
+    for _ in range(100):
+        times.record(3.0, 60)
+    assert 3.0 < times.longest_s(60) < 4.0
+    assert times.longest_s(600) > 20.0
--- a/tests/gateway/test_stop.py
+++ b/tests/gateway/test_stop.py
@@ -69,7 +69,7 @@
         streaming = asyncio.ensure_future(rig.generate("/idea/1", "long"))
         await wait_until(lambda: bool(rig.decodes[0].runs))
         stopping = asyncio.ensure_future(rig.process.shut_down())
-        await wait_until(lambda: rig.process.gateway.stops_at is not None)
+        await wait_until(lambda: rig.process.gateway.shutdown.ends_at is not None)
         short = await rig.ask("POST", "/pay/1", "id-1", b"pay", X_Deadline_Ms="500")
         assert short.status == 200
         long = await rig.generate("/idea/1", "id-2")
@@ -83,3 +83,35 @@
         assert again.status == 200
         streaming.cancel()
         await stopping
+
+
+async def test_long_stream_is_refused_out_of_rotation_although_answers_are_usually_short() -> None:
+    options = EngineOptions(events=2, pause_s=0.0)
+    async with PlatformRig(prefills=1, decodes=1, engine=options) as rig:
+        for number in range(20):
+            await rig.generate("/idea/1", f"short-{number}", X_Token_Count="1000,2")
+        rig.decodes[0].engine.events, rig.decodes[0].engine.pause_s = 1_000, 0.02
+        streaming = asyncio.ensure_future(rig.generate("/idea/1", "active"))
+        await wait_until(lambda: len(rig.decodes[0].runs) == 21)
+        stopping = asyncio.ensure_future(rig.process.shut_down())
+        await asyncio.sleep(rig.process._cfg.rotation_s + 0.1)
+        answer = await rig.generate("/idea/1", "long", X_Token_Count="1000,1000000")
+        assert (answer.status, rig.arrivals("long")) == (503, [])
+        assert b'"ran":"no"' in answer.body
+        streaming.cancel()
+        await stopping
+
+
+async def test_queued_generation_is_refused_once_it_cannot_end_in_time() -> None:
+    async with PlatformRig(prefills=1, decodes=1) as rig:
+        engine = rig.decodes[0].engine
+        engine.room = 0
+        queued = asyncio.ensure_future(rig.generate("/idea/1", "queued", X_Deadline_Ms="60000"))
+        await wait_until(lambda: len(rig.process.gateway.slot_finder.queue("models")) == 1)
+        stopping = asyncio.ensure_future(rig.process.shut_down())
+        await asyncio.sleep(0)
+        engine.room = 1_000_000
+        answer = await queued
+        assert (answer.status, rig.arrivals("queued")) == (503, [])
+        assert b'"code":"stopping"' in answer.body
+        await stopping
