Transfer shares of a leaving entry until every loan has ended

A workspace could lose part of its rate when an entry left: shares that were lent at that moment stayed with the entry that was gone, until its VM left the VM list.

The leaving entry recalled lent shares for 1.5 s and then transferred what it had; a loan lasts up to 2.0 s. It also gave up on all shares if another process changed the table at the same time.

It now repeats the transfer until no share is left or every loan has surely ended, and logs what remains. The two new tests cause both cases and failed before.

--- a/packages/vanillashore-node/src/vanillashore_node/_share_ownership.py
+++ b/packages/vanillashore-node/src/vanillashore_node/_share_ownership.py
@@ -106,17 +106,33 @@
                 log.bind(error=str(exc)).debug("maintaining the share table failed")
 
     async def leave(self) -> None:
-        """Transfer all shares before this process stops, unless the store is unavailable."""
+        """Transfer all shares before this process stops, unless the store is unavailable.
+
+        An attempt leaves those that are still lent, and all if another process has changed the
+        table meanwhile, so attempts go on until every loan has surely ended.
+        """
         self._leaving = True
         self._holder_task.release_all()
-        table = self._table
-        live = [vm for vm in self._live_entries() if vm.name != self._name]
-        if table is None or not live:
-            return
+        share = self._core.cfg.share
+        loans_end_at = time.monotonic() + share.loan_s * (1 + share.clock_rate_bound)
         try:
-            await self._transfer(table, departure_moves(table.rows, self._name, live))
+            while moves := self._departure_moves():
+                is_last = time.monotonic() > loans_end_at
+                await self._transfer(self._table, moves)
+                if is_last:
+                    break
+                await asyncio.sleep(RECALL_POLL_S)
         except VanillashoreError as exc:
             log.bind(error=str(exc)).warning("the shares were not transferred")
+            return
+        if remaining := len(self._departure_moves()):
+            log.bind(shares=remaining).warning("some shares were not transferred")
+
+    def _departure_moves(self) -> list[Move]:
+        live = [vm for vm in self._live_entries() if vm.name != self._name]
+        if self._table is None or not live:
+            return []
+        return departure_moves(self._table.rows, self._name, live)
 
     async def _follow(self) -> None:
         read_started_at = time.monotonic()
--- a/tests/node/test_share_status.py
+++ b/tests/node/test_share_status.py
@@ -1,15 +1,19 @@
 """Status and metrics of an entry's shares."""
 
 import asyncio
+from collections.abc import Callable
 from typing import Any
 
+import pytest
 from opentelemetry.sdk.metrics import MeterProvider
 from opentelemetry.sdk.metrics.export import InMemoryMetricReader
 
 from vanillashore_node._share_metrics import observe_shares
+from vanillashore_node._share_ownership import ShareOwnership
 from vanillashore_schema import ShareSettings
-from vanillashore_share import HolderStatus
+from vanillashore_share import HolderStatus, Move
 from vanillashore_standins.testing import FLEET_SECRET, FleetPlan, SmallFleet
+from vanillashore_wire import ShareLevels, ShareRow, ShareTable
 
 SETTLE_TIMEOUT_S = 20.0
 
@@ -73,6 +77,43 @@
             assert response.status == 200
 
 
+def _fail_first_write(ownership: ShareOwnership) -> None:
+    """Let another write of the table precede the first one of this entry."""
+    store, write = ownership._store, ownership._store.write
+
+    async def write_after_another(rows: tuple[ShareRow, ...], version: int) -> ShareTable | None:
+        store.write = write
+        await write(ownership.table.rows, version)
+        return await write(rows, version)
+
+    store.write = write_after_another
+
+
+def _fail_first_recall(ownership: ShareOwnership) -> None:
+    """Keep all shares lent in the first attempt to recall them."""
+    suspend = ownership._suspend_shares
+
+    async def find_all_lent(moves: list[Move]) -> dict[Move, ShareLevels]:
+        ownership._suspend_shares = suspend
+        return {}
+
+    ownership._suspend_shares = find_all_lent
+
+
+@pytest.mark.parametrize("fail_first", [_fail_first_write, _fail_first_recall])
+async def test_leaving_entry_transfers_its_shares_in_a_second_attempt(
+    fail_first: Callable[[ShareOwnership], None],
+) -> None:
+    async with SmallFleet(FleetPlan(entries=4, prefills=0, decodes=0)) as fleet:
+        leaving = fleet.entries[1]
+        remaining = [fleet.entries[i] for i in (0, 2, 3)]
+        fail_first(leaving.shares._ownership)
+        await leaving.core.shut_down()
+        await fleet.until(
+            lambda: sum(e.shares.status().holder.owned for e in remaining) == 3 * 1_024
+        )
+
+
 async def test_shares_of_a_dead_entry_are_taken_over() -> None:
     share = ShareSettings(loan_s=0.4, renewal_s=0.15, grace_s=1.0, demand_s=0.5)
     plan = FleetPlan(entries=4, prefills=0, decodes=0, share=share)
