Open another link for a message that comes while an idle one closes

Callers could get peer_unreachable ('the link closed') in the moment in which an idle link between two processes closed: the close takes a round trip, and a message given to the link meanwhile waited there and failed.

The link is taken out of the hub before it closes. The new test failed before.

--- a/packages/vanillashore-node/src/vanillashore_node/_link.py
+++ b/packages/vanillashore-node/src/vanillashore_node/_link.py
@@ -133,6 +133,8 @@
                 try:
                     await self._read(socket)
                 finally:
+                    # Closing takes a round trip; new messages must not wait on this link.
+                    self._hub.remove_link(self._address, self)
                     sender.cancel()
         except (aiohttp.ClientError, OSError, ValueError, TimeoutError) as exc:
             log.bind(address=self._address, error=repr(exc)).debug("a link failed")
--- a/tests/node/test_link.py
+++ b/tests/node/test_link.py
@@ -90,6 +90,29 @@
         assert await pair.client.ask(pair.address, MESSAGE, 2.0) == Ack()
 
 
+async def test_message_during_the_close_of_an_idle_link_goes_over_another(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async with linked() as pair:
+        closing, may_close = asyncio.Event(), asyncio.Event()
+        connect = pair.client.connect
+
+        @asynccontextmanager
+        async def connect_and_close_slowly(address: str) -> AsyncIterator[Any]:
+            async with connect(address) as socket:
+                yield socket
+                closing.set()
+                await may_close.wait()
+
+        monkeypatch.setattr(pair.client, "connect", connect_and_close_slowly)
+        await pair.client.ask(pair.address, MESSAGE, 2.0)
+        await closing.wait()
+        asked = asyncio.ensure_future(pair.client.ask(pair.address, MESSAGE, 2.0))
+        await asyncio.sleep(0)
+        may_close.set()
+        assert await asked == Ack()
+
+
 async def test_each_batch_carries_the_revision() -> None:
     seen: list[tuple[int, str]] = []
     async with linked() as pair:
