--- a/tests/gateway/test_following.py
+++ b/tests/gateway/test_following.py
@@ -296,3 +296,15 @@
         assert listener.changed_at - began <= APPLY_LIMIT_S
 
     run_in_virtual_time(follow())
+
+
+@pytest.mark.parametrize("value", [b"\xff", b"{}", b"[1]", b'["host"]'])
+async def test_malformed_record_of_another_entry_is_ignored(value: bytes) -> None:
+    async with PlatformRig(services=1) as rig:
+        rig.store.put("vanillashore/entries/other", value)
+        rig.store.put("vanillashore/duties/other", b"\xff")
+        rig.store.put("op/config", configuration(6))
+        await wait_until(lambda: rig.process.gateway.config_version == 6)
+        rig.store.drop_history()
+        rig.store.put("op/config", configuration(7))
+        await wait_until(lambda: rig.process.gateway.config_version == 7)
