Hold the first change back until the second is accepted, not for 0.6 s

test_key_is_usable_again_after_another_change_supersedes_its_withdrawal failed beside load with a ConflictError of the second change. Traced: the first one went on 0.6 s after its announcement, and on a busy machine eight entries and the second change took longer than that.

The first change's swap of the head now waits for an event that the test sets after the second one is accepted. The assertions are the same.

--- a/tests/node/test_config_following.py
+++ b/tests/node/test_config_following.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from typing import Any
 
 import attrs
 import pytest
@@ -21,6 +22,7 @@
 from vanillashore_store import (
     CHUNK_PREFIX,
     HEAD_KEY,
+    CasResult,
     ConfigReplica,
     ConfigStore,
     ConflictError,
@@ -300,11 +302,24 @@
             assert (await response.json())["code"] == "revision_stale"
 
 
+class _HeldStore(EtcdStore):
+    """A client that holds back swaps of the head until ``may_swap`` is set."""
+
+    def __init__(self, *args: Any) -> None:
+        super().__init__(*args)
+        self.may_swap = asyncio.Event()
+
+    async def compare_and_swap(self, key: str, *args: Any) -> CasResult:
+        if key == HEAD_KEY:
+            await self.may_swap.wait()
+        return await super().compare_and_swap(key, *args)
+
+
 async def test_key_is_usable_again_after_another_change_supersedes_its_withdrawal() -> None:
     plan = _plan(entries=8, services=1)
     async with SmallFleet(plan) as fleet:
-        store = EtcdStore(fleet.session, fleet._platform.store_address, 2.0)
-        slow = ConfigStore(store, announce_pause_s=0.6)
+        store = _HeldStore(fleet.session, fleet._platform.store_address, 2.0)
+        slow = ConfigStore(store, announce_pause_s=0.0)
         withdrawing = asyncio.ensure_future(
             slow.apply(_without_key(small_configuration(plan), 0), 1)
         )
@@ -315,6 +330,7 @@
         assert (error["code"], error["ran"]) == ("key_in_doubt", "no")
 
         await fleet.config_store.apply(_with_rate(plan, 77.0), 1)
+        store.may_swap.set()
         with pytest.raises(ConflictError):
             await withdrawing
         await _until_installed(fleet, 2)
