Ignore messages of unknown kinds and additional fields of another build

In a rolling upgrade an entry treated each datagram of a kind that it did not know as a malformed one of the rate limits and logged it, and dropped messages with additional fields.

Additional fields are left out now, and unknown kinds are counted and logged once each.

--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_crashes.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_crashes.py
@@ -145,13 +145,13 @@
 def decode_crash(data: bytes) -> CrashMessage:
     """Decode a datagram; raise ValueError if it is none of these messages."""
     match orjson.loads(data):
-        case ["crash", str(fingerprint), str(instance)]:
+        case ["crash", str(fingerprint), str(instance), *_]:
             return CrashReport(fingerprint, instance)
-        case ["crash suspect", str(fingerprint)]:
+        case ["crash suspect", str(fingerprint), *_]:
             return SuspectNotice(fingerprint)
-        case ["crash over", str(fingerprint)]:
+        case ["crash over", str(fingerprint), *_]:
             return CrashCleared(fingerprint)
-        case ["crash refuse", str(fingerprint)]:
+        case ["crash refuse", str(fingerprint), *_]:
             return RefusalNotice(fingerprint)
     raise ValueError("not a crash message")
 
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_instruments.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_instruments.py
@@ -27,6 +27,9 @@
         meter = self._provider.get_meter("vanillashore")
         self._duration = meter.create_histogram(REQUEST_DURATION, "s")
         self._refusals = meter.create_counter("vanillashore.refusals", "{request}")
+        self._ignored_datagrams = meter.create_counter(
+            "vanillashore.peer.datagrams.ignored", "{datagram}"
+        )
         meter.create_observable_counter("process.cpu.time", [_cpu_time], "s")
         for name, read in gauges.items():
             meter.create_observable_gauge(name, [_observer(read)])
@@ -40,6 +43,10 @@
         """Count a refusal."""
         self._refusals.add(1, {"error.type": code})
 
+    def record_ignored_datagram(self) -> None:
+        """Count a datagram that was ignored."""
+        self._ignored_datagrams.add(1)
+
     def render(self) -> bytes:
         """Return the metrics in the Prometheus text format."""
         return generate_latest(self._registry)
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_metrics.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_metrics.py
@@ -44,6 +44,10 @@
         """Count a request that the gateway refused or gave up."""
         self._record(lambda instruments: instruments.record_refusal(code))
 
+    def record_ignored_datagram(self) -> None:
+        """Count a datagram of another entry whose kind is unknown."""
+        self._record(lambda instruments: instruments.record_ignored_datagram())
+
     def render(self) -> bytes | None:
         """Return the metrics as text, or ``None`` until the instruments are loaded."""
         return None if self._instruments is None else self._instruments.render()
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_peers.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_peers.py
@@ -1,16 +1,26 @@
 """The socket for datagrams between entries, and the dispatch of messages to their handlers."""
 
 import asyncio
+from collections.abc import Callable
 from typing import Any
 
+from loguru import logger as log
+
 from vanillashore_gateway._crashes import CrashMonitor
 from vanillashore_gateway._prefill_scheduler import PrefillScheduler
 from vanillashore_gateway._quota_requests import Quotas
 from vanillashore_gateway._rotation import Rotation
 
+KIND_BYTES = 24  # Of a datagram of unknown kind, for the log.
+MAX_LOGGED_KINDS = 16
+
 
 class PeerSocket(asyncio.DatagramProtocol):
-    """Dispatches datagrams of other entries by their prefix."""
+    """Dispatches datagrams of other entries by their prefix.
+
+    Entries of another build may send messages of unknown kinds; ``record_ignored`` counts them, and
+    each kind is logged once.
+    """
 
     def __init__(
         self,
@@ -18,26 +28,28 @@
         crashes: CrashMonitor,
         prefills: PrefillScheduler,
         rotation: Rotation,
+        record_ignored: Callable[[], None],
     ) -> None:
-        self._quotas = quotas
-        self._crashes = crashes
-        self._prefills = prefills
-        self._rotation = rotation
+        self._handlers = (quotas, crashes, prefills, rotation)
+        self._record_ignored = record_ignored
+        self._logged_kinds: set[bytes] = set()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Pass the socket to the components that send on it."""
-        self._quotas.connection_made(transport)
-        self._crashes.connection_made(transport)
-        self._prefills.connection_made(transport)
-        self._rotation.connection_made(transport)
+        for handler in self._handlers:
+            handler.connection_made(transport)
 
     def datagram_received(self, data: bytes, addr: Any) -> None:
         """Pass a datagram to its handler."""
-        if data.startswith(PrefillScheduler.PREFIX):
-            self._prefills.datagram_received(data, addr)
-        elif data.startswith(CrashMonitor.PREFIX):
-            self._crashes.datagram_received(data, addr)
-        elif data.startswith(Rotation.PREFIX):
-            self._rotation.datagram_received(data, addr)
-        else:
-            self._quotas.datagram_received(data, addr)
+        for handler in self._handlers:
+            if data.startswith(handler.PREFIX):
+                handler.datagram_received(data, addr)
+                return
+        self._ignore(data, addr)
+
+    def _ignore(self, data: bytes, addr: Any) -> None:
+        self._record_ignored()
+        kind = data.partition(b",")[0][:KIND_BYTES]
+        if kind not in self._logged_kinds and len(self._logged_kinds) < MAX_LOGGED_KINDS:
+            self._logged_kinds.add(kind)
+            log.bind(sender=addr, kind=repr(kind)).warning("ignored a datagram of unknown kind")
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_prefill_scheduler.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_prefill_scheduler.py
@@ -77,14 +77,15 @@
 def decode_prefill(data: bytes) -> PrefillMessage:
     """Decode a datagram; raise ValueError if it is none of these messages."""
     match orjson.loads(data):
-        case ["prefill", int(number), str(service), [*prompt], [*tried]]:
+        case ["prefill", int(number), str(service), [*prompt], [*tried], *_]:
             try:
-                return PrefillRequest(number, service, Prompt(*prompt), tuple(map(str, tried)))
+                known = Prompt(*prompt[: len(attrs.fields(Prompt))])
+                return PrefillRequest(number, service, known, tuple(map(str, tried)))
             except TypeError as exc:
                 raise ValueError(f"malformed prompt: {exc}") from exc
-        case ["prefill place", int(number), str(instance), float(expected_s) | int(expected_s)]:
+        case ["prefill place", int(number), str(instance), float(expected_s) | int(expected_s), *_]:
             return PrefillAnswer(number, instance, float(expected_s))
-        case ["prefill ended", int(number), bool(succeeded), int(queued) | (None as queued)]:
+        case ["prefill ended", int(number), bool(succeeded), int(queued) | (None as queued), *_]:
             return PrefillEnded(number, succeeded, queued)
     raise ValueError("not a prefill message")
 
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_process.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_process.py
@@ -92,7 +92,13 @@
         await self._listen(self._cfg.metrics, ListenerState(self._answer_metrics, now))
         loop, gateway = asyncio.get_running_loop(), self.gateway
         transport, _ = await loop.create_datagram_endpoint(
-            lambda: PeerSocket(gateway.quotas, gateway.crashes, gateway.prefills, gateway.rotation),
+            lambda: PeerSocket(
+                gateway.quotas,
+                gateway.crashes,
+                gateway.prefills,
+                gateway.rotation,
+                gateway.metrics.record_ignored_datagram,
+            ),
             local_addr=self._cfg.peers,
         )
         self._peers = transport
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_quota_requests.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_quota_requests.py
@@ -62,9 +62,9 @@
 def decode_datagram(data: bytes) -> QuotaRequest | QuotaAnswer:
     """Decode a datagram; raise ValueError if it is none of these messages."""
     match orjson.loads(data):
-        case ["ask", int(number), str(workspace), int(need), int(spare)]:
+        case ["ask", int(number), str(workspace), int(need), int(spare), *_]:
             return QuotaRequest(number, workspace, need, spare)
-        case ["grant", int(number), int(tokens), float(wait_s) | int(wait_s)]:
+        case ["grant", int(number), int(tokens), float(wait_s) | int(wait_s), *_]:
             return QuotaAnswer(number, Grant(tokens, float(wait_s)))
     raise ValueError("not a quota message")
 
@@ -72,6 +72,8 @@
 class Quotas(asyncio.DatagramProtocol):
     """Rate limits at one entry: spare tokens, requests to homes, and grants as a home itself."""
 
+    PREFIX = (b'["ask"', b'["grant"')
+
     def __init__(self, node: str, settings: QuotaSettings, clock: Callable[[], float]) -> None:
         self._node = node
         self._clock = clock
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_rotation.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_rotation.py
@@ -33,7 +33,7 @@
 def decode_notice(data: bytes) -> StoppingNotice:
     """Decode a datagram; raise ValueError if it is not a notice."""
     match orjson.loads(data):
-        case ["stopping", str(name), float(in_rotation_s), float(left_s)]:
+        case ["stopping", str(name), float(in_rotation_s), float(left_s), *_]:
             return StoppingNotice(name, in_rotation_s, left_s)
     raise ValueError("not a notice of a stopping entry")
 
--- a/tests/gateway/test_prefill_scheduler.py
+++ b/tests/gateway/test_prefill_scheduler.py
@@ -185,6 +185,7 @@
                 CrashMonitor(name, loop.time),
                 scheduler,
                 Rotation(name, loop.time),
+                lambda: None,
             ),
             local_addr=("127.0.0.1", 0),
         )
