Count the reads of a configuration with a time limit that a busy machine keeps

test_only_relays_watch_the_store_and_read_changed_chunks failed beside load, once with 20 reads of chunks instead of at most 14, once without watches. Its fleet gives each call of the store 0.2 s, which the tests of store faults need; a read that takes longer is repeated and counted twice, and ends the relay's watch. With the store delayed by 0.25 s the test failed each time; with the default limit of 2 s it passes, also delayed. The bounds are the same.

--- a/tests/node/test_config_following.py
+++ b/tests/node/test_config_following.py
@@ -105,7 +105,8 @@
 
 
 async def test_only_relays_watch_the_store_and_read_changed_chunks() -> None:
-    plan = _plan(entries=15)
+    # A read that takes longer than its time limit would be counted twice.
+    plan = attrs.evolve(_plan(entries=15), store_timeout_s=2.0)
     async with SmallFleet(plan) as fleet:
         await fleet.until(lambda: len(_relays(fleet)) == 6)
         await fleet.until(lambda: fleet.kv.watchers(HEAD_KEY) == 6)
