--- a/packages/vanillashore-gateway/src/vanillashore_gateway/__init__.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/__init__.py
@@ -59,8 +59,8 @@
 from vanillashore_gateway._quota import QuotaSettings
 
 __all__ = [
-    "AnswerTooLargeError",
     "AnswerHead",
+    "AnswerTooLargeError",
     "CallerLimits",
     "CallerRequest",
     "Change",
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_following.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_following.py
@@ -21,7 +21,7 @@
 BATCH_DELAY_S = 0.6  # Before the next watch: changes come in groups, and each call is billed.
 RETRY_MIN_S = 0.1
 RETRY_MAX_S = 0.8  # Well below the time limit for applying a change.
-SNAPSHOT_MARGIN_BYTES = 65_536  # Up to here, changes are cheaper than a snapshot and two calls.
+SNAPSHOT_MARGIN_BYTES = 65_536  # Smaller savings are not worth giving up a call.
 REGISTRATION_TTL_S = 8.0  # Two renewals may fail before other entries drop this one.
 RENEW_EVERY_S = 2.5
 OUTAGE_LOG_EVERY_S = 5.0
@@ -74,7 +74,7 @@
         self._watch_s = watch_s
         self._rng = rng
         self._revision: int | None = None
-        self._snapshot_bytes = 0  # Estimate.
+        self._snapshot_bytes = 0  # What a snapshot would transfer, as far as is known.
         self._outage_logged_at = 0.0
         self.contact = StoreContact(changed_at=clock())
 
