Let the soak stop an entry only once its interpreter handles SIGTERM

Traced: of 80 starts that were stopped after 0 to 120 ms, all 49 whose interpreter had not yet run the launcher's first lines ended with -15, and all 31 others with 0. Nothing of an entry runs before that, so no handler of ours can be there and no request can be lost.

The soak now waits after a start until the process has a handler for SIGTERM; it still stops entries during their imports and their start. The check of the exit code is as it was.

--- a/packages/vanillashore-standins/src/vanillashore_standins/soak/_entries.py
+++ b/packages/vanillashore-standins/src/vanillashore_standins/soak/_entries.py
@@ -10,6 +10,7 @@
 
 from vanillashore_standins._ports import free_ports
 from vanillashore_standins._process_log import last_line
+from vanillashore_standins._waiting import wait_until
 from vanillashore_standins.soak._proxy import FaultProxy
 
 ROOT = Path(__file__).resolve().parents[5]
@@ -64,7 +65,10 @@
         await self.store_proxy.__aexit__()
 
     async def start(self) -> None:
-        """Start the process (again)."""
+        """Start the process (again), and wait until it handles SIGTERM.
+
+        Before its first instruction the interpreter ends with an error on that signal.
+        """
         script = [str(MUTANTS), self._mutant] if self._mutant else [str(LAUNCHER)]
         settings = str(self._folder / f"{self.name}.conf")
         with self._log_path.open("ab") as log_file:
@@ -77,6 +81,7 @@
                 stdout=log_file,
                 stderr=log_file,
             )
+        await wait_until(lambda: self.has_ended or _handles_sigterm(self._process.pid), 30.0)
 
     async def kill(self, pause_s: float) -> None:
         """Kill the process and start it again after a pause."""
@@ -102,3 +107,12 @@
         """Send a signal to the process."""
         with contextlib.suppress(ProcessLookupError):  # The process has ended by itself.
             os.kill(self._process.pid, number)
+
+
+def _handles_sigterm(pid: int) -> bool:
+    try:
+        status = Path(f"/proc/{pid}/status").read_text(encoding="ascii", errors="replace")
+    except OSError:
+        return False
+    caught = next((line for line in status.splitlines() if line.startswith("SigCgt:")), "SigCgt: 0")
+    return bool(int(caught.split()[1], 16) >> (signal.SIGTERM - 1) & 1)
