Cancel background tasks again until they end

A process of the fleet could hang when it stopped: it cancelled its tasks once and waited for them, and the configuration follower went on following.

Evidence: test_change_is_installed_despite_store_faults[delay_s] hung for 120 s in a loop beside load.

--- a/packages/vanillashore-node/src/vanillashore_node/_tasks.py
+++ b/packages/vanillashore-node/src/vanillashore_node/_tasks.py
@@ -6,6 +6,8 @@
 
 from loguru import logger as log
 
+CANCEL_AGAIN_S = 2.0  # Longer than a task takes to close a link.
+
 
 class TaskGroup:
     """Owns background tasks; `close` cancels those that still run."""
@@ -21,10 +23,14 @@
         return task
 
     async def close(self) -> None:
-        """Cancel every task and wait for it to end."""
-        for task in list(self._tasks):
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        """Cancel every task and wait for it to end.
+
+        A cancellation that coincides with a time limit can be lost, so it is repeated.
+        """
+        while self._tasks:
+            for task in self._tasks:
+                task.cancel()
+            await asyncio.wait(self._tasks, timeout=CANCEL_AGAIN_S)
 
     def _on_done(self, task: asyncio.Task[Any]) -> None:
         self._tasks.discard(task)
