Close the listeners before the registration is withdrawn

A caller lost a payment in a rolling restart: it connected to an entry that had no connection left, the call ran, and the entry ended 4 ms later without an answer.

A stopping entry waited until no caller was connected, withdrew its registration from the store with a call, and closed its listeners only then; a caller accepted during that call was cut.

The listeners close first, and callers accepted until then are waited for. The new test failed before ('accepted').

--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_process.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_process.py
@@ -162,24 +162,34 @@
         log.bind(active=gateway.active, connections=len(gateway.front.connections)).info("stopping")
         await asyncio.sleep(self._cfg.rotation_s)
         self._close_idle()
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(ends_at - now()):
-                await gateway.front.wait_closed()
+        await self._wait_until_idle(ends_at)
+        # A caller who is accepted from here on would be cut.
+        self._close_listeners()
         await self._registration.withdraw()
+        await self._wait_until_idle(ends_at)
         self.close()
         took_s = round(now() - began, 3)
         log.bind(active=gateway.active, took_s=took_s).info("stopped")
 
+    async def _wait_until_idle(self, until: float) -> None:
+        """Wait until no caller is connected, or until the time is over."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(until - now()):
+                await self.gateway.front.wait_closed()
+
     def close(self) -> None:
         """Close the listeners and idle connections, and cancel all tasks."""
-        for server in self._servers:
-            server.close()
+        self._close_listeners()
         self._close_idle()
         if self._peers is not None:
             self._peers.close()
         for task in self._tasks:
             task.cancel()
 
+    def _close_listeners(self) -> None:
+        for server in self._servers:
+            server.close()
+
     def _close_idle(self) -> None:
         """Close callers' connections that have no active request."""
         for conn in list(self.gateway.front.connections):
--- a/tests/gateway/test_stop.py
+++ b/tests/gateway/test_stop.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+import pytest
+
 from vanillashore_standins import wait_until
 from vanillashore_standins.platform_endpoint import EngineOptions
 from vanillashore_standins.platform_rig import HOST, KEY, PlatformRig
@@ -115,3 +117,25 @@
         assert (answer.status, rig.arrivals("queued")) == (503, [])
         assert b'"code":"stopping"' in answer.body
         await stopping
+
+
+async def test_no_caller_is_accepted_while_the_registration_is_withdrawn(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async with PlatformRig(services=1) as rig:
+        address, withdraw = rig.process.front_address, rig.process._registration.withdraw
+        outcomes = []
+
+        async def connect_and_withdraw() -> None:
+            try:
+                _, writer = await asyncio.open_connection(*address)
+            except ConnectionRefusedError:
+                outcomes.append("refused")
+            else:
+                outcomes.append("accepted")
+                writer.close()
+            await withdraw()
+
+        monkeypatch.setattr(rig.process._registration, "withdraw", connect_and_withdraw)
+        await rig.process.shut_down()
+        assert outcomes == ["refused"]
