--- a/Makefile
+++ b/Makefile
@@ -4,6 +4,7 @@
 QUICK ?= 0
 KEEP ?= 0
 MINUTES ?= 2
+JOBS ?= 5
 VENV := .venv
 BIN := $(VENV)/bin
 PACKAGES := $(wildcard packages/*) platform
@@ -24,7 +25,7 @@
 # Tests listed in KNOWN-RED.txt are printed and passed over.
 test: venv
 	@if grep -q '^test:' KNOWN-RED.txt; then echo 'Known red, passed over:'; cat KNOWN-RED.txt; fi
-	$(BIN)/python -m pytest -q $$(sed -n 's/^test: */--deselect /p' KNOWN-RED.txt)
+	$(BIN)/python -m pytest -q -n $(JOBS) $$(sed -n 's/^test: */--deselect /p' KNOWN-RED.txt)
 
 lint: venv
 	$(BIN)/ruff format --check .
