--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_slot_queue.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_slot_queue.py
@@ -52,11 +52,6 @@
         self._assigned_at: float | None = None
         self._answer_s = INITIAL_ANSWER_S
 
-    @property
-    def answer_s(self) -> float:
-        """Mean time for which an answer holds its slot."""
-        return self._answer_s
-
     def __len__(self) -> int:
         return len(self._waiters)
 
--- a/packages/vanillashore-standins/src/vanillashore_standins/slow_link.py
+++ b/packages/vanillashore-standins/src/vanillashore_standins/slow_link.py
@@ -37,8 +37,6 @@
     def __init__(
         self, answer: StoreAnswer, bytes_per_s: float, stalls_after: int | None = None
     ) -> None:
-        self.calls: list[StoreCall] = []
-        self.delivered = 0
         self._answer = answer
         self._bytes_per_s = bytes_per_s
         self._stalls_after = stalls_after
@@ -73,7 +71,6 @@
         parts = urlsplit(target.decode())
         query = {name: values[0] for name, values in parse_qs(parts.query).items()}
         call = StoreCall(method.decode(), parts.path, query)
-        self.calls.append(call)
         body = await self._answer(call)
         data = f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n".encode() + body
         for start in range(0, len(data), PIECE_BYTES):
@@ -82,7 +79,6 @@
             piece = data[start : start + PIECE_BYTES]
             async with self._link:
                 await asyncio.sleep(len(piece) / self._bytes_per_s)
-            self.delivered += len(piece)
             conn.data_received(piece)
 
 
