Log the request limits that endpoints name

Each change is logged with the request that showed it, and a gauge counts the endpoints that name a limit. Nothing acts on the limits yet.

The stand-in of an endpoint names a limit, and records when a request arrives.

--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_domain.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_domain.py
@@ -187,7 +187,8 @@
 
     ``is_sealed`` is true if the answer carries the seal with which an endpoint's application marks
     its answers. ``was_not_run`` is the endpoint's statement that it did not and will not run the
-    request.
+    request. ``limit_per_s`` is the number of requests per second that the endpoint accepts from all
+    entries together; ``None`` is no limit.
     """
 
     status: int
@@ -196,6 +197,7 @@
     is_sealed: bool
     was_not_run: bool
     load: Load | None = None
+    limit_per_s: float | None = None
 
 
 @attrs.frozen
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_gateway.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_gateway.py
@@ -42,6 +42,7 @@
 from vanillashore_gateway._prefill_scheduler import PrefillScheduler
 from vanillashore_gateway._quota import QuotaSettings
 from vanillashore_gateway._quota_requests import Quotas
+from vanillashore_gateway._request_limits import RequestLimits
 from vanillashore_gateway._rotation import Rotation
 from vanillashore_gateway._routing import RouteTable, pick_service
 from vanillashore_gateway._sending import Sender
@@ -107,7 +108,8 @@
         self._has_snapshot = False
         self._synced_at = now()
         self._budgets = RetryBudgets(cfg.retry_ratio * BUDGET_SHARE, cfg.retry_slack * BUDGET_SHARE)
-        sender = Sender(dialect, self.pool, self.balancer, now)
+        self.limits = RequestLimits()
+        sender = Sender(dialect, self.pool, self.balancer, self.limits, now)
         self.prefill_estimator = PrefillEstimator(rng)
         self.prefills = PrefillScheduler(
             cfg.node, self.prefill_estimator, self._prefill_engines, now
@@ -133,6 +135,7 @@
         gauges = {
             "vanillashore.active_requests": lambda: self.active,
             "vanillashore.endpoints": lambda: len(self.membership),
+            "vanillashore.endpoints.limited": lambda: self.limits.limited_endpoints,
             "vanillashore.config_version": lambda: self.config_version,
         }
         self.metrics = GatewayMetrics(cfg.node, cfg.data_centre, gauges)
@@ -333,6 +336,7 @@
         self.pool.forget(instance)
         self.balancer.forget(instance)
         self.prefill_estimator.forget(instance)
+        self.limits.forget(instance)
 
     def _log_endpoint(self, change: EndpointWritten) -> None:
         endpoint = change.endpoint
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_sending.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_sending.py
@@ -11,6 +11,7 @@
 from vanillashore_gateway._domain import AnswerHead, Endpoint
 from vanillashore_gateway._http_client import HttpConnection, LinkError, LinkFailure
 from vanillashore_gateway._pool import ConnectionPool
+from vanillashore_gateway._request_limits import RequestLimits
 
 
 @attrs.define(eq=False)
@@ -42,11 +43,13 @@
         dialect: Dialect,
         pool: ConnectionPool,
         balancer: Balancer,
+        limits: RequestLimits,
         clock: Callable[[], float],
     ) -> None:
         self._dialect = dialect
         self._pool = pool
         self._balancer = balancer
+        self._limits = limits
         self._clock = clock
 
     @asynccontextmanager
@@ -80,6 +83,7 @@
                     LinkFailure.GARBLED, "the successful answer does not carry an endpoint's seal"
                 )
             self._balancer.record_load(endpoint, head.load, self._clock())
+            self._limits.record_answer(endpoint, head.limit_per_s, outbound.req.log_id)
             yield Sending(endpoint, head, conn)
             if conn.is_reusable:
                 self._pool.release_connection(endpoint, conn)
--- a/packages/vanillashore-standins/src/vanillashore_standins/platform_endpoint.py
+++ b/packages/vanillashore-standins/src/vanillashore_standins/platform_endpoint.py
@@ -38,7 +38,7 @@
 
 @attrs.frozen
 class Arrival:
-    """A received request; ``ran`` states whether the endpoint started to work on it."""
+    """A request received at ``at`` on the loop's clock; ``ran`` if the endpoint worked on it."""
 
     request_id: str
     method: str
@@ -46,6 +46,7 @@
     headers: dict[str, str]
     body: bytes
     ran: bool
+    at: float
 
 
 @attrs.define
@@ -68,7 +69,8 @@
 class EndpointStandIn:
     """Serves one instance on a loopback port.
 
-    Each request consumes one of ``faults``; requests after the last one succeed.
+    Each request consumes one of ``faults``; requests after the last one succeed. Answers name
+    ``limit_per_s`` unless it is ``None``.
     """
 
     def __init__(self, instance: str, service: str, engine: EngineOptions | None = None) -> None:
@@ -76,6 +78,7 @@
         self.service = service
         self.engine = engine
         self.faults: deque[Fault] = deque()
+        self.limit_per_s: float | None = None
         self.arrivals: list[Arrival] = []
         self.calls: list[tuple[str, str]] = []
         self.holds: dict[str, int] = {}
@@ -148,6 +151,7 @@
             headers,
             body,
             self._starts_work(fault, headers),
+            asyncio.get_running_loop().time(),
         )
         self.arrivals.append(arrival)
         client_read = asyncio.ensure_future(reader.read(1))
@@ -169,13 +173,14 @@
         return fault not in (Fault.SHED, Fault.OTHER_INSTANCE)
 
     async def _answer(self, writer: asyncio.StreamWriter, arrival: Arrival, fault: Fault) -> bool:
+        limit = {} if self.limit_per_s is None else {"Server-Limit": f"{self.limit_per_s:g}"}
         if (
             fault is Fault.OTHER_INSTANCE
             or arrival.headers.get("x-expect-instance") != self.instance
         ):
             return await _reply(writer, 421, {"X-Instance-Id": "another"}, b"")
         if fault is Fault.SHED:
-            return await _reply(writer, 503, {"X-Not-Executed": "1"}, b"")
+            return await _reply(writer, 503, {"X-Not-Executed": "1"} | limit, b"")
         if fault is Fault.SILENT:
             await asyncio.sleep(3_600)
         if fault is Fault.RESET_AFTER_RUN:
@@ -184,7 +189,7 @@
         if fault is Fault.GARBAGE:
             writer.write(b"\x00\x01 this is no answer\r\n\r\n")
             return True
-        server_headers = {
+        server_headers = limit | {
             "X-Request-Id": arrival.request_id,
             "X-Server-Seal": SEAL_PREFIX + self.instance,
             "X-Server-Load": "1,0,8",
--- a/tests/adapter/test_decoding.py
+++ b/tests/adapter/test_decoding.py
@@ -190,3 +190,13 @@
     assert (
         PlatformDialect().decode_answer(ResponseHead(status, b"", headers)).was_not_run is not_run
     )
+
+
+@pytest.mark.parametrize(
+    ("value", "limit_per_s"),
+    [(None, None), (b"4", 4.0), (b" 0.25 ", 0.25), (b"-1", None), (b"1e3", None), (b"nan", None)],
+)
+def test_request_limit_of_an_answer(value: bytes | None, limit_per_s: float | None) -> None:
+    headers = () if value is None else ((b"Server-Limit", value),)
+    head = PlatformDialect().decode_answer(ResponseHead(200, b"OK", headers))
+    assert head.limit_per_s == limit_per_s
