--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_gateway.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_gateway.py
@@ -136,6 +136,7 @@
             "vanillashore.active_requests": lambda: self.active,
             "vanillashore.endpoints": lambda: len(self.membership),
             "vanillashore.endpoints.limited": lambda: self.limits.limited_endpoints,
+            "vanillashore.entries": lambda: self.known_entries,
             "vanillashore.config_version": lambda: self.config_version,
         }
         self.metrics = GatewayMetrics(cfg.node, cfg.data_centre, gauges)
@@ -145,6 +146,11 @@
         """Version of the active configuration; 0 before the first one."""
         return self._table.config.version if self._table else 0
 
+    @property
+    def known_entries(self) -> int:
+        """How many entries are registered, this one included."""
+        return len(self._entries)
+
     @property
     def is_ready(self) -> bool:
         """Whether the entry accepts new callers."""
--- a/packages/vanillashore-standins/src/vanillashore_standins/platform_rig.py
+++ b/packages/vanillashore-standins/src/vanillashore_standins/platform_rig.py
@@ -1,4 +1,4 @@
-"""A gateway on loopback in front of stand-ins of the platform, for tests."""
+"""Gateways on loopback in front of stand-ins of the platform, for tests."""
 
 import asyncio
 import contextlib
@@ -88,7 +88,7 @@
 
 
 class PlatformRig:
-    """A store, endpoints and one gateway.
+    """A store, endpoints and one gateway, or several that know each other.
 
     Example::
 
@@ -103,6 +103,7 @@
         decodes: int = 0,
         engine: EngineOptions | None = None,
         quota: QuotaSettings | None = None,
+        entries: int = 1,
     ) -> None:
         options = engine or EngineOptions()
         self.store = PlatformStoreStandIn()
@@ -114,32 +115,52 @@
         self.decodes = [
             EndpointStandIn(f"d{i}", MODELS, attrs.evolve(options)) for i in range(decodes)
         ]
-        self.process: GatewayProcess
+        self.processes: list[GatewayProcess] = []
+        self._entries = entries
         self._quota = quota or QuotaSettings()
         self._stack = AsyncExitStack()
 
+    @property
+    def process(self) -> GatewayProcess:
+        """The first gateway."""
+        return self.processes[0]
+
     @property
     def endpoints(self) -> list[EndpointStandIn]:
         """All endpoints."""
         return [*self.services, *self.prefills, *self.decodes]
 
     async def __aenter__(self) -> Self:
-        """Start the store, the endpoints and the gateway, and wait until the gateway is ready."""
+        """Start the store, the endpoints and the gateways, and wait until these are ready."""
         self.store.put("op/config", configuration())
         for endpoint in self.endpoints:
             await self._stack.enter_async_context(endpoint)
             self.store.put(f"servers/{endpoint.instance}", endpoint.entry())
         self.served_store = await self._stack.enter_async_context(ServedApp(self.store.app()))
-        self.process = GatewayProcess(self._settings(), PlatformDialect(), self.new_client())
-        await self.process.start()
-        await wait_until(lambda: self.process.gateway.is_ready)
-        # The metrics libraries are loaded after the gateway starts to serve.
-        await wait_until(lambda: self.process.gateway.metrics.render() is not None)
+        for number in range(1, self._entries + 1):
+            await self.start_entry(f"entry-{number}")
+        await wait_until(self.entries_know_each_other)
         return self
 
+    async def start_entry(self, name: str) -> GatewayProcess:
+        """Start a gateway and wait until it is ready."""
+        process = GatewayProcess(self._settings(name), PlatformDialect(), self.new_client())
+        await process.start()
+        self.processes.append(process)
+        gateway = process.gateway
+        await wait_until(lambda: gateway.is_ready)
+        # The metrics libraries are loaded after the gateway starts to serve.
+        await wait_until(lambda: gateway.metrics.render() is not None)
+        return process
+
+    def entries_know_each_other(self) -> bool:
+        """Whether each gateway knows all gateways."""
+        return all(p.gateway.known_entries == len(self.processes) for p in self.processes)
+
     async def __aexit__(self, *exc_info: object) -> None:
-        """Stop the gateway without draining it, then the store and the endpoints."""
-        self.process.close()
+        """Stop the gateways without draining them, then the store and the endpoints."""
+        for process in self.processes:
+            process.close()
         await self._stack.aclose()
 
     def new_client(self) -> HttpStore:
@@ -154,9 +175,10 @@
         request_id: str,
         body: bytes = b"",
         key: str = KEY,
+        entry: int = 0,
         **headers: str,
     ) -> Answer:
-        """Send one request on a new connection and read the answer."""
+        """Send one request on a new connection to a gateway and read the answer."""
         extra_headers = {name.replace("_", "-"): value for name, value in headers.items()}
         all_headers = {
             "Host": HOST,
@@ -172,29 +194,31 @@
             "",
             "",
         ]
-        return await self.send("\r\n".join(lines).encode() + body)
+        return await self.send("\r\n".join(lines).encode() + body, entry)
 
-    async def send(self, data: bytes) -> Answer:
-        """Send raw bytes on a new connection and read one answer."""
-        reader, writer = await asyncio.open_connection(*self.process.front_address)
+    async def send(self, data: bytes, entry: int = 0) -> Answer:
+        """Send raw bytes on a new connection to a gateway and read one answer."""
+        address = self.processes[entry].front_address
+        reader, writer = await asyncio.open_connection(*address)
         writer.write(data)
         try:
             return await _read_answer(reader)
         finally:
             writer.transport.abort()
 
-    async def generate(self, path: str, request_id: str, **headers: str) -> Answer:
+    async def generate(self, path: str, request_id: str, entry: int = 0, **headers: str) -> Answer:
         """Request a generation of a typical size."""
         size_headers = {"X_Token_Count": "1000,500", "X_Length_Hint": "100"}
-        return await self.ask("POST", path, request_id, b"prompt", **(size_headers | headers))
+        all_headers = size_headers | headers
+        return await self.ask("POST", path, request_id, b"prompt", entry=entry, **all_headers)
 
     def arrivals(self, request_id: str) -> list[str]:
         """Return the instances that started to work on a request, one for each start."""
         return [e.instance for e in self.endpoints for a in e.runs if a.request_id == request_id]
 
-    def _settings(self) -> GatewaySettings:
+    def _settings(self, name: str) -> GatewaySettings:
         return GatewaySettings(
-            node="entry-1",
+            node=name,
             data_centre="dc-a",
             front=LOOPBACK,
             ready=LOOPBACK,
