Keep the request limits that endpoints name, over all entries together

Cause: no entry read the limit that an endpoint names in its answers. The entries' logs show the limit and requests that go on at the same rate.

One entry, the endpoint's home, now spaces the requests to it, and the others ask it before each one; substitutes permit a tenth of the limit while the home is away. Placement, the wait for an endpoint and the refusal see the limit, and Retry-After is the time of the next turn.

Simulated fleets of 1, 3 and 28 entries keep limits of 0.3, 2.2 and 12 a second when homes are cut off, replaced, restarted or turned away by the store, and when datagrams are lost.

--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_calls.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_calls.py
@@ -76,21 +76,11 @@
                 return self._give_up(result)
 
     async def _send_next(self) -> _Result:
-        """Send to the best endpoint; wait for one if all were full."""
+        """Send to the best endpoint; wait for one if all are full or at their limits."""
         job, tools = self._job, self._tools
-        endpoint = job.choose(tools, EndpointRole.SERVICE, USUAL_SHARE)
-        while endpoint is None:
-            if self._error_answer is not None:
-                return self._error_answer
-            waited_s = tools.clock() - job.req.arrived
-            if not job.tried or waited_s > job.route.target_s * MAX_QUEUE_SHARE:
-                code = ErrorCode.ENDPOINTS_FULL if job.tried else ErrorCode.NO_ENDPOINT
-                raise self._refuse(
-                    code, f"no endpoint of {job.service.name} accepts the request now"
-                )
-            await asyncio.sleep(ENDPOINT_POLL_S * (1 + tools.rng.random()))
-            job.tried.clear()
-            endpoint = job.choose(tools, EndpointRole.SERVICE, USUAL_SHARE)
+        endpoint = await self._next_endpoint()
+        if endpoint is None:
+            return self._error_answer
         job.tried.add(endpoint.instance)
         time_left_s = job.give_up_at - tools.clock()
         if time_left_s < MIN_TIME_LEFT_S:
@@ -117,6 +107,37 @@
             )
         return result
 
+    async def _next_endpoint(self) -> Endpoint | None:
+        """Return the endpoint to send to; ``None`` leaves it at an earlier endpoint's error."""
+        job, tools = self._job, self._tools
+        while True:
+            endpoint = job.choose(tools, EndpointRole.SERVICE, USUAL_SHARE)
+            if endpoint is not None:
+                if await job.acquire_permit(tools, endpoint):
+                    return endpoint
+                continue
+            if self._error_answer is not None:
+                return None
+            endpoints = tools.membership.usable(job.service.name, EndpointRole.SERVICE)
+            if not endpoints and not job.tried:
+                raise self._refuse_no_endpoint(ErrorCode.NO_ENDPOINT)
+            patience_s = job.req.arrived + job.route.target_s * MAX_QUEUE_SHARE - tools.clock()
+            if patience_s <= 0:
+                raise self._refuse_no_endpoint(ErrorCode.ENDPOINTS_FULL)
+            if endpoints and not tools.limits.open_endpoints(endpoints):
+                first, wait_s = tools.limits.first_open(endpoints)
+                if wait_s > patience_s:
+                    raise self._refuse_no_endpoint(ErrorCode.ENDPOINTS_FULL, wait_s)
+                if await job.acquire_permit(tools, first, patience_s):
+                    return first
+                continue
+            await asyncio.sleep(ENDPOINT_POLL_S * (1 + tools.rng.random()))
+            job.tried.clear()
+
+    def _refuse_no_endpoint(self, code: ErrorCode, min_retry_s: float = 0.0) -> RefusalError:
+        text = f"no endpoint of {self._job.service.name} accepts the request now"
+        return self._refuse(code, text, min_retry_s)
+
     async def _send(self, outbound: OutboundRequest) -> _Result:
         timeout_s = outbound.time_left_s
         share = _share(outbound.endpoint)
@@ -172,14 +193,15 @@
             raise refusal(ErrorCode.TIMED_OUT, "no answer came in time")
         raise refusal(ErrorCode.ENDPOINT_FAILED, f"the endpoint's answer was lost: {result.reason}")
 
-    def _refuse(self, code: ErrorCode, text: str) -> RefusalError:
+    def _refuse(self, code: ErrorCode, text: str, min_retry_s: float = 0.0) -> RefusalError:
         """Refuse as not run, unless an earlier attempt may have run the request."""
         job = self._job
         if job.sends:
             return refusal(ErrorCode.ENDPOINT_FAILED, text)
         time_left_s = max(0.0, job.req.deadline - self._tools.clock())
         spread = 0.5 + self._tools.rng.random() / 2
-        return refusal(code, text, time_left_s * RETRY_AFTER_SHARE * spread)
+        retry_s = max(time_left_s * RETRY_AFTER_SHARE, 2 * min_retry_s) * spread
+        return refusal(code, text, retry_s)
 
 
 def _share(endpoint: Endpoint) -> float:
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_domain.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_domain.py
@@ -106,9 +106,21 @@
     limits: CallerLimits
 
 
+@attrs.frozen
+class EndpointStart:
+    """One start of an endpoint, which knows nothing of earlier starts under the same name."""
+
+    instance: str
+    started_ms: int
+
+
 @attrs.frozen
 class Endpoint:
-    """A process that runs requests; each start of it has its own instance name."""
+    """A process that runs requests; most starts have an instance name of their own.
+
+    ``started_ms`` is the time of the start by the endpoint's own clock, which only serves to tell
+    two starts under the same name apart.
+    """
 
     instance: str
     service: str
@@ -118,6 +130,12 @@
     slots: int
     role: EndpointRole = EndpointRole.SERVICE
     is_leaving: bool = False
+    started_ms: int = 0
+
+    @property
+    def start(self) -> EndpointStart:
+        """The start of the endpoint."""
+        return EndpointStart(self.instance, self.started_ms)
 
     @property
     def address(self) -> str:
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_gateway.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_gateway.py
@@ -24,6 +24,7 @@
 from vanillashore_gateway._front import Inbound, ListenerState, Responder
 from vanillashore_gateway._generation import GenerationForwarder
 from vanillashore_gateway._job import Job, RetryBudgets, Tools
+from vanillashore_gateway._limit_requests import RequestLimits
 from vanillashore_gateway._membership import Membership
 from vanillashore_gateway._metrics import GatewayMetrics
 from vanillashore_gateway._platform_store import (
@@ -42,7 +43,6 @@
 from vanillashore_gateway._prefill_scheduler import PrefillScheduler
 from vanillashore_gateway._quota import QuotaSettings
 from vanillashore_gateway._quota_requests import Quotas
-from vanillashore_gateway._request_limits import RequestLimits
 from vanillashore_gateway._rotation import Rotation
 from vanillashore_gateway._routing import RouteTable, pick_service
 from vanillashore_gateway._sending import Sender
@@ -108,20 +108,27 @@
         self._has_snapshot = False
         self._synced_at = now()
         self._budgets = RetryBudgets(cfg.retry_ratio * BUDGET_SHARE, cfg.retry_slack * BUDGET_SHARE)
-        self.limits = RequestLimits()
+        self.limits = RequestLimits(cfg.node, now)
         sender = Sender(dialect, self.pool, self.balancer, self.limits, now)
         self.prefill_estimator = PrefillEstimator(rng)
         self.prefills = PrefillScheduler(
             cfg.node, self.prefill_estimator, self._prefill_engines, now
         )
         self.slot_finder = SlotFinder(
-            self.calls, self.balancer, self.prefill_estimator, self.membership, now, rng
+            self.calls,
+            self.balancer,
+            self.limits,
+            self.prefill_estimator,
+            self.membership,
+            now,
+            rng,
         )
         self._tools = Tools(
             dialect,
             sender,
             self.slot_finder,
             self.balancer,
+            self.limits,
             self.prefill_estimator,
             self.prefills,
             self.crashes,
@@ -131,6 +138,13 @@
             now,
             rng,
         )
+        self.peer_handlers = (
+            self.quotas,
+            self.crashes,
+            self.prefills,
+            self.rotation,
+            self.limits,
+        )
         self._update_entries()
         gauges = {
             "vanillashore.active_requests": lambda: self.active,
@@ -219,6 +233,7 @@
             case EntryWritten(name, address):
                 self._entries[name] = address
                 self._update_entries()
+                self.limits.greet(name)
             case EntryRemoved(name):
                 self._entries.pop(name, None)
                 self._update_entries()
@@ -323,15 +338,13 @@
 
     def _update_entries(self) -> None:
         count = max(self.cfg.expected_entries, len(self._entries))
-        self.quotas.update_entries(self._entries)
-        self.crashes.update_entries(self._entries)
-        self.prefills.update_entries(self._entries)
-        self.rotation.update_entries(self._entries)
+        for handler in self.peer_handlers:
+            handler.update_entries(self._entries)
         self._budgets.resize(self.cfg.retry_slack * BUDGET_SHARE / count)
 
     def _prefill_engines(self, service: str) -> list[Endpoint]:
         engines = self.membership.usable(service, EndpointRole.PREFILL)
-        return self.balancer.healthy(engines, now())
+        return self.balancer.healthy(self.limits.open_endpoints(engines), now())
 
     def _expire_endpoints(self) -> None:
         for removed in self.membership.expire(now()):
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_generation.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_generation.py
@@ -162,6 +162,13 @@
         decode_s = tools.prefill_estimator.decode_s(tokens)
         prompt = Prompt(tokens, target_s, left_s, decode_s, decode.data_centre)
         assignment = await tools.prefills.assign(job.service.name, prompt, job.tried)
+        while assignment is not None:
+            engine = assignment.send.endpoint
+            if await job.acquire_permit(tools, engine):
+                break
+            tools.prefills.give_up(assignment)
+            job.tried.add(engine.instance)
+            assignment = await tools.prefills.assign(job.service.name, prompt, job.tried)
         if assignment is None:
             decode_s = round(decode_s, 3)
             job.log_decision(
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_job.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_job.py
@@ -10,6 +10,7 @@
 from vanillashore_gateway._crashes import CrashMonitor
 from vanillashore_gateway._dialect import Dialect
 from vanillashore_gateway._domain import CallerRequest, Endpoint, EndpointRole, Route, Service
+from vanillashore_gateway._limit_requests import RequestLimits
 from vanillashore_gateway._membership import Membership
 from vanillashore_gateway._prefill_estimator import PrefillEstimator
 from vanillashore_gateway._prefill_scheduler import PrefillScheduler
@@ -51,6 +52,7 @@
     sender: Sender
     slot_finder: SlotFinder
     balancer: Balancer
+    limits: RequestLimits
     prefill_estimator: PrefillEstimator
     prefills: PrefillScheduler
     crashes: CrashMonitor
@@ -86,9 +88,15 @@
         """Choose an endpoint that was not tried yet, and log the choice."""
         now = tools.clock()
         endpoints = tools.membership.usable(self.service.name, role)
-        endpoint = tools.balancer.choose(endpoints, self.tried, now, share)
+        open_endpoints = tools.limits.open_endpoints(endpoints)
+        endpoint = tools.balancer.choose(open_endpoints, self.tried, now, share)
         if endpoint is None:
-            self.log_decision("no untried endpoint", listed=len(endpoints), tried=len(self.tried))
+            self.log_decision(
+                "no untried endpoint",
+                listed=len(endpoints),
+                at_limit=len(endpoints) - len(open_endpoints),
+                tried=len(self.tried),
+            )
             return None
         self.log_decision(
             "endpoint chosen",
@@ -100,6 +108,20 @@
         )
         return endpoint
 
+    async def acquire_permit(
+        self, tools: Tools, endpoint: Endpoint, max_wait_s: float = 0.0
+    ) -> bool:
+        """Return whether the endpoint's request limit permits a request, and log if it does not."""
+        wait_s = await tools.limits.acquire(endpoint, max_wait_s)
+        if wait_s is None:
+            return True
+        self.log_decision(
+            "the endpoint is at its request limit",
+            endpoint=endpoint.instance,
+            wait_s=round(wait_s, 3),
+        )
+        return False
+
     def check_shutdown(self, shutdown: Shutdown, wait_s: float = 0.0) -> None:
         """Raise RefusalError if this generation may not end before a stopping process does."""
         shutdown.check_generation(
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_peers.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_peers.py
@@ -1,20 +1,35 @@
 """The socket for datagrams between entries, and the dispatch of messages to their handlers."""
 
 import asyncio
-from collections.abc import Callable
-from typing import Any
+from collections.abc import Callable, Mapping, Sequence
+from typing import Any, Protocol
 
 from loguru import logger as log
 
-from vanillashore_gateway._crashes import CrashMonitor
-from vanillashore_gateway._prefill_scheduler import PrefillScheduler
-from vanillashore_gateway._quota_requests import Quotas
-from vanillashore_gateway._rotation import Rotation
+from vanillashore_gateway._home_ranking import Address
 
 KIND_BYTES = 24  # Of a datagram of unknown kind, for the log.
 MAX_LOGGED_KINDS = 16
 
 
+class PeerHandler(Protocol):
+    """Handles the datagrams that begin with its prefix."""
+
+    PREFIX: bytes | tuple[bytes, ...]
+
+    def update_entries(self, entries: Mapping[str, Address]) -> None:
+        """Set the list of entries with their addresses."""
+        ...
+
+    def connection_made(self, transport: asyncio.DatagramTransport) -> None:
+        """Set the socket to send on."""
+        ...
+
+    def datagram_received(self, data: bytes, addr: Any) -> None:
+        """Handle a datagram."""
+        ...
+
+
 class PeerSocket(asyncio.DatagramProtocol):
     """Dispatches datagrams of other entries by their prefix.
 
@@ -22,15 +37,8 @@
     each kind is logged once.
     """
 
-    def __init__(
-        self,
-        quotas: Quotas,
-        crashes: CrashMonitor,
-        prefills: PrefillScheduler,
-        rotation: Rotation,
-        record_ignored: Callable[[], None],
-    ) -> None:
-        self._handlers = (quotas, crashes, prefills, rotation)
+    def __init__(self, handlers: Sequence[PeerHandler], record_ignored: Callable[[], None]) -> None:
+        self._handlers = handlers
         self._record_ignored = record_ignored
         self._logged_kinds: set[bytes] = set()
 
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_process.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_process.py
@@ -41,6 +41,7 @@
         self._follower = Follower(store, self.gateway, now, rng, cfg.watch_s)
         self._registration = EntryRegistration(store, cfg.node, cfg.peers, now, rng)
         gateway = self.gateway
+        gateway.limits.is_registered = lambda: self._registration.is_held(now())
         self._roles = RoleDuty(
             cfg.node,
             store,
@@ -92,13 +93,7 @@
         await self._listen(self._cfg.metrics, ListenerState(self._answer_metrics, now))
         loop, gateway = asyncio.get_running_loop(), self.gateway
         transport, _ = await loop.create_datagram_endpoint(
-            lambda: PeerSocket(
-                gateway.quotas,
-                gateway.crashes,
-                gateway.prefills,
-                gateway.rotation,
-                gateway.metrics.record_ignored_datagram,
-            ),
+            lambda: PeerSocket(gateway.peer_handlers, gateway.metrics.record_ignored_datagram),
             local_addr=self._cfg.peers,
         )
         self._peers = transport
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_sending.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_sending.py
@@ -10,8 +10,8 @@
 from vanillashore_gateway._dialect import Dialect, OutboundRequest
 from vanillashore_gateway._domain import AnswerHead, Endpoint
 from vanillashore_gateway._http_client import HttpConnection, LinkError, LinkFailure
+from vanillashore_gateway._limit_requests import RequestLimits
 from vanillashore_gateway._pool import ConnectionPool
-from vanillashore_gateway._request_limits import RequestLimits
 
 
 @attrs.define(eq=False)
@@ -68,6 +68,7 @@
         """
         endpoint = outbound.endpoint
         conn: HttpConnection | None = None
+        known_limit = self._limits.known_limit(endpoint)
         self._balancer.begin(endpoint, share)
         try:
             conn = await self._connect(endpoint, must_be_fresh)
@@ -83,7 +84,11 @@
                     LinkFailure.GARBLED, "the successful answer does not carry an endpoint's seal"
                 )
             self._balancer.record_load(endpoint, head.load, self._clock())
-            self._limits.record_answer(endpoint, head.limit_per_s, outbound.req.log_id)
+            # A rejection need not come from the application, which names the limit.
+            if head.limit_per_s is not None or not head.was_not_run:
+                self._limits.record_answer(
+                    endpoint, head.limit_per_s, known_limit, outbound.req.log_id
+                )
             yield Sending(endpoint, head, conn)
             if conn.is_reusable:
                 self._pool.release_connection(endpoint, conn)
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_slot_finder.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_slot_finder.py
@@ -13,6 +13,7 @@
 from vanillashore_gateway._domain import CallerRequest, Endpoint, EndpointRole, Hold, Route, Service
 from vanillashore_gateway._engine_calls import EngineCalls, EngineUnreachableError
 from vanillashore_gateway._errors import ErrorCode, RefusalError, refusal
+from vanillashore_gateway._limit_requests import RequestLimits
 from vanillashore_gateway._membership import Membership
 from vanillashore_gateway._prefill_estimator import PrefillEstimator
 from vanillashore_gateway._slot_queue import SlotQueue, Waiter
@@ -65,6 +66,7 @@
         self,
         calls: EngineCalls,
         balancer: Balancer,
+        limits: RequestLimits,
         prefill_estimator: PrefillEstimator,
         membership: Membership,
         clock: Callable[[], float],
@@ -72,6 +74,7 @@
     ) -> None:
         self._calls = calls
         self._balancer = balancer
+        self._limits = limits
         self._prefill_estimator = prefill_estimator
         self._membership = membership
         self._clock = clock
@@ -129,6 +132,11 @@
     def _check_queue(self, queue: SlotQueue[SlotRequest], request: SlotRequest) -> None:
         if queue.expected_wait_s() > MAX_QUEUE_WAIT_S:
             raise self._refusal(queue, request, "too many generations wait for a decode slot")
+        engines = self._membership.usable(request.service.name, EndpointRole.DECODE)
+        wait_s = self._limits.queue_wait_s(engines, len(queue))
+        if wait_s > MAX_QUEUE_WAIT_S:
+            text = "all decode engines are at their request limits"
+            raise self._refusal(queue, request, text, wait_s)
 
     def _waiter(self, request: SlotRequest) -> Waiter[SlotRequest]:
         req, route = request.req, request.route
@@ -197,9 +205,14 @@
         _fail(request, self._refusal(queue, request, "no decode slot became free in time"))
 
     def _refusal(
-        self, queue: SlotQueue[SlotRequest], request: SlotRequest, text: str
+        self,
+        queue: SlotQueue[SlotRequest],
+        request: SlotRequest,
+        text: str,
+        min_retry_s: float = 0.0,
     ) -> RefusalError:
-        after_s = queue.retry_after_s() * (1 + RETRY_JITTER * self._rng.random())
+        retry_s = max(queue.retry_after_s(), min_retry_s)
+        after_s = retry_s * (1 + RETRY_JITTER * self._rng.random())
         bound = log.bind(request=request.req.log_id, waiting=len(queue), tokens=request.tokens)
         bound.bind(would_wait_s=round(queue.expected_wait_s(), 3)).info("no decode slot in time")
         return refusal(ErrorCode.ENDPOINTS_FULL, text, after_s)
@@ -214,6 +227,7 @@
             raise refusal(
                 ErrorCode.NO_ENDPOINT, "no decode engine is available", MAX_QUEUE_WAIT_S / 2
             )
+        endpoints = self._limits.open_endpoints(endpoints)
         tried = set(request.avoided)
         share = request.tokens / max(1, request.service.kv_tokens)
         for _ in range(MAX_ENGINES_ASKED):
@@ -241,7 +255,15 @@
             return None
         if hold is None:
             self._balancer.record_full(endpoint, now)
-        return hold
+            return None
+        # Reservations do not count as requests, so a permit is used only where there is room.
+        wait_s = await self._limits.acquire(endpoint)
+        if wait_s is None:
+            return hold
+        self.release(hold)
+        bound = log.bind(request=request.req.log_id, endpoint=endpoint.instance)
+        bound.bind(wait_s=round(wait_s, 3)).info("the endpoint is at its request limit")
+        return None
 
     def _start(self, work: Coroutine[Any, Any, Any]) -> None:
         task = asyncio.get_running_loop().create_task(work)
--- /dev/null
+++ b/tests/gateway/test_limit_requests.py
@@ -0,0 +1,333 @@
+"""What all entries together send to a limited endpoint, over a simulated network."""
+
+import asyncio
+import random
+from collections.abc import Coroutine
+from typing import Any
+
+import attrs
+import pytest
+
+from vanillashore_gateway import Endpoint
+from vanillashore_gateway._home_ranking import rank_homes
+from vanillashore_gateway._limit_requests import (
+    LimitNotice,
+    PermitAnswer,
+    PermitRequest,
+    RequestLimits,
+    decode_limit,
+)
+from vanillashore_gateway._request_limits import EndpointStart, NamedLimit, Permit
+from vanillashore_standins.limit_check import allowed_requests, most_requests
+from vanillashore_standins.virtual_time import run_in_virtual_time
+
+TOLD_S = 0.5  # An entry is held to a limit this long after an answer has named it.
+ONE_WAY_S = 0.001
+ENDPOINT = Endpoint("i-1", "orders", "10.0.0.9", 80, "dc-a", 6, started_ms=1)
+
+
+@attrs.define
+class _Entry:
+    """An entry's limits, and when it was first told of the current limit."""
+
+    limits: RequestLimits
+    told_at: float = float("inf")
+
+
+class Fleet:
+    """Entries that send to one endpoint; datagrams may be lost, or an entry cut off."""
+
+    def __init__(self, size: int, limit_per_s: float | None, seed: int = 1) -> None:
+        self.loop = asyncio.get_running_loop()
+        self.rng = random.Random(seed)
+        self.limit_per_s = limit_per_s
+        self.endpoint = ENDPOINT
+        self.answer_s = 0.05
+        self.loss = 0.0
+        self.cut: set[str] = set()
+        self.registered = {f"e{i}": ("10.0.0.1", i) for i in range(size)}
+        self.entries: dict[str, _Entry] = {}
+        self.arrivals: list[float] = []
+        self.counted: list[float] = []
+        for name in self.registered:
+            self.start(name)
+
+    def start(self, name: str) -> None:
+        limits = RequestLimits(name, self.loop.time)
+        limits.connection_made(_Transport(self, name))
+        limits.update_entries(self.registered)
+        self.entries[name] = _Entry(limits)
+
+    def show(self, names: dict[str, tuple[str, int]], entries: list[str]) -> None:
+        for name in entries:
+            self.entries[name].limits.update_entries(names)
+
+    @property
+    def home(self) -> str:
+        return rank_homes(ENDPOINT.instance, sorted(self.registered))[0]
+
+    def deliver(self, data: bytes, sender: str, address: tuple[str, int]) -> None:
+        receiver = f"e{address[1]}"
+        if {sender, receiver} & self.cut or self.rng.random() < self.loss:
+            return
+        if receiver in self.entries:
+            entry = self.entries[receiver]
+            self.loop.call_later(
+                ONE_WAY_S, entry.limits.datagram_received, data, self.registered[sender]
+            )
+
+    async def send(self, name: str, max_wait_s: float = 0.0) -> float | None:
+        entry = self.entries.get(name)
+        if entry is None:
+            return None
+        known = entry.limits.known_limit(self.endpoint)
+        wait_s = await entry.limits.acquire(self.endpoint, max_wait_s)
+        if wait_s is not None:
+            return wait_s
+        now = self.loop.time()
+        self.arrivals.append(now)
+        if now >= entry.told_at + TOLD_S:
+            self.counted.append(now)
+        named = self.limit_per_s
+        await asyncio.sleep(self.answer_s)
+        entry.told_at = min(entry.told_at, self.loop.time()) if named else float("inf")
+        entry.limits.record_answer(self.endpoint, named, known, "r")
+        return None
+
+    async def load(self, seconds: float, per_s: float = 40.0, max_wait_s: float = 0.0) -> None:
+        tasks = []
+        for _ in range(int(seconds * per_s)):
+            if self.entries:
+                name = self.rng.choice(sorted(self.entries))
+                tasks.append(asyncio.ensure_future(self.send(name, max_wait_s)))
+            await asyncio.sleep(1 / per_s)
+        await asyncio.gather(*tasks)
+
+    async def restart(self, name: str, down_s: float) -> None:
+        del self.entries[name]
+        await asyncio.sleep(down_s)
+        self.start(name)
+
+
+@attrs.frozen
+class _Transport:
+    fleet: Fleet
+    name: str
+
+    def sendto(self, data: bytes, address: tuple[str, int]) -> None:
+        self.fleet.deliver(data, self.name, address)
+
+
+async def _no_fault(fleet: Fleet) -> None:
+    await asyncio.sleep(0)
+
+
+async def _home_cut_off(fleet: Fleet) -> None:
+    fleet.cut = {fleet.home}
+    await asyncio.sleep(6.0)
+    fleet.cut = set()
+
+
+async def _half_cut_off(fleet: Fleet) -> None:
+    fleet.cut = set(sorted(fleet.entries)[::2])
+    await asyncio.sleep(6.0)
+    fleet.cut = set()
+
+
+async def _datagrams_lost(fleet: Fleet) -> None:
+    fleet.loss = 0.1
+    await asyncio.sleep(6.0)
+    fleet.loss = 0.0
+
+
+async def _home_replaced(fleet: Fleet) -> None:
+    """Its registration ends after 3 s, and half of the entries learn of that 0.6 s later."""
+    home, everyone = fleet.home, dict(fleet.registered)
+    if len(everyone) == 1:
+        return
+    del fleet.entries[home]
+    await asyncio.sleep(3.0)
+    others = {name: address for name, address in everyone.items() if name != home}
+    names = sorted(fleet.entries)
+    fleet.show(others, names[::2])
+    await asyncio.sleep(0.6)
+    fleet.show(others, names)
+    await asyncio.sleep(2.0)
+    fleet.start(home)
+    fleet.show(everyone, names[1::2])
+    await asyncio.sleep(0.6)
+    fleet.show(everyone, names)
+
+
+async def _all_restarted_in_turn(fleet: Fleet) -> None:
+    for name in sorted(fleet.entries)[:4]:
+        await fleet.restart(name, 1.0)
+
+
+async def _home_turned_away_by_the_store(fleet: Fleet) -> None:
+    """End the registration of the home, which still works."""
+    home = fleet.home
+    others = {name: address for name, address in fleet.registered.items() if name != home}
+    fleet.entries[home].limits.is_registered = lambda: False
+    await asyncio.sleep(1.5)
+    fleet.show(others, sorted(others))
+    await asyncio.sleep(6.0)
+
+
+FAULTS = [
+    _no_fault,
+    _home_cut_off,
+    _half_cut_off,
+    _datagrams_lost,
+    _home_replaced,
+    _all_restarted_in_turn,
+    _home_turned_away_by_the_store,
+]
+
+
+def _run(main: Coroutine[Any, Any, None]) -> None:
+    run_in_virtual_time(main)
+
+
+@pytest.mark.parametrize("size", [1, 3, 28])
+@pytest.mark.parametrize("limit_per_s", [0.3, 2.2, 12.0])
+@pytest.mark.parametrize("fault", FAULTS)
+def test_all_entries_together_keep_a_limit_under_faults(
+    size: int, limit_per_s: float, fault: Any
+) -> None:
+    async def main() -> None:
+        fleet = Fleet(size, limit_per_s)
+        load = asyncio.ensure_future(fleet.load(16.0))
+        await asyncio.sleep(4.0)
+        await fault(fleet)
+        await load
+        assert most_requests(fleet.counted) <= allowed_requests(limit_per_s)
+
+    _run(main())
+
+
+@pytest.mark.parametrize("size", [1, 3, 28])
+@pytest.mark.parametrize("used", [1, 28])
+def test_limit_is_used_in_full_by_one_entry_or_by_all(size: int, used: int) -> None:
+    async def main() -> None:
+        fleet = Fleet(size, 4.0)
+        for name in sorted(fleet.entries)[used:]:
+            fleet.entries[name].limits.record_answer(
+                ENDPOINT, 4.0, fleet.entries[name].limits.known_limit(ENDPOINT), "r"
+            )
+        senders = sorted(fleet.entries)[:used]
+        fleet.entries = {n: e for n, e in fleet.entries.items() if n in senders or n == fleet.home}
+        await fleet.load(20.0, max_wait_s=0.2)
+        assert len(fleet.arrivals) >= 0.8 * 4.0 * 20.0
+
+    _run(main())
+
+
+@pytest.mark.parametrize("size", [3, 28])
+def test_news_of_a_limit_and_of_its_end_reaches_entries_that_send_nothing(size: int) -> None:
+    async def main() -> None:
+        fleet = Fleet(size, 4.0)
+        await fleet.send("e0")
+        await asyncio.sleep(0.1)
+        assert {e.limits.known_limit(ENDPOINT).limit_per_s for e in fleet.entries.values()} == {4.0}
+        fleet.limit_per_s = None
+        await fleet.send("e1", 1.0)
+        await asyncio.sleep(0.1)
+        assert {e.limits.limited_endpoints for e in fleet.entries.values()} == {0}
+
+    _run(main())
+
+
+def test_entry_that_has_lost_the_news_learns_of_the_end_of_a_limit_from_the_home() -> None:
+    async def main() -> None:
+        fleet = Fleet(3, 4.0)
+        late = next(name for name in fleet.entries if name != fleet.home)
+        others = [name for name in fleet.entries if name != late]
+        await fleet.send(late)
+        await asyncio.sleep(0.1)
+        fleet.cut, fleet.limit_per_s = {late}, None
+        await fleet.send(others[0], 1.0)
+        await asyncio.sleep(1.2)
+        fleet.cut = set()
+        assert fleet.entries[late].limits.limited_endpoints == 1
+        assert await fleet.send(late) is None
+        assert fleet.entries[late].limits.limited_endpoints == 0
+
+    _run(main())
+
+
+def test_answer_that_is_older_than_a_change_does_not_undo_it() -> None:
+    async def main() -> None:
+        fleet = Fleet(3, None)
+        fleet.answer_s = 0.5
+        slow = asyncio.ensure_future(fleet.send("e0"))
+        await asyncio.sleep(0.1)
+        fleet.answer_s, fleet.limit_per_s = 0.01, 4.0
+        await fleet.send("e1")
+        await slow
+        await asyncio.sleep(0.1)
+        assert {e.limits.known_limit(ENDPOINT).limit_per_s for e in fleet.entries.values()} == {4.0}
+
+    _run(main())
+
+
+def test_new_start_of_an_endpoint_has_no_limit() -> None:
+    async def main() -> None:
+        fleet = Fleet(3, 4.0)
+        await fleet.send("e0")
+        await asyncio.sleep(0.1)
+        fleet.endpoint = attrs.evolve(ENDPOINT, started_ms=2)
+        assert [await fleet.entries["e1"].limits.acquire(fleet.endpoint) for _ in range(9)] == (
+            [None] * 9
+        )
+
+    _run(main())
+
+
+def test_entry_that_registers_is_told_of_the_limits() -> None:
+    async def main() -> None:
+        fleet = Fleet(3, 4.0)
+        await fleet.send("e0")
+        await asyncio.sleep(0.1)
+        newcomer = next(name for name in fleet.entries if name != fleet.home)
+        fleet.start(newcomer)
+        for entry in fleet.entries.values():
+            entry.limits.greet(newcomer)
+        await asyncio.sleep(0.1)
+        assert fleet.entries[newcomer].limits.known_limit(ENDPOINT).limit_per_s == 4.0
+
+    _run(main())
+
+
+def test_entry_that_reaches_no_home_sends_nothing_to_a_limited_endpoint() -> None:
+    async def main() -> None:
+        fleet = Fleet(28, 4.0)
+        isolated = rank_homes(ENDPOINT.instance, sorted(fleet.registered))[-1]
+        await fleet.send(isolated)
+        await asyncio.sleep(0.1)
+        fleet.cut = {isolated}
+        assert await fleet.send(isolated) > 0
+
+    _run(main())
+
+
+START = EndpointStart("i-1", 7)
+MESSAGES = [
+    LimitNotice(START, NamedLimit(4.2, 3, "e1")),
+    LimitNotice(START, NamedLimit(None, 4, "e1")),
+    PermitRequest(9, START, NamedLimit(4.2, 3, "e1"), 0.25),
+    PermitAnswer(9, START, NamedLimit(4.2, 3, "e1"), Permit(False, 0.5)),
+]
+
+
+@pytest.mark.parametrize("message", MESSAGES)
+def test_messages_survive_encoding(message: Any) -> None:
+    assert decode_limit(message.encode()) == message
+
+
+@pytest.mark.parametrize(
+    "data", [b'["limit",["i",1,"4",1,"e"]]', b'["limit ask",1,[],0]', b'["limit"]', b"{}"]
+)
+def test_malformed_messages_are_rejected(data: bytes) -> None:
+    with pytest.raises(ValueError, match="limit"):
+        decode_limit(data)
--- a/tests/gateway/test_prefill_scheduler.py
+++ b/tests/gateway/test_prefill_scheduler.py
@@ -6,8 +6,7 @@
 import attrs
 import pytest
 
-from vanillashore_gateway import Endpoint, EndpointRole, Load, QuotaSettings
-from vanillashore_gateway._crashes import CrashMonitor
+from vanillashore_gateway import Endpoint, EndpointRole, Load
 from vanillashore_gateway._home_ranking import rank_homes
 from vanillashore_gateway._peers import PeerSocket
 from vanillashore_gateway._prefill_estimator import PrefillEstimator, PrefillSend, Prompt
@@ -19,8 +18,6 @@
     PrefillScheduler,
     decode_prefill,
 )
-from vanillashore_gateway._quota_requests import Quotas
-from vanillashore_gateway._rotation import Rotation
 from vanillashore_standins import wait_until
 
 TARGET_S = 0.9
@@ -180,13 +177,7 @@
         estimator = PrefillEstimator(random.Random(name))
         scheduler = PrefillScheduler(name, estimator, lambda service: ENGINES[:2], loop.time)
         transport, _ = await loop.create_datagram_endpoint(
-            lambda name=name, scheduler=scheduler: PeerSocket(
-                Quotas(name, QuotaSettings(), loop.time),
-                CrashMonitor(name, loop.time),
-                scheduler,
-                Rotation(name, loop.time),
-                lambda: None,
-            ),
+            lambda scheduler=scheduler: PeerSocket([scheduler], lambda: None),
             local_addr=("127.0.0.1", 0),
         )
         entries[name] = transport.get_extra_info("sockname")[:2]
--- a/tests/gateway/test_request_limits.py
+++ b/tests/gateway/test_request_limits.py
@@ -8,6 +8,7 @@
 import pytest
 from loguru import logger
 
+from vanillashore_standins import wait_until
 from vanillashore_standins.limit_check import allowed_requests, most_requests
 from vanillashore_standins.platform_endpoint import EndpointStandIn
 from vanillashore_standins.platform_rig import PlatformRig
@@ -56,17 +57,57 @@
 
 
 @pytest.mark.parametrize(
-    ("path", "kind"),
-    [("/stock/1", "services"), ("/quote/1", "decodes"), ("/quote/1", "prefills")],
+    ("path", "kind", "count"),
+    [("/stock/1", "services", 1), ("/quote/1", "decodes", 1), ("/quote/1", "prefills", 3)],
 )
 async def test_endpoint_gets_no_more_than_its_limit_from_all_entries_together(
-    path: str, kind: str
+    path: str, kind: str, count: int
 ) -> None:
     async with PlatformRig(services=3, prefills=3, decodes=3, entries=3) as rig:
-        limited = getattr(rig, kind)[0]
-        limited.limit_per_s = 2.0
+        limited = getattr(rig, kind)[:count]
+        for endpoint in limited:
+            endpoint.limit_per_s = 2.0
         await _load(rig, path, seconds=1.0, per_s=30.0)
         since = asyncio.get_running_loop().time()
         statuses = await _load(rig, path, seconds=4.0, per_s=20.0)
-        assert 0 < _most_after(limited, since) <= allowed_requests(2.0)
+        most = max(_most_after(endpoint, since) for endpoint in limited)
+        assert 0 < most <= allowed_requests(2.0)
         assert statuses.count(200) == len(statuses)
+
+
+@pytest.mark.parametrize(("path", "kind"), [("/stock/1", "services"), ("/quote/1", "decodes")])
+async def test_request_is_refused_as_not_run_when_all_endpoints_are_at_their_limits(
+    path: str, kind: str
+) -> None:
+    async with PlatformRig(services=2, prefills=1, decodes=2, entries=2) as rig:
+        limited = getattr(rig, kind)
+        for endpoint in limited:
+            endpoint.limit_per_s = 0.2
+        await _load(rig, path, seconds=1.0, per_s=10.0)
+        send = rig.generate if path == "/quote/1" else partial(rig.ask, "GET")
+        answers = [await send(path, f"late-{number}", entry=number % 2) for number in range(6)]
+        refused = [answer for answer in answers if answer.status == 503]
+        assert len(refused) >= 4
+        assert all(b'"ran":"no"' in answer.body for answer in refused)
+        assert all(float(answer.headers["retry-after"]) > 0.5 for answer in refused)
+        served = sum(answer.status == 200 for answer in answers)
+        runs = [run.request_id for e in limited for run in e.runs]
+        assert sum(name.startswith("late-") for name in runs) == served
+
+
+async def test_requests_go_to_endpoints_without_a_limit_while_others_are_at_theirs() -> None:
+    async with PlatformRig(services=2, entries=2) as rig:
+        rig.services[0].limit_per_s = 0.2
+        statuses = await _load(rig, "/stock/1", seconds=1.0, per_s=60.0)
+        assert statuses == [200] * 60
+        assert len(rig.services[1].runs) > 45
+
+
+async def test_limit_that_is_no_longer_named_ends_at_all_entries() -> None:
+    async with PlatformRig(services=1, entries=3) as rig:
+        rig.services[0].limit_per_s = 20.0
+        await _load(rig, "/stock/1", seconds=0.5, per_s=20.0)
+        assert {p.gateway.limits.limited_endpoints for p in rig.processes} == {1}
+        rig.services[0].limit_per_s = None
+        await rig.ask("GET", "/stock/1", "last")
+        await wait_until(lambda: {p.gateway.limits.limited_endpoints for p in rig.processes} == {0})
--- a/tests/gateway/test_upgrade.py
+++ b/tests/gateway/test_upgrade.py
@@ -81,7 +81,7 @@
 def test_message_of_an_unknown_kind_is_counted_and_logged_once() -> None:
     lines, ignored = [], []
     handler = _Handler()
-    socket = PeerSocket(handler, handler, handler, handler, lambda: ignored.append(1))
+    socket = PeerSocket([handler], lambda: ignored.append(1))
     sink = log.add(lambda line: lines.append(line.record["message"]), level="WARNING")
     for data in (b'["later",1]', b'["known",1]', b'["later",2]', b"\xff"):
         socket.datagram_received(data, ("127.0.0.1", 1))
