Let the soak's endpoints name request limits, and check what reaches them

Single endpoints or all of a kind name a limit for six to nine seconds, beside the other faults. The check counts the requests of entries that an answer had told of the limit at least half a second before, without a disruption of the entry since, in any 4 s from 3 s after the limit was first named. The time of an arrival is now recorded by the endpoint.

--- a/packages/vanillashore-standins/src/vanillashore_standins/soak/_callers.py
+++ b/packages/vanillashore-standins/src/vanillashore_standins/soak/_callers.py
@@ -7,17 +7,21 @@
 
 import attrs
 
-from vanillashore_standins.platform_endpoint import EVENT_TEXT_FORMAT
+from vanillashore_standins.platform_endpoint import EVENT_TEXT_FORMAT, SEAL_PREFIX
 from vanillashore_standins.platform_rig import HOST
 
 ANSWER_TIMEOUT_S = 6.0  # Longer than the deadline that callers send.
 DEADLINE_MS = 4_000
+SEAL_HEADER = f"x-server-seal: {SEAL_PREFIX}"
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
 
 @attrs.frozen
 class RequestRecord:
-    """A request and its outcome; status 0 means that the connection broke."""
+    """A request and its outcome; status 0 means that the connection broke.
+
+    ``limited_by`` is the endpoint that named a request limit in its answer, if any.
+    """
 
     request_id: str
     path: str
@@ -25,6 +29,8 @@
     sent_at: float
     ended_at: float
     status: int
+    entry: tuple[str, int]
+    limited_by: str = ""
 
 
 @attrs.frozen
@@ -65,6 +71,8 @@
         self._expected_stream = b"".join(
             f"id: {n}\ndata: {EVENT_TEXT_FORMAT % n}\n\n".encode() for n in range(1, events + 1)
         )
+        self._limited_by = ""
+        self._entry = ("", 0)
         self._connection: tuple[asyncio.StreamReader, asyncio.StreamWriter] | None = None
 
     async def run(self) -> None:
@@ -82,19 +90,31 @@
         loop = asyncio.get_running_loop()
         key, sent_at = self._key(), loop.time()
         status = 0
+        self._limited_by = ""
         try:
             timeout_s = ANSWER_TIMEOUT_S if self._rng.random() > 0.05 else self._rng.random() * 0.2
             async with asyncio.timeout(timeout_s):
                 status = await self._exchange(request_id, kind, key)
         except (OSError, TimeoutError, asyncio.IncompleteReadError, ValueError):
             self._close_connection()
-        self.records.append(RequestRecord(request_id, kind.path, key, sent_at, loop.time(), status))
+        self.records.append(
+            RequestRecord(
+                request_id,
+                kind.path,
+                key,
+                sent_at,
+                loop.time(),
+                status,
+                self._entry,
+                self._limited_by,
+            )
+        )
 
     async def _exchange(self, request_id: str, kind: RequestKind, key: str) -> int:
         if self._connection is None or self._rng.random() < 0.1:
             self._close_connection()
-            host, port = self._rng.choice(self._addresses())
-            self._connection = await asyncio.open_connection(host, port)
+            self._entry = self._rng.choice(self._addresses())
+            self._connection = await asyncio.open_connection(*self._entry)
         reader, writer = self._connection
         size_headers = "X-Token-Count: 1000,500\r\nX-Length-Hint: 50\r\n" if kind.is_stream else ""
         writer.write(
@@ -106,6 +126,8 @@
         status = int(head.split(" ")[1])
         if f"x-request-id: {request_id}" not in head and status == 200:
             self._add_violation(request_id, "got the response of another request")
+        if "server-limit: " in head and SEAL_HEADER in head:
+            self._limited_by = head.split(SEAL_HEADER)[1].split("\r\n")[0]
         body, is_complete = await self._read_body(reader, head)
         if status == 200:
             self._check_body(request_id, kind, body, is_complete)
--- a/packages/vanillashore-standins/src/vanillashore_standins/soak/_mutants.py
+++ b/packages/vanillashore-standins/src/vanillashore_standins/soak/_mutants.py
@@ -18,6 +18,7 @@
     _generation,
     _http_client,
 )
+from vanillashore_gateway._limit_requests import RequestLimits
 from vanillashore_gateway._membership import Membership
 
 
@@ -68,6 +69,25 @@
     )
 
 
+def _ignore_request_limits() -> None:
+    """Send to endpoints as if they named no limit."""
+
+    async def permit(self: RequestLimits, endpoint: object, max_wait_s: float = 0.0) -> None:
+        return None
+
+    RequestLimits.acquire = permit
+
+
+def _keep_limits_for_each_entry() -> None:
+    """Let each entry use the whole limit of an endpoint."""
+
+    async def permit(self: RequestLimits, start: object, max_wait_s: float) -> object:
+        return self._permit(start, max_wait_s)
+
+    RequestLimits._request_permit = permit
+    RequestLimits._homes = lambda self, start: [self._node]
+
+
 MUTANTS: dict[str, Callable[[], None]] = {
     "resend-unclear-calls": _resend_unclear_calls,
     "rerun-broken-streams": _rerun_broken_streams,
@@ -75,6 +95,8 @@
     "ignore-leaving": _ignore_leaving,
     "keep-old-keys": _keep_old_keys,
     "refuse-after-run": _refuse_after_run,
+    "ignore-request-limits": _ignore_request_limits,
+    "keep-limits-for-each-entry": _keep_limits_for_each_entry,
 }
 
 if __name__ == "__main__":
--- a/packages/vanillashore-standins/src/vanillashore_standins/soak/_run.py
+++ b/packages/vanillashore-standins/src/vanillashore_standins/soak/_run.py
@@ -17,6 +17,7 @@
 from vanillashore_standins.platform_store import PlatformStoreStandIn
 from vanillashore_standins.soak._callers import NOT_RUN_STATUSES, REQUEST_KINDS, SoakCaller
 from vanillashore_standins.soak._entries import EntryProcess
+from vanillashore_standins.soak._limits import LimitFaults
 from vanillashore_standins.soak._proxy import ProxyMode
 
 EVENTS = 6
@@ -82,7 +83,9 @@
         self._disruptions: list[_TimeSpan] = []
         self._key_withdrawals: list[_TimeSpan] = []
         self._drains: list[tuple[str, _TimeSpan]] = []
-        self._arrived_at: dict[tuple[str, str], float] = {}
+        self._entry_disruptions: list[tuple[tuple[str, int], _TimeSpan]] = []
+        kinds = [[e for e in self.endpoints if e.instance.startswith(letter)] for letter in "spd"]
+        self._limits = LimitFaults(kinds, random.Random(f"{plan.seed}-limits"))
         self._callers = [
             SoakCaller(
                 f"c{i}", random.Random(f"{plan.seed}-{i}"), self._entry_addresses, self._key, EVENTS
@@ -103,16 +106,16 @@
                 self.entries.append(await stack.enter_async_context(entry))
             await self._wait_for_entries()
             callers = [asyncio.ensure_future(caller.run()) for caller in self._callers]
-            arrival_recorder = asyncio.ensure_future(self._record_arrivals())
+            limits = asyncio.ensure_future(self._limits.run())
             await self._inject_faults()
+            await _cancel(limits)
             await self._check_recovery()
-            for task in (*callers, arrival_recorder):
-                task.cancel()
-            await asyncio.gather(*callers, arrival_recorder, return_exceptions=True)
+            await _cancel(*callers)
             await asyncio.sleep(0.5)
         self._check_guarantees()
         records = [r for caller in self._callers for r in caller.records]
         statuses = Counter(r.status for r in records)
+        self.faults["name_limit"] = self._limits.count
         return SoakReport(len(records), statuses, self.faults, tuple(sorted(set(self.violations))))
 
     async def _wait_for_entries(self) -> None:
@@ -170,11 +173,25 @@
         if len(self.entries) < 2:
             return
         entry = self.entries.pop(self.rng.randrange(1, len(self.entries)))
+        span = self._begin_entry_disruption(entry)
         try:
             await work(entry)
         finally:
+            span.end = _now()
             self.entries.append(entry)
 
+    def _begin_entry_disruption(self, entry: EntryProcess) -> _TimeSpan:
+        span = _TimeSpan(_now())
+        self._entry_disruptions.append((entry.address, span))
+        return span
+
+    def _was_disrupted(self, entry: tuple[str, int], since: float, until: float) -> bool:
+        """Whether an entry was disrupted, up to ``SETTLE_S`` before ``since``."""
+        return any(
+            address == entry and span.start < until and span.end > since - SETTLE_S
+            for address, span in self._entry_disruptions
+        )
+
     async def _disturb_store(self) -> None:
         faults = self.store.faults
         kind = self.rng.choice(["down", "busy", "silent", "lost"])
@@ -185,10 +202,12 @@
 
     async def _disturb_path(self) -> None:
         entry = self.rng.choice(self.entries)
+        span = self._begin_entry_disruption(entry)
         entry.store_proxy.mode = self.rng.choice([m for m in ProxyMode if m is not ProxyMode.PASS])
         await asyncio.sleep(self.rng.random() * 3)
         entry.store_proxy.mode = ProxyMode.PASS
         entry.store_proxy.reset()
+        span.end = _now()
 
     async def _drop_history(self) -> None:
         self.store.drop_history()
@@ -219,25 +238,18 @@
         span.end = _now()
         self._put_endpoint(endpoint)
 
-    async def _record_arrivals(self) -> None:
-        """Record the approximate arrival time of each request."""
-        while True:
-            for endpoint in self.endpoints:
-                for arrival in endpoint.arrivals:
-                    self._arrived_at.setdefault((endpoint.instance, arrival.request_id), _now())
-            await asyncio.sleep(0.02)
-
     def _was_calm(self, since: float, until: float) -> bool:
         """Whether no disruption occurred between ``SETTLE_S`` before ``since`` and ``until``."""
         return not any(d.start < until and d.end > since - SETTLE_S for d in self._disruptions)
 
     def _check_time_limits(self) -> None:
         """Check that changes took effect within their time limit, outside of disruptions."""
-        for (instance, request_id), at in self._arrived_at.items():
-            for name, span in self._drains:
-                is_late = span.start + CHANGE_LIMIT_S < at < span.end
-                if name == instance and is_late and self._was_calm(span.start, at):
-                    self.violations.append(f"{request_id}: reached a leaving endpoint")
+        endpoints = {endpoint.instance: endpoint for endpoint in self.endpoints}
+        for name, span in self._drains:
+            for arrival in endpoints[name].arrivals:
+                is_late = span.start + CHANGE_LIMIT_S < arrival.at < span.end
+                if is_late and self._was_calm(span.start, arrival.at):
+                    self.violations.append(f"{arrival.request_id}: reached a leaving endpoint")
         for caller in self._callers:
             for record in caller.records:
                 for span in self._key_withdrawals:
@@ -272,6 +284,7 @@
         self._check_time_limits()
         runs = Counter(a.request_id for e in self.endpoints for a in e.runs)
         records = {r.request_id: r for caller in self._callers for r in caller.records}
+        self.violations += self._limits.violations(records.values(), self._was_disrupted)
         for caller in self._callers:
             self.violations += caller.violations
         for request_id, count in runs.items():
@@ -314,6 +327,12 @@
         return SECOND_KEY if is_second else KEY
 
 
+async def _cancel(*tasks: "asyncio.Future[None]") -> None:
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
+
+
 def _now() -> float:
     return asyncio.get_running_loop().time()
 
