--- a/tests/gateway/test_limit_requests.py
+++ b/tests/gateway/test_limit_requests.py
@@ -197,7 +197,7 @@
 ) -> None:
     async def main() -> None:
         fleet = Fleet(size, limit_per_s)
-        load = asyncio.ensure_future(fleet.load(16.0))
+        load = asyncio.ensure_future(fleet.load(16.0, per_s=80.0))
         await asyncio.sleep(4.0)
         await fault(fleet)
         await load
@@ -206,6 +206,19 @@
     _run(main())
 
 
+@pytest.mark.parametrize("size", [1, 3, 28])
+@pytest.mark.parametrize("limit_per_s", [0.3, 2.2])
+def test_requests_after_a_pause_do_not_exceed_a_limit(size: int, limit_per_s: float) -> None:
+    async def main() -> None:
+        fleet = Fleet(size, limit_per_s)
+        for _ in range(3):
+            await fleet.load(4.0)
+            await asyncio.sleep(40.0)
+        assert most_requests(fleet.counted) <= allowed_requests(limit_per_s)
+
+    _run(main())
+
+
 @pytest.mark.parametrize("size", [1, 3, 28])
 @pytest.mark.parametrize("used", [1, 28])
 def test_limit_is_used_in_full_by_one_entry_or_by_all(size: int, used: int) -> None:
