--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_domain.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_domain.py
@@ -119,7 +119,8 @@
     """A process that runs requests; most starts have an instance name of their own.
 
     ``started_ms`` is the time of the start by the endpoint's own clock, which only serves to tell
-    two starts under the same name apart.
+    two starts under the same name apart. ``software`` is the version of the endpoint's software;
+    versions have no order.
     """
 
     instance: str
@@ -131,6 +132,7 @@
     role: EndpointRole = EndpointRole.SERVICE
     is_leaving: bool = False
     started_ms: int = 0
+    software: str = ""
 
     @property
     def start(self) -> EndpointStart:
@@ -168,7 +170,9 @@
     """A complete request of a caller, decoded.
 
     ``headers`` are those to pass to an endpoint as the caller sent them. ``deadline`` and
-    ``arrived`` are in seconds of `vanillashore_gateway.now`.
+    ``arrived`` are in seconds of `vanillashore_gateway.now`. A caller that takes a stream up again
+    states the ``last_event_id`` that it has, and in ``resumes`` the id of the request
+    that brought it the first event.
     """
 
     request_id: bytes
@@ -183,6 +187,7 @@
     key: str | None = None
     generation_size: GenerationSize | None = None
     last_event_id: int | None = None
+    resumes: str | None = None
 
     @property
     def log_id(self) -> str:
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_gateway.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_gateway.py
@@ -271,6 +271,8 @@
             service=service.name,
             workspace=name,
             state_age_s=round(now() - self._synced_at, 2),
+            resumes=req.resumes,
+            last_event_id=req.last_event_id,
         )
         return job
 
@@ -367,5 +369,6 @@
                 role=endpoint.role.value,
                 address=endpoint.address,
                 leaving=endpoint.is_leaving,
+                software=endpoint.software,
                 is_new=known is None,
             ).info("endpoint added or changed")
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_generation.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_generation.py
@@ -127,6 +127,7 @@
         job.log_decision(
             "slot reserved",
             endpoint=hold.endpoint.instance,
+            software=hold.endpoint.software,
             waited_s=round(self._tools.clock() - job.req.arrived, 3),
         )
         return hold
--- a/packages/vanillashore-standins/src/vanillashore_standins/platform_endpoint.py
+++ b/packages/vanillashore-standins/src/vanillashore_standins/platform_endpoint.py
@@ -13,7 +13,12 @@
 import orjson
 
 SEAL_PREFIX = "sealed-by-"
-EVENT_TEXT_FORMAT = "piece %d"
+VERSION = "v1"
+
+
+def event_bytes(number: int, version: str = VERSION) -> bytes:
+    """Return an event of a stream, which names the version that made it."""
+    return f"id: {number}\ndata: piece {number} of {version}\n\n".encode()
 
 
 class Fault(StrEnum):
@@ -70,7 +75,7 @@
     """Serves one instance on a loopback port.
 
     Each request consumes one of ``faults``; requests after the last one succeed. Answers name
-    ``limit_per_s`` unless it is ``None``.
+    ``limit_per_s`` unless it is ``None``. ``version`` is that of the endpoint's software.
     """
 
     def __init__(self, instance: str, service: str, engine: EngineOptions | None = None) -> None:
@@ -79,6 +84,7 @@
         self.engine = engine
         self.faults: deque[Fault] = deque()
         self.limit_per_s: float | None = None
+        self.version = VERSION
         self.arrivals: list[Arrival] = []
         self.calls: list[tuple[str, str]] = []
         self.holds: dict[str, int] = {}
@@ -100,7 +106,7 @@
             "service": self.service,
             "address": self.address,
             "zone": "dc-a",
-            "version": "v1",
+            "version": self.version,
             "slots": 8,
             "state": "ready",
             "cold_remaining_ms": 0,
@@ -240,7 +246,7 @@
         writer.write(_head(200, server_headers | {"Content-Type": "text/event-stream"}, -1))
         first = int(arrival.headers.get("last-event-id", 0)) + 1
         for number in range(first, self.engine.events + 1):
-            event = f"id: {number}\ndata: {EVENT_TEXT_FORMAT % number}\n\n".encode()
+            event = event_bytes(number, self.version)
             if number > self.engine.break_after and fault is Fault.BREAKS_MID_EVENT:
                 writer.write(_chunk(event[:7]))
                 await writer.drain()
--- a/packages/vanillashore-standins/src/vanillashore_standins/soak/_callers.py
+++ b/packages/vanillashore-standins/src/vanillashore_standins/soak/_callers.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-from vanillashore_standins.platform_endpoint import EVENT_TEXT_FORMAT, SEAL_PREFIX
+from vanillashore_standins.platform_endpoint import SEAL_PREFIX, event_bytes
 from vanillashore_standins.platform_rig import HOST
 
 ANSWER_TIMEOUT_S = 6.0  # Longer than the deadline that callers send.
@@ -68,9 +68,7 @@
         self._rng = rng
         self._addresses = addresses
         self._key = key
-        self._expected_stream = b"".join(
-            f"id: {n}\ndata: {EVENT_TEXT_FORMAT % n}\n\n".encode() for n in range(1, events + 1)
-        )
+        self._expected_stream = b"".join(event_bytes(n) for n in range(1, events + 1))
         self._limited_by = ""
         self._entry = ("", 0)
         self._connection: tuple[asyncio.StreamReader, asyncio.StreamWriter] | None = None
--- a/tests/adapter/test_decoding.py
+++ b/tests/adapter/test_decoding.py
@@ -1,5 +1,7 @@
 """Decoding of the platform's configuration, endpoints, settings and headers."""
 
+from typing import Any
+
 import orjson
 import pytest
 
@@ -200,3 +202,21 @@
     headers = () if value is None else ((b"Server-Limit", value),)
     head = PlatformDialect().decode_answer(ResponseHead(200, b"OK", headers))
     assert head.limit_per_s == limit_per_s
+
+
+@pytest.mark.parametrize(
+    ("headers", "resumes"),
+    [
+        ((), None),
+        (((b"Resumes", b"r-1"),), "r-1"),
+        (((b"resumes", b"a"), (b"Resumes", b"b")), None),
+    ],
+)
+def test_request_that_brought_the_first_event_of_a_stream(headers: Any, resumes: Any) -> None:
+    required = ((b"Host", b"h"), (b"X-Request-Id", b"r-2"), (b"Last-Event-Id", b"3"))
+    req = PlatformDialect().decode_request(
+        RequestHead(b"POST", b"/p", (*required, *headers)), b"", 0.0
+    )
+    assert (req.resumes, req.last_event_id) == (resumes, 3)
+    forwarded = [value for name, value in req.headers if name.lower() == b"resumes"]
+    assert forwarded == [value for _, value in headers]
--- a/tests/gateway/test_generation.py
+++ b/tests/gateway/test_generation.py
@@ -5,13 +5,11 @@
 import pytest
 
 from vanillashore_standins import wait_until
-from vanillashore_standins.platform_endpoint import EVENT_TEXT_FORMAT, EngineOptions, Fault
+from vanillashore_standins.platform_endpoint import EngineOptions, Fault, event_bytes
 from vanillashore_standins.platform_rig import PlatformRig, fail_first
 
 EVENTS = 5
-WHOLE = "".join(
-    f"id: {n}\ndata: {EVENT_TEXT_FORMAT % n}\n\n" for n in range(1, EVENTS + 1)
-).encode()
+WHOLE = b"".join(event_bytes(n) for n in range(1, EVENTS + 1))
 
 
 async def test_prompt_is_prefilled_and_the_stream_is_complete() -> None:
--- a/tests/gateway/test_request_limits.py
+++ b/tests/gateway/test_request_limits.py
@@ -1,12 +1,10 @@
 """Request limits that endpoints name, and what all entries together send."""
 
 import asyncio
-from collections.abc import Iterator
 from functools import partial
 from typing import Any
 
 import pytest
-from loguru import logger
 
 from vanillashore_standins import wait_until
 from vanillashore_standins.limit_check import allowed_requests, most_requests
@@ -14,18 +12,6 @@
 from vanillashore_standins.platform_rig import PlatformRig
 
 
-@pytest.fixture
-def log_lines() -> Iterator[list[dict[str, Any]]]:
-    lines: list[dict[str, Any]] = []
-    number = logger.add(
-        lambda message: lines.append(
-            {"message": message.record["message"]} | message.record["extra"]
-        )
-    )
-    yield lines
-    logger.remove(number)
-
-
 async def test_each_change_of_a_limit_is_logged_with_the_request_that_showed_it(
     log_lines: list[dict[str, Any]],
 ) -> None:
