Show that streams go on at another version than the one that began them

Streams that break or stall move to the other version within one answer, and prompts are prefilled at one version and decoded at the other.

--- a/packages/vanillashore-standins/src/vanillashore_standins/platform_rig.py
+++ b/packages/vanillashore-standins/src/vanillashore_standins/platform_rig.py
@@ -153,6 +153,13 @@
         await wait_until(lambda: gateway.metrics.render() is not None)
         return process
 
+    def kill_entry(self, entry: int) -> None:
+        """End a gateway and its connections at once; its registration stays in the store."""
+        process = self.processes.pop(entry)
+        process.close()
+        for conn in list(process.gateway.front.connections):
+            conn.abort()
+
     def entries_know_each_other(self) -> bool:
         """Whether each gateway knows all gateways."""
         return all(p.gateway.known_entries == len(self.processes) for p in self.processes)
@@ -179,6 +186,19 @@
         **headers: str,
     ) -> Answer:
         """Send one request on a new connection to a gateway and read the answer."""
+        data = self.encode(method, path, request_id, body, key, **headers)
+        return await self.send(data, entry)
+
+    def encode(
+        self,
+        method: str,
+        path: str,
+        request_id: str,
+        body: bytes = b"",
+        key: str = KEY,
+        **headers: str,
+    ) -> bytes:
+        """Return the bytes of a request."""
         extra_headers = {name.replace("_", "-"): value for name, value in headers.items()}
         all_headers = {
             "Host": HOST,
@@ -194,7 +214,7 @@
             "",
             "",
         ]
-        return await self.send("\r\n".join(lines).encode() + body, entry)
+        return "\r\n".join(lines).encode() + body
 
     async def send(self, data: bytes, entry: int = 0) -> Answer:
         """Send raw bytes on a new connection to a gateway and read one answer."""
--- a/tests/gateway/test_stream_versions.py
+++ b/tests/gateway/test_stream_versions.py
@@ -1,7 +1,14 @@
 """Streams while endpoints of several software versions serve side by side."""
 
-from typing import Any
+import asyncio
+import contextlib
+import re
+from typing import Any, Self
 
+import attrs
+import pytest
+
+from vanillashore_standins.platform_endpoint import EngineOptions, Fault
 from vanillashore_standins.platform_rig import PlatformRig
 
 
@@ -14,3 +21,106 @@
     assert (admitted["resumes"], admitted["last_event_id"]) == ("id-1", 3)
     reserved = next(line for line in log_lines if line["message"] == "slot reserved")
     assert reserved["software"] == "v1"
+
+
+EVENT = re.compile(rb"id: (\d+)\ndata: piece \d+ of (\S+)\n\n")
+SIZE = {"X_Token_Count": "1000,500", "X_Length_Hint": "50"}
+ENGINE = EngineOptions(events=30, pause_s=0.02)
+
+
+def _rig(entries: int = 3, **options: Any) -> PlatformRig:
+    """Return a rig whose engines have two versions."""
+    rig = PlatformRig(prefills=2, decodes=4, entries=entries, **({"engine": ENGINE} | options))
+    for endpoint in (rig.prefills[1], *rig.decodes[2:]):
+        endpoint.version = "v2"
+    return rig
+
+
+@attrs.define
+class Stream:
+    """A caller's connection for one stream, and the events that it has received."""
+
+    reader: asyncio.StreamReader
+    writer: asyncio.StreamWriter
+    received: bytes = b""
+
+    @classmethod
+    async def open(cls, rig: PlatformRig, request_id: str, entry: int, **headers: str) -> Self:
+        address = rig.processes[entry].front_address
+        stream = cls(*await asyncio.open_connection(*address))
+        data = rig.encode("POST", "/quote/1", request_id, b"prompt", **(SIZE | headers))
+        stream.writer.write(data)
+        return stream
+
+    @property
+    def events(self) -> list[tuple[int, bytes]]:
+        return [(int(number), version) for number, version in EVENT.findall(self.received)]
+
+    async def read(self, events: int) -> None:
+        with contextlib.suppress(ConnectionError):
+            while len(self.events) < events and (data := await self.reader.read(65_536)):
+                self.received += data
+
+    def close(self) -> None:
+        self.writer.transport.abort()
+
+
+async def _take_up(rig: PlatformRig, number: int, begun: Stream) -> Stream:
+    last_id, _ = begun.events[-1]
+    stream = await Stream.open(
+        rig,
+        f"second-{number}",
+        number % len(rig.processes),
+        Resumes=f"first-{number}",
+        Last_Event_Id=str(last_id),
+    )
+    await stream.read(ENGINE.events - last_id)
+    stream.close()
+    return stream
+
+
+@pytest.mark.parametrize("how", ["caller leaves", "entry is killed"])
+async def test_stream_taken_up_by_its_caller_goes_on_at_the_version_that_began_it(how: str) -> None:
+    async with _rig() as rig:
+        begun = [await Stream.open(rig, f"first-{n}", entry=0) for n in range(16)]
+        await asyncio.gather(*(stream.read(3) for stream in begun))
+        if how == "entry is killed":
+            rig.kill_entry(0)
+        for stream in begun:
+            stream.close()
+        resumed = await asyncio.gather(*(_take_up(rig, n, s) for n, s in enumerate(begun)))
+        mixed = went_on = 0
+        for first, second in zip(begun, resumed, strict=True):
+            events = first.events + second.events
+            mixed += len({version for _, version in events}) > 1
+            went_on += [number for number, _ in events] == list(range(1, ENGINE.events + 1))
+        assert {version for stream in begun for _, version in stream.events} == {b"v1", b"v2"}
+        assert mixed == 0
+        assert went_on >= 12
+
+
+@pytest.mark.parametrize("fault", [Fault.BREAKS_MID_EVENT, Fault.STALLS])
+async def test_stream_that_moves_within_its_answer_stays_at_its_version(fault: Fault) -> None:
+    async with _rig(entries=1) as rig:
+        for engine in rig.decodes:
+            engine.faults.append(fault)
+        streams = [await Stream.open(rig, f"id-{n}", entry=0) for n in range(6)]
+        await asyncio.gather(*(stream.read(ENGINE.events) for stream in streams))
+        versions = [{version for _, version in stream.events} for stream in streams]
+        assert [len(names) for names in versions] == [1] * 6
+        assert sum(len(s.events) == ENGINE.events for s in streams) >= 4
+
+
+async def test_prompt_is_prefilled_at_the_version_that_decodes_it() -> None:
+    async with _rig(entries=2) as rig:
+        version_of = {e.instance: e.version for e in rig.endpoints}
+        for number in range(12):
+            await rig.generate("/quote/1", f"id-{number}", entry=number % 2)
+        for number in range(12):
+            reached = {
+                version_of[e.instance]
+                for e in (*rig.prefills, *rig.decodes)
+                for arrival in e.arrivals
+                if arrival.request_id == f"id-{number}"
+            }
+            assert len(reached) == 1
