Let a stream that breaks or stalls go on only at the version that began it

Cause: the list's version of an engine was not read, and a broken or stalled stream went on at any engine with room.

The version of the first event is kept with the stream, and only engines of that version are asked. The queue for them is separate, so that a stream that waits for its version does not hold up others, and new generations leave these engines to it. A stalled stream without another engine of its version keeps waiting instead of ending.

--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_generation.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_generation.py
@@ -43,10 +43,14 @@
 
 @attrs.define
 class _Stream:
-    """Events passed to the caller, and how many endpoints may have run the request."""
+    """Events passed to the caller, and how many endpoints may have run the request.
+
+    ``software`` is the version that made the events; ``None`` while the caller has none.
+    """
 
     splitter: EventSplitter = attrs.field(factory=EventSplitter)
     runs: int = 0
+    software: str | None = None
 
 
 class GenerationForwarder:
@@ -121,7 +125,12 @@
         hold, self._next_hold = self._next_hold, None
         if hold is None:
             hold = await self._tools.slot_finder.find(
-                job.req, job.route, job.service, job.tried, has_begun=self._stream.runs > 0
+                job.req,
+                job.route,
+                job.service,
+                job.tried,
+                has_begun=self._stream.runs > 0,
+                software=self._stream.software,
             )
         job.tried.add(hold.endpoint.instance)
         job.log_decision(
@@ -299,7 +308,10 @@
         splitter = self._stream.splitter
         while data := await self._read_or_move(sent, timeout_s):
             self._record_prompt_read(splitter.events)
-            await responder.write(splitter.feed(data))
+            events = splitter.feed(data)
+            if events and self._stream.software is None:
+                self._stream.software = sent.endpoint.software
+            await responder.write(events)
             timeout_s = self._stall_timeout_s()
         if splitter.has_partial_event:
             raise LinkError(LinkFailure.BROKEN, "the stream ended inside an event")
@@ -327,7 +339,9 @@
         job, tools = self._job, self._tools
         if not self._may_move():
             return False
-        hold = await tools.slot_finder.find_now(job.req, job.service, job.route, job.tried)
+        hold = await tools.slot_finder.find_now(
+            job.req, job.service, job.route, job.tried, self._stream.software
+        )
         if hold is not None and not self._budget.spend():
             tools.slot_finder.release(hold)
             hold = None
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_slot_finder.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_slot_finder.py
@@ -49,15 +49,25 @@
 
 @attrs.define(eq=False)
 class SlotRequest:
-    """A generation that needs a decode slot; ``avoided`` are engines that have failed it."""
+    """A generation that needs a decode slot; ``avoided`` are engines that have failed it.
+
+    A stream that has begun can only go on at an engine with the same ``software``; ``None`` allows
+    any.
+    """
 
     req: CallerRequest
     route: Route
     service: Service
     tokens: int
     avoided: set[str]
+    software: str | None
     fut: "asyncio.Future[Hold]"
 
+    @property
+    def queue_key(self) -> tuple[str, str | None]:
+        """The queue to wait in: a stream that waits for its version must not block others."""
+        return self.service.name, self.software
+
 
 class SlotFinder:
     """Reserves slots at decode engines, in the order of the queue."""
@@ -79,9 +89,9 @@
         self._membership = membership
         self._clock = clock
         self._rng = rng
-        self._queues: dict[str, SlotQueue[SlotRequest]] = defaultdict(SlotQueue)
+        self._queues: dict[tuple[str, str | None], SlotQueue[SlotRequest]] = defaultdict(SlotQueue)
         self._tasks: set[asyncio.Task[Any]] = set()
-        self._assigning: set[str] = set()
+        self._assigning: set[tuple[str, str | None]] = set()
 
     async def find(
         self,
@@ -90,14 +100,15 @@
         service: Service,
         avoided: set[str],
         has_begun: bool = False,
+        software: str | None = None,
     ) -> Hold:
         """Return a reservation; raise RefusalError if none is expected or made in time.
 
         With ``has_begun`` the caller has already received a part of the answer, so the request is
         put at the front of the queue.
         """
-        queue = self.queue(service.name)
-        request = SlotRequest(req, route, service, needed_tokens(req), avoided, _future())
+        request = SlotRequest(req, route, service, needed_tokens(req), avoided, software, _future())
+        queue = self._queues[request.queue_key]
         if has_begun or not len(queue):
             hold = await self._try(request)
             if hold is not None:
@@ -111,15 +122,28 @@
         return await self._wait(queue, self._waiter(request))
 
     async def find_now(
-        self, req: CallerRequest, service: Service, route: Route, avoided: set[str]
+        self,
+        req: CallerRequest,
+        service: Service,
+        route: Route,
+        avoided: set[str],
+        software: str | None = None,
     ) -> Hold | None:
         """Return a reservation, or ``None`` if no engine that was asked has room at once."""
-        request = SlotRequest(req, route, service, needed_tokens(req), avoided, _future())
-        return await self._try(request)
+        request = SlotRequest(req, route, service, needed_tokens(req), avoided, software, _future())
+        try:
+            return await self._try(request)
+        except RefusalError as exc:
+            log.bind(request=req.log_id, reason=exc.refused.text).info("no other engine")
+            return None
 
     def queue(self, service: str) -> SlotQueue[SlotRequest]:
-        """Return the queue for decode slots of a service."""
-        return self._queues[service]
+        """Return the queue for decode slots at any engine of a service."""
+        return self._queues[service, None]
+
+    def waiting(self, service: str) -> int:
+        """Return how many generations wait, those that wait for a version included."""
+        return sum(len(queue) for (name, _), queue in self._queues.items() if name == service)
 
     def record_answer_time(self, service: Service, seconds: float) -> None:
         """Record how long an answer held its slot."""
@@ -159,9 +183,10 @@
         queue.add(waiter, is_first)
         bound = log.bind(request=request.req.log_id, waiting=len(queue), tokens=request.tokens)
         bound.info("waiting for a decode slot")
-        if request.service.name not in self._assigning:
-            self._assigning.add(request.service.name)
-            self._start(self._assign_slots(request.service.name, queue))
+        key = request.queue_key
+        if key not in self._assigning:
+            self._assigning.add(key)
+            self._start(self._assign_slots(key, queue))
         try:
             return await request.fut
         except asyncio.CancelledError:
@@ -171,7 +196,9 @@
         finally:
             queue.remove(waiter)
 
-    async def _assign_slots(self, service: str, queue: SlotQueue[SlotRequest]) -> None:
+    async def _assign_slots(
+        self, key: tuple[str, str | None], queue: SlotQueue[SlotRequest]
+    ) -> None:
         """Reserve slots for the first in the queue, polling, until the queue is empty."""
         try:
             while len(queue):
@@ -199,7 +226,7 @@
                     first.item.fut.set_result(hold)
         finally:
             queue.record_empty()
-            self._assigning.discard(service)
+            self._assigning.discard(key)
 
     def _refuse(self, queue: SlotQueue[SlotRequest], request: SlotRequest) -> None:
         _fail(request, self._refusal(queue, request, "no decode slot became free in time"))
@@ -227,7 +254,7 @@
             raise refusal(
                 ErrorCode.NO_ENDPOINT, "no decode engine is available", MAX_QUEUE_WAIT_S / 2
             )
-        endpoints = self._limits.open_endpoints(endpoints)
+        endpoints = self._limits.open_endpoints(self._of_version(request, endpoints))
         tried = set(request.avoided)
         share = request.tokens / max(1, request.service.kv_tokens)
         for _ in range(MAX_ENGINES_ASKED):
@@ -240,6 +267,24 @@
                 return hold
         return None
 
+    def _of_version(self, request: SlotRequest, endpoints: list[Endpoint]) -> list[Endpoint]:
+        """Return the engines that may run a request.
+
+        Those with the version for which a stream that has begun waits are left to that stream.
+        """
+        if request.software is None:
+            awaited = {
+                software
+                for (service, software), queue in self._queues.items()
+                if service == request.service.name and software is not None and len(queue)
+            }
+            return [endpoint for endpoint in endpoints if endpoint.software not in awaited]
+        same = [endpoint for endpoint in endpoints if endpoint.software == request.software]
+        if not same:
+            text = f"no decode engine of version {request.software}, which began the stream"
+            raise refusal(ErrorCode.NO_ENDPOINT, text)
+        return same
+
     async def _reserve_at(
         self, request: SlotRequest, endpoint: Endpoint, reserve_share: float
     ) -> Hold | None:
--- a/tests/gateway/test_generation.py
+++ b/tests/gateway/test_generation.py
@@ -152,7 +152,7 @@
         for engine in rig.decodes:
             engine.engine.room = 0
         queued = [asyncio.ensure_future(rig.generate("/idea/1", f"id-{n}")) for n in range(3)]
-        await wait_until(lambda: len(rig.process.gateway.slot_finder.queue("models")) == 4)
+        await wait_until(lambda: rig.process.gateway.slot_finder.waiting("models") == 4)
         next(e for e in rig.decodes if not e.runs).engine.room = 1_000_000
         answer = await begun
         assert (answer.status, answer.body, answer.is_complete) == (200, WHOLE, True)
--- a/tests/gateway/test_stream_versions.py
+++ b/tests/gateway/test_stream_versions.py
@@ -8,8 +8,10 @@
 import attrs
 import pytest
 
+from vanillashore_gateway import EndpointRole
+from vanillashore_standins import wait_until
 from vanillashore_standins.platform_endpoint import EngineOptions, Fault
-from vanillashore_standins.platform_rig import PlatformRig
+from vanillashore_standins.platform_rig import PlatformRig, fail_first
 
 
 async def test_logs_tell_which_stream_is_taken_up_and_at_which_version(
@@ -124,3 +126,58 @@
                 if arrival.request_id == f"id-{number}"
             }
             assert len(reached) == 1
+
+
+async def test_stream_that_waits_for_its_version_does_not_hold_up_others() -> None:
+    async with _rig(entries=1) as rig:
+        rig.decodes[0].engine.break_after = 2
+        for engine in rig.decodes[2:]:
+            engine.engine.room = 0
+        fail_first(rig.decodes[:2], Fault.BREAKS_MID_EVENT)
+        begun = await Stream.open(rig, "begun", entry=0)
+        await begun.read(1)
+        for engine in rig.decodes[:2]:
+            engine.engine.room = 0
+        await wait_until(lambda: rig.process.gateway.slot_finder.waiting("models") == 1)
+        rig.decodes[2].engine.room = 1_000_000
+        answer = await rig.generate("/quote/1", "other")
+        assert (answer.status, answer.is_complete) == (200, True)
+        rig.decodes[0].engine.room = rig.decodes[1].engine.room = 1_000_000
+        await begun.read(ENGINE.events)
+        assert {version for _, version in begun.events} == {b"v1"}
+        assert len(begun.events) == ENGINE.events
+
+
+async def test_stalled_stream_whose_version_has_no_other_engine_keeps_waiting() -> None:
+    engine = attrs.evolve(ENGINE, stall_s=1.5)
+    async with PlatformRig(prefills=1, decodes=2, engine=engine) as rig:
+        rig.decodes[1].version = "v2"
+        rig.store.put("servers/d1", rig.decodes[1].entry())
+        rig.decodes[1].engine.room = 0
+        membership = rig.process.gateway.membership
+        await wait_until(lambda: membership.get("d1").software == "v2")
+        rig.decodes[0].faults.append(Fault.STALLS)
+        begun = await Stream.open(rig, "begun", entry=0)
+        await begun.read(1)
+        rig.decodes[1].engine.room = 1_000_000
+        await begun.read(ENGINE.events)
+        assert [version for _, version in begun.events] == [b"v1"] * ENGINE.events
+
+
+async def test_stream_whose_version_has_left_is_ended_at_once() -> None:
+    async with _rig(entries=1, engine=EngineOptions(events=30, pause_s=0.1)) as rig:
+        for engine in rig.decodes[2:]:
+            engine.engine.room = 0
+        rig.decodes[0].engine.break_after = rig.decodes[1].engine.break_after = 20
+        fail_first(rig.decodes[:2], Fault.BREAKS_MID_EVENT)
+        begun = await Stream.open(rig, "begun", entry=0)
+        await begun.read(1)
+        for engine in rig.decodes[:2]:
+            rig.store.put(f"servers/{engine.instance}", engine.entry(state="draining"))
+        for engine in rig.decodes[2:]:
+            engine.engine.room = 1_000_000
+        membership = rig.process.gateway.membership
+        await wait_until(lambda: len(membership.usable("models", EndpointRole.DECODE)) == 2)
+        await begun.read(ENGINE.events)
+        assert [number for number, _ in begun.events] == list(range(1, 21))
+        assert len(rig.arrivals("begun")) == 1
