Prefill prompts at the version that decodes them

What two versions write does not fit together, so a decode engine cannot rely on another version's cache.

The request for a prefill engine states the decode engine's version, as an additional element that earlier builds leave out; without an engine of that version the decode engine reads the prompt itself. A cache that is left over when a decode engine could not be reached is not offered to an engine of another version.

--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_generation.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_generation.py
@@ -97,7 +97,7 @@
                 if attempt == 1:
                     self._job.check_shutdown(self._tools.shutdown)
                     handle = await self._prefill(endpoint)
-                usable = handle if handle is not None and self._is_fresh(handle) else None
+                usable = handle if self._is_usable(handle, endpoint) else None
                 current = hold if self._tools.clock() < self._hold_usable_until(hold) else None
                 is_used = current is not None
                 outcome = await self._decode(endpoint, usable, current, responder)
@@ -171,14 +171,18 @@
         left_s = job.req.arrived + target_s - tools.clock()
         decode_s = tools.prefill_estimator.decode_s(tokens)
         prompt = Prompt(tokens, target_s, left_s, decode_s, decode.data_centre)
-        assignment = await tools.prefills.assign(job.service.name, prompt, job.tried)
+        assignment = await tools.prefills.assign(
+            job.service.name, prompt, job.tried, decode.software
+        )
         while assignment is not None:
             engine = assignment.send.endpoint
             if await job.acquire_permit(tools, engine):
                 break
             tools.prefills.give_up(assignment)
             job.tried.add(engine.instance)
-            assignment = await tools.prefills.assign(job.service.name, prompt, job.tried)
+            assignment = await tools.prefills.assign(
+                job.service.name, prompt, job.tried, decode.software
+            )
         if assignment is None:
             decode_s = round(decode_s, 3)
             job.log_decision(
@@ -225,7 +229,10 @@
         job.log_decision("prefill failed", endpoint=failed, reason=reason, tokens=send.tokens)
         return None
 
-    def _is_fresh(self, handle: PrefillHandle) -> bool:
+    def _is_usable(self, handle: PrefillHandle | None, decode: Endpoint) -> bool:
+        """Whether the decode engine can fetch a prefilled cache, and it will still be there."""
+        if handle is None or handle.endpoint.software != decode.software:
+            return False
         age_s = self._tools.clock() - handle.made_at
         return age_s < self._job.service.kv_hold_s - HANDLE_MARGIN_S
 
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_prefill_scheduler.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_prefill_scheduler.py
@@ -28,17 +28,21 @@
 
 @attrs.frozen
 class PrefillRequest:
-    """Asks the home which engine should prefill a prompt."""
+    """Asks the home which engine should prefill a prompt.
+
+    The engine must have the version ``software``, as the decode engine; an empty one allows any.
+    """
 
     number: int
     service: str
     prompt: Prompt
     tried: tuple[str, ...]
+    software: str = ""
 
     def encode(self) -> bytes:
         """Return the datagram."""
         row = ["prefill", self.number, self.service, attrs.astuple(self.prompt), self.tried]
-        return orjson.dumps(row)
+        return orjson.dumps([*row, self.software] if self.software else row)
 
     def numbered(self, number: int) -> bytes:
         """Return the datagram with another number."""
@@ -77,10 +81,11 @@
 def decode_prefill(data: bytes) -> PrefillMessage:
     """Decode a datagram; raise ValueError if it is none of these messages."""
     match orjson.loads(data):
-        case ["prefill", int(number), str(service), [*prompt], [*tried], *_]:
+        case ["prefill", int(number), str(service), [*prompt], [*tried], *rest]:
+            software = rest[0] if rest and isinstance(rest[0], str) else ""
             try:
                 known = Prompt(*prompt[: len(attrs.fields(Prompt))])
-                return PrefillRequest(number, service, known, tuple(map(str, tried)))
+                return PrefillRequest(number, service, known, tuple(map(str, tried)), software)
             except TypeError as exc:
                 raise ValueError(f"malformed prompt: {exc}") from exc
         case ["prefill place", int(number), str(instance), float(expected_s) | int(expected_s), *_]:
@@ -131,19 +136,23 @@
         self._ranked = lru_cache(RANKING_CACHE_SIZE)(rank_homes)
 
     async def assign(
-        self, service: str, prompt: Prompt, tried: Collection[str]
+        self, service: str, prompt: Prompt, tried: Collection[str], software: str = ""
     ) -> PrefillAssignment | None:
-        """Assign a prompt to a prefill engine; ``None`` leaves it to the decode engine."""
+        """Assign a prompt to a prefill engine; ``None`` leaves it to the decode engine.
+
+        ``software`` is the version of the decode engine, which cannot use another version's cache.
+        """
         for home in self._ranked(service, tuple(self._entries))[:MAX_HOMES_ASKED]:
             if home == self._node:
                 break
-            request = PrefillRequest(0, service, prompt, tuple(tried))
+            request = PrefillRequest(0, service, prompt, tuple(tried), software)
             answered = await self._requests.ask(
                 home, lambda n, r=request: attrs.evolve(r, number=n).encode()
             )
             if answered is not None:
                 return self._assignment_from(home, service, prompt, answered)
-        send = self._estimator.choose(self._engines(service), tried, prompt, self._clock())
+        engines = self._engines_of(service, software)
+        send = self._estimator.choose(engines, tried, prompt, self._clock())
         return None if send is None else PrefillAssignment(send, self._estimator.begin(send))
 
     def end(self, assignment: PrefillAssignment, load: Load | None) -> None:
@@ -198,9 +207,8 @@
         return PrefillAssignment(send, self._estimator.begin(send), home, request_number)
 
     def _answer(self, request: PrefillRequest, addr: Address) -> None:
-        send = self._estimator.choose(
-            self._engines(request.service), request.tried, request.prompt, self._clock()
-        )
+        engines = self._engines_of(request.service, request.software)
+        send = self._estimator.choose(engines, request.tried, request.prompt, self._clock())
         answer = PrefillAnswer(request.number, "", 0.0)
         if send is not None:
             self._assigned[addr, request.number] = (self._estimator.begin(send), send)
@@ -209,6 +217,9 @@
             answer = PrefillAnswer(request.number, send.endpoint.instance, send.expected_s)
         self._requests.transport.sendto(answer.encode(), addr)
 
+    def _engines_of(self, service: str, software: str) -> list[Endpoint]:
+        return [e for e in self._engines(service) if not software or e.software == software]
+
     def _handle_ended(self, ended: PrefillEnded, addr: Address) -> None:
         number, send = self._assigned.pop((addr, ended.number), (0, None))
         if send is None:
--- a/tests/gateway/test_stream_versions.py
+++ b/tests/gateway/test_stream_versions.py
@@ -8,7 +8,7 @@
 import attrs
 import pytest
 
-from vanillashore_gateway import EndpointRole
+from vanillashore_gateway import Endpoint, EndpointRole, LinkError, LinkFailure
 from vanillashore_standins import wait_until
 from vanillashore_standins.platform_endpoint import EngineOptions, Fault
 from vanillashore_standins.platform_rig import PlatformRig, fail_first
@@ -181,3 +181,22 @@
         await begun.read(ENGINE.events)
         assert [number for number, _ in begun.events] == list(range(1, 21))
         assert len(rig.arrivals("begun")) == 1
+
+
+async def test_cache_of_another_version_is_not_used_by_the_next_decode_engine() -> None:
+    async with _rig(entries=1) as rig:
+        for engine in rig.decodes[1:]:
+            engine.engine.room = 0
+        pool = rig.process.gateway.pool
+        acquire = pool.acquire_connection
+
+        async def fail_after_the_prefill(endpoint: Endpoint, must_be_fresh: bool = False) -> Any:
+            if endpoint.instance == "d0" and rig.prefills[0].arrivals:
+                rig.decodes[2].engine.room = 1_000_000
+                raise LinkError(LinkFailure.NOT_SENT, "refused")
+            return await acquire(endpoint, must_be_fresh)
+
+        pool.acquire_connection = fail_after_the_prefill
+        answer = await rig.generate("/quote/1", "id-1")
+        assert (answer.status, rig.arrivals("id-1")) == (200, ["d2"])
+        assert "x-kv-source" not in rig.decodes[2].arrivals[0].headers
