Let streams that callers take up again go on only at the version that began them

Cause: an entry at which a stream is taken up did not know which version began it, and did not ask; nothing was known beyond the entry that began it.

That entry now notifies two others of the version when it reserves a slot, and the first event waits for one confirmation, so the origin outlives a killed entry. Others are asked when a stream is taken up. A stream whose origin nobody knows is refused as not run while several versions serve; with one version it goes on.

--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_errors.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_errors.py
@@ -23,6 +23,7 @@
     NO_ENDPOINT = "no_endpoint"
     ENDPOINTS_FULL = "endpoints_full"
     TOO_LATE = "too_late"
+    ORIGIN_UNKNOWN = "origin_unknown"
     STOPPING = "stopping"
     CRASHES_ENDPOINTS = "crashes_endpoints"
     ENDPOINT_FAILED = "endpoint_failed"
@@ -42,6 +43,7 @@
     ErrorCode.NO_ENDPOINT: 503,
     ErrorCode.ENDPOINTS_FULL: 503,
     ErrorCode.TOO_LATE: 503,
+    ErrorCode.ORIGIN_UNKNOWN: 503,
     ErrorCode.STOPPING: 503,
     ErrorCode.CRASHES_ENDPOINTS: 503,
     ErrorCode.TIMED_OUT: 504,
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_gateway.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_gateway.py
@@ -43,11 +43,13 @@
 from vanillashore_gateway._prefill_scheduler import PrefillScheduler
 from vanillashore_gateway._quota import QuotaSettings
 from vanillashore_gateway._quota_requests import Quotas
+from vanillashore_gateway._resumption import Resumption
 from vanillashore_gateway._rotation import Rotation
 from vanillashore_gateway._routing import RouteTable, pick_service
 from vanillashore_gateway._sending import Sender
 from vanillashore_gateway._shutdown import Shutdown
 from vanillashore_gateway._slot_finder import SlotFinder
+from vanillashore_gateway._stream_origins import StreamOrigins
 
 EXPIRY_CHECK_DELAY_S = 2.0  # Slightly longer than Membership's grace period.
 STARTUP_RETRY_AFTER_S = 0.5  # Time for a new process to load its configuration.
@@ -104,6 +106,8 @@
         self._table: RouteTable | None = None
         self.quotas = Quotas(cfg.node, cfg.quota, now)
         self.crashes = CrashMonitor(cfg.node, now)
+        self.origins = StreamOrigins(cfg.node, now)
+        self._resumption = Resumption(self.origins, self.membership, now)
         self._entries: dict[str, tuple[str, int]] = {}
         self._has_snapshot = False
         self._synced_at = now()
@@ -129,6 +133,7 @@
             self.slot_finder,
             self.balancer,
             self.limits,
+            self.origins,
             self.prefill_estimator,
             self.prefills,
             self.crashes,
@@ -144,6 +149,7 @@
             self.prefills,
             self.rotation,
             self.limits,
+            self.origins,
         )
         self._update_entries()
         gauges = {
@@ -201,6 +207,7 @@
         endpoints = [c.endpoint for c in snapshot.items if isinstance(c, EndpointWritten)]
         for removed in self.membership.replace_all(endpoints, now()):
             self._forget_endpoint(removed)
+        known = set(self._entries)
         written = [c for c in snapshot.items if isinstance(c, EntryWritten)]
         self._entries = {c.name: c.address for c in written}
         self._has_snapshot = True
@@ -209,6 +216,8 @@
             if isinstance(change, ConfigWritten | DutyWritten):
                 self.apply_change(change)
         self._update_entries()
+        for name in set(self._entries) - known:
+            self._greet(name)
         log.bind(
             revision=snapshot.revision, endpoints=len(endpoints), entries=len(self._entries)
         ).info("loaded the snapshot of the store")
@@ -220,7 +229,7 @@
                 self._install(config)
             case EndpointWritten(endpoint):
                 self._log_endpoint(change)
-                self.membership.put(endpoint)
+                self.membership.put(endpoint, now())
                 if endpoint.is_leaving:
                     self.pool.forget(endpoint.instance)
             case EndpointRemoved(instance):
@@ -233,7 +242,7 @@
             case EntryWritten(name, address):
                 self._entries[name] = address
                 self._update_entries()
-                self.limits.greet(name)
+                self._greet(name)
             case EntryRemoved(name):
                 self._entries.pop(name, None)
                 self._update_entries()
@@ -262,8 +271,9 @@
             raise refusal(ErrorCode.CRASHES_ENDPOINTS, text)
         if workspace is not None:
             await self._acquire_quota(req, workspace, route.target_s * QUOTA_WAIT_SHARE)
-        service = table.service(pick_service(route, self._rng))
-        job = Job(req, route, service, name, table.config.version, fingerprint)
+        origin = await self._resumption.origin_of(req, route)
+        service = table.service(origin.service if origin else pick_service(route, self._rng))
+        job = Job(req, route, service, name, table.config.version, fingerprint, origin)
         self._check_shutdown(job)
         job.log_decision(
             "admitted",
@@ -344,6 +354,11 @@
             handler.update_entries(self._entries)
         self._budgets.resize(self.cfg.retry_slack * BUDGET_SHARE / count)
 
+    def _greet(self, entry: str) -> None:
+        """Tell an entry that has registered what it cannot know."""
+        for handler in (self.limits, self.origins):
+            handler.greet(entry)
+
     def _prefill_engines(self, service: str) -> list[Endpoint]:
         engines = self.membership.usable(service, EndpointRole.PREFILL)
         return self.balancer.healthy(self.limits.open_endpoints(engines), now())
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_generation.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_generation.py
@@ -17,6 +17,7 @@
 from vanillashore_gateway._prefill_scheduler import PrefillAssignment
 from vanillashore_gateway._sending import Sending
 from vanillashore_gateway._slot_finder import needed_tokens
+from vanillashore_gateway._stream_origins import StreamOrigin
 
 # A resumable stream moves to another endpoint if its first event takes longer than this multiple
 # of the target latency, or if it pauses for longer than `STALL_GAPS` times the gap target.
@@ -63,6 +64,9 @@
         self._share = needed_tokens(job.req) / max(1, job.service.kv_tokens)
         self._stream = _Stream()
         self._stream.splitter.last_id = job.req.last_event_id
+        self._stream.software = job.origin.software if job.origin is not None else None
+        self._announced: StreamOrigin | None = None
+        self._announcement: asyncio.Future[None] | None = None
         self._reason = ""
         self._next_hold: Hold | None = None
         self._prompt_sent_at: float | None = None
@@ -129,7 +133,7 @@
                 job.route,
                 job.service,
                 job.tried,
-                has_begun=self._stream.runs > 0,
+                has_begun=self._stream.runs > 0 or job.origin is not None,
                 software=self._stream.software,
             )
         job.tried.add(hold.endpoint.instance)
@@ -139,8 +143,28 @@
             software=hold.endpoint.software,
             waited_s=round(self._tools.clock() - job.req.arrived, 3),
         )
+        self._announce_origin(hold.endpoint)
         return hold
 
+    def _announce_origin(self, endpoint: Endpoint) -> None:
+        """Notify other entries of the version that is about to begin a resumable stream."""
+        job = self._job
+        origin = StreamOrigin(endpoint.service, endpoint.software)
+        if not job.route.is_resumable or self._stream.software is not None:
+            return
+        if origin != self._announced:
+            left_s = job.req.deadline - self._tools.clock()
+            self._announced = origin
+            self._announcement = self._tools.origins.begin(job.req.log_id, origin, left_s)
+
+    async def _record_origin(self, endpoint: Endpoint) -> None:
+        """Fix the stream's version, once another entry knows of it, before the first event."""
+        if self._stream.software is not None:
+            return
+        if self._announcement is not None:
+            await self._announcement
+        self._stream.software = endpoint.software
+
     def _hold_usable_until(self, hold: Hold) -> float:
         return hold.taken_at + self._job.service.hold_s - HOLD_MARGIN_S
 
@@ -316,8 +340,8 @@
         while data := await self._read_or_move(sent, timeout_s):
             self._record_prompt_read(splitter.events)
             events = splitter.feed(data)
-            if events and self._stream.software is None:
-                self._stream.software = sent.endpoint.software
+            if events:
+                await self._record_origin(sent.endpoint)
             await responder.write(events)
             timeout_s = self._stall_timeout_s()
         if splitter.has_partial_event:
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_job.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_job.py
@@ -17,6 +17,7 @@
 from vanillashore_gateway._sending import Sender
 from vanillashore_gateway._shutdown import Shutdown
 from vanillashore_gateway._slot_finder import SlotFinder
+from vanillashore_gateway._stream_origins import StreamOrigin, StreamOrigins
 from vanillashore_resilience import RetryBudget
 
 
@@ -53,6 +54,7 @@
     slot_finder: SlotFinder
     balancer: Balancer
     limits: RequestLimits
+    origins: StreamOrigins
     prefill_estimator: PrefillEstimator
     prefills: PrefillScheduler
     crashes: CrashMonitor
@@ -67,7 +69,8 @@
 class Job:
     """An admitted request that is being forwarded under configuration ``config_version``.
 
-    ``fingerprint`` is the same each time that the caller sends the request.
+    ``fingerprint`` is the same each time that the caller sends the request. ``origin`` is that of a
+    stream that the caller takes up again.
     """
 
     req: CallerRequest
@@ -76,6 +79,7 @@
     workspace: str
     config_version: int
     fingerprint: str
+    origin: StreamOrigin | None = None
     tried: set[str] = attrs.field(factory=set)
     sends: int = 0
 
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_membership.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_membership.py
@@ -19,6 +19,8 @@
         self._endpoints: dict[str, Endpoint] = {}
         self._missing_since: dict[str, float] = {}
         self._grace_until = 0.0
+        # The versions of endpoints that have left or changed theirs, and when they did.
+        self._left_versions: dict[tuple[str, str], float] = {}
 
     def record_store_return(self, now: float) -> None:
         """Start the grace time: the store is back after an outage."""
@@ -28,13 +30,15 @@
         """Replace the list; return the names of the endpoints that are dropped."""
         listed = {endpoint.instance: endpoint for endpoint in endpoints}
         missing = [name for name in self._endpoints if name not in listed]
-        self._endpoints.update(listed)
-        for name in listed:
-            self._missing_since.pop(name, None)
+        for endpoint in listed.values():
+            self.put(endpoint, now)
         return [name for name in missing if self._mark_missing(name, now)]
 
-    def put(self, endpoint: Endpoint) -> None:
+    def put(self, endpoint: Endpoint, now: float) -> None:
         """Add or update an endpoint."""
+        known = self._endpoints.get(endpoint.instance)
+        if known is not None and known.software != endpoint.software:
+            self._left_versions[known.service, known.software] = now
         self._missing_since.pop(endpoint.instance, None)
         self._endpoints[endpoint.instance] = endpoint
 
@@ -48,7 +52,7 @@
             return []
         dropped = list(self._missing_since)
         for name in dropped:
-            self._drop(name)
+            self._drop(name, now)
         return dropped
 
     def usable(self, service: str, role: EndpointRole | None = None) -> list[Endpoint]:
@@ -65,6 +69,16 @@
         """Return the endpoints of all services that accept new requests."""
         return [endpoint for endpoint in self._endpoints.values() if not endpoint.is_leaving]
 
+    def versions(self, service: str, since: float) -> set[str]:
+        """Return the software versions of a service that have been listed since then."""
+        listed = {e.software for e in self._endpoints.values() if e.service == service}
+        left = {
+            software
+            for (name, software), at in self._left_versions.items()
+            if name == service and at >= since
+        }
+        return listed | left
+
     def get(self, instance: str) -> Endpoint | None:
         """Return an endpoint, or ``None`` if it is not listed."""
         return self._endpoints.get(instance)
@@ -76,9 +90,11 @@
         if now < self._grace_until:
             self._missing_since.setdefault(name, now)
             return False
-        self._drop(name)
+        self._drop(name, now)
         return True
 
-    def _drop(self, name: str) -> None:
-        self._endpoints.pop(name, None)
+    def _drop(self, name: str, now: float) -> None:
+        endpoint = self._endpoints.pop(name, None)
+        if endpoint is not None:
+            self._left_versions[endpoint.service, endpoint.software] = now
         self._missing_since.pop(name, None)
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_peer_requests.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_peer_requests.py
@@ -46,7 +46,7 @@
         An entry that has just timed out is not asked. ``encode`` makes the datagram from the
         request's number.
         """
-        if self.transport is None or self._clock() < self._unresponsive_until.get(entry, 0.0):
+        if self.transport is None or self.is_unresponsive(entry):
             return None
         number = next(self._numbers)
         fut: asyncio.Future[T] = asyncio.get_running_loop().create_future()
@@ -62,6 +62,10 @@
         finally:
             self._pending.pop(number, None)
 
+    def is_unresponsive(self, entry: str) -> bool:
+        """Whether an entry has just timed out."""
+        return self._clock() < self._unresponsive_until.get(entry, 0.0)
+
     def resolve(self, number: int, answer: T) -> None:
         """Pass an answer to its request; one that arrives too late is dropped."""
         fut = self._pending.pop(number, None)
--- a/packages/vanillashore-standins/src/vanillashore_standins/soak/_mutants.py
+++ b/packages/vanillashore-standins/src/vanillashore_standins/soak/_mutants.py
@@ -48,7 +48,9 @@
 def _ignore_leaving() -> None:
     """Keep sending new work to endpoints that are leaving."""
     put = Membership.put
-    Membership.put = lambda self, endpoint: put(self, attrs.evolve(endpoint, is_leaving=False))
+    Membership.put = lambda self, endpoint, now: put(
+        self, attrs.evolve(endpoint, is_leaving=False), now
+    )
 
 
 def _keep_old_keys() -> None:
--- a/tests/gateway/test_membership.py
+++ b/tests/gateway/test_membership.py
@@ -17,7 +17,7 @@
 def test_removed_and_leaving_endpoints_are_not_usable() -> None:
     members = Membership()
     members.replace_all([_endpoint("a"), _endpoint("b"), _endpoint("c")], 0.0)
-    members.put(_endpoint("b", is_leaving=True))
+    members.put(_endpoint("b", is_leaving=True), 0.0)
     assert members.remove("c", 1.0)
     assert _names(members) == {"a"}
     assert members.get("b") is not None
@@ -29,7 +29,7 @@
     members.record_store_return(10.0)
     assert members.replace_all([], 10.0) == []
     assert _names(members) == {"a", "b"}
-    members.put(_endpoint("a"))
+    members.put(_endpoint("a"), 0.0)
     assert members.expire(10.0 + RETURN_GRACE_S / 2) == []
     assert members.expire(10.0 + RETURN_GRACE_S) == ["b"]
     assert _names(members) == {"a"}
@@ -47,7 +47,7 @@
     members = Membership()
     members.replace_all([_endpoint("a")], 0.0)
     members.record_store_return(10.0)
-    members.put(_endpoint("a", is_leaving=True))
+    members.put(_endpoint("a", is_leaving=True), 0.0)
     assert _names(members) == set()
 
 
--- a/tests/gateway/test_stream_versions.py
+++ b/tests/gateway/test_stream_versions.py
@@ -200,3 +200,33 @@
         answer = await rig.generate("/quote/1", "id-1")
         assert (answer.status, rig.arrivals("id-1")) == (200, ["d2"])
         assert "x-kv-source" not in rig.decodes[2].arrivals[0].headers
+
+
+async def test_stream_of_unknown_origin_is_refused_as_not_run_while_two_versions_serve() -> None:
+    async with _rig() as rig:
+        answer = await rig.generate("/quote/1", "id-2", Resumes="id-1", Last_Event_Id="3")
+        assert answer.status == 503
+        assert b'"code":"origin_unknown"' in answer.body
+        assert b'"ran":"no"' in answer.body
+        assert rig.arrivals("id-2") == []
+
+
+async def test_stream_is_taken_up_where_its_caller_comes_back_a_third_time() -> None:
+    async with _rig() as rig:
+        first = await Stream.open(rig, "first-0", entry=0)
+        await first.read(3)
+        events = list(first.events)
+        first.close()
+        for number in (1, 2):
+            stream = await Stream.open(
+                rig,
+                f"again-{number}",
+                number,
+                Resumes="first-0",
+                Last_Event_Id=str(events[-1][0]),
+            )
+            await stream.read(4 if number == 1 else ENGINE.events - len(events))
+            events += stream.events
+            stream.close()
+        assert len({version for _, version in events}) == 1
+        assert [number for number, _ in events] == list(range(1, ENGINE.events + 1))
