Do not begin streams at an engine that has restarted under its name with other software

Cause: the version in the list was taken for that of the process that answers.

A connection that an engine has ended marks its record as doubtful; the engine is asked once for its start before the next reservation for a resumable stream, and left out until its record states that start.

test_stream_does_not_begin_at_an_engine_that_has_restarted_under_its_name failed before, with one and with two versions.

--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_dialect.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_dialect.py
@@ -91,6 +91,10 @@
         """Encode the call that requests an engine's state."""
         ...
 
+    def decode_started_ms(self, body: bytes) -> int | None:
+        """Return when an engine started by its own clock, ``None`` if it does not state it."""
+        ...
+
     def decode_orders_taken(self, body: bytes) -> int:
         """Return how many orders an engine has accepted; raise ValueError if unstated."""
         ...
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_engine_calls.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_engine_calls.py
@@ -68,6 +68,15 @@
         except ValueError as exc:
             raise EngineUnreachableError(str(exc)) from exc
 
+    async def started_ms(self, endpoint: Endpoint) -> int | None:
+        """Return when an engine started by its own clock, ``None`` if it does not state it.
+
+        Raises EngineUnreachableError.
+        """
+        data = self._dialect.encode_report_request(endpoint)
+        answer = await self._call(endpoint, data, CALL_TIMEOUT_S)
+        return self._dialect.decode_started_ms(answer.body)
+
     async def _call(self, endpoint: Endpoint, data: bytes, timeout_s: float) -> _Answer:
         conn = None
         try:
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_gateway.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_gateway.py
@@ -49,6 +49,7 @@
 from vanillashore_gateway._sending import Sender
 from vanillashore_gateway._shutdown import Shutdown
 from vanillashore_gateway._slot_finder import SlotFinder
+from vanillashore_gateway._start_checks import StartChecks
 from vanillashore_gateway._stream_origins import StreamOrigins
 
 EXPIRY_CHECK_DELAY_S = 2.0  # Slightly longer than Membership's grace period.
@@ -94,7 +95,7 @@
         self.cfg = cfg
         self.front = ListenerState(self.handle, now)
         self.membership = Membership()
-        self.pool = ConnectionPool()
+        self.pool = ConnectionPool(self.membership.record_connection_lost)
         self.balancer = Balancer(cfg.data_centre, rng)
         self.calls = EngineCalls(dialect, self.pool)
         self.duty = DutyState()
@@ -122,6 +123,7 @@
             self.calls,
             self.balancer,
             self.limits,
+            StartChecks(self.calls, self.membership),
             self.prefill_estimator,
             self.membership,
             now,
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_http_client.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_http_client.py
@@ -77,6 +77,7 @@
         self._is_open = False
         self._may_reuse = True
         self._is_paused = False
+        self.on_lost: Callable[[], None] | None = None
         self.idle_limit_s = DEFAULT_IDLE_LIMIT_S
         self.idle_since = 0.0
         self.idle_until = 0.0
@@ -145,8 +146,10 @@
         _set_socket_options(transport.get_extra_info("socket"))
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """Fail the current answer."""
+        """Fail the current answer, and call ``on_lost`` if the peer ended a reusable connection."""
         self._is_open = False
+        if self._may_reuse and self.on_lost is not None:
+            self.on_lost()
         self._fail(LinkError(LinkFailure.BROKEN, f"the connection was lost: {exc or 'closed'}"))
 
     def eof_received(self) -> bool:
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_membership.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_membership.py
@@ -19,6 +19,8 @@
         self._endpoints: dict[str, Endpoint] = {}
         self._missing_since: dict[str, float] = {}
         self._grace_until = 0.0
+        self._lost_connections: set[str] = set()
+        self._outdated: set[str] = set()
         # The versions of endpoints that have left or changed theirs, and when they did.
         self._left_versions: dict[tuple[str, str], float] = {}
 
@@ -39,6 +41,9 @@
         known = self._endpoints.get(endpoint.instance)
         if known is not None and known.software != endpoint.software:
             self._left_versions[known.service, known.software] = now
+        if known is not None and known.start != endpoint.start:
+            self._lost_connections.discard(endpoint.instance)
+            self._outdated.discard(endpoint.instance)
         self._missing_since.pop(endpoint.instance, None)
         self._endpoints[endpoint.instance] = endpoint
 
@@ -69,6 +74,26 @@
         """Return the endpoints of all services that accept new requests."""
         return [endpoint for endpoint in self._endpoints.values() if not endpoint.is_leaving]
 
+    def record_connection_lost(self, instance: str) -> None:
+        """Record that an endpoint has ended a connection or does not accept one."""
+        if instance in self._endpoints:
+            self._lost_connections.add(instance)
+
+    def may_have_restarted(self, endpoint: Endpoint) -> bool:
+        """Whether an endpoint has ended a connection and has not stated its start since."""
+        return endpoint.instance in self._lost_connections
+
+    def record_start(self, endpoint: Endpoint, started_ms: int) -> None:
+        """Record the start that an endpoint itself has stated."""
+        self._lost_connections.discard(endpoint.instance)
+        listed = self._endpoints.get(endpoint.instance)
+        if listed is not None and listed.started_ms != started_ms:
+            self._outdated.add(endpoint.instance)
+
+    def is_outdated(self, endpoint: Endpoint) -> bool:
+        """Whether an endpoint has started again, and its new record has not arrived yet."""
+        return endpoint.instance in self._outdated
+
     def versions(self, service: str, since: float) -> set[str]:
         """Return the software versions of a service that have been listed since then."""
         listed = {e.software for e in self._endpoints.values() if e.service == service}
@@ -95,6 +120,8 @@
 
     def _drop(self, name: str, now: float) -> None:
         endpoint = self._endpoints.pop(name, None)
+        self._lost_connections.discard(name)
+        self._outdated.discard(name)
         if endpoint is not None:
             self._left_versions[endpoint.service, endpoint.software] = now
         self._missing_since.pop(name, None)
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_pool.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_pool.py
@@ -2,9 +2,11 @@
 
 import asyncio
 from collections import defaultdict
+from collections.abc import Callable
+from functools import partial
 
 from vanillashore_gateway._domain import Endpoint
-from vanillashore_gateway._http_client import HttpConnection, open_connection
+from vanillashore_gateway._http_client import HttpConnection, LinkError, open_connection
 
 MAX_IDLE_PER_ENDPOINT = 8  # Usual rates need no more, and all endpoints share a limit.
 # Longest idle time of a connection for a request that must not run twice: the endpoint may be
@@ -13,9 +15,14 @@
 
 
 class ConnectionPool:
-    """Keeps reusable connections, each for a part of its endpoint's own idle time-out."""
+    """Keeps reusable connections, each for a part of its endpoint's own idle time-out.
 
-    def __init__(self) -> None:
+    ``record_lost`` is called with the instance of an endpoint that has ended a connection by
+    itself, or does not accept one.
+    """
+
+    def __init__(self, record_lost: Callable[[str], None]) -> None:
+        self._record_lost = record_lost
         self._idle: dict[str, list[HttpConnection]] = defaultdict(list)
         self.opened = 0
 
@@ -35,7 +42,13 @@
                 return conn
             conn.abort()
         self.opened += 1
-        return await open_connection(endpoint.host, endpoint.port)
+        try:
+            conn = await open_connection(endpoint.host, endpoint.port)
+        except LinkError:
+            self._record_lost(endpoint.instance)
+            raise
+        conn.on_lost = partial(self._record_lost, endpoint.instance)
+        return conn
 
     def release_connection(self, endpoint: Endpoint, conn: HttpConnection) -> None:
         """Keep a connection whose answer has been read completely, or close it if it has no use."""
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_slot_finder.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_slot_finder.py
@@ -17,6 +17,7 @@
 from vanillashore_gateway._membership import Membership
 from vanillashore_gateway._prefill_estimator import PrefillEstimator
 from vanillashore_gateway._slot_queue import SlotQueue, Waiter
+from vanillashore_gateway._start_checks import StartChecks
 
 MAX_ENGINES_ASKED = 3  # One after the other, in each attempt to reserve a slot.
 POLL_INTERVAL_S = 0.03  # While all engines are full; as long as a few decode steps.
@@ -77,6 +78,7 @@
         calls: EngineCalls,
         balancer: Balancer,
         limits: RequestLimits,
+        start_checks: StartChecks,
         prefill_estimator: PrefillEstimator,
         membership: Membership,
         clock: Callable[[], float],
@@ -85,6 +87,7 @@
         self._calls = calls
         self._balancer = balancer
         self._limits = limits
+        self._start_checks = start_checks
         self._prefill_estimator = prefill_estimator
         self._membership = membership
         self._clock = clock
@@ -278,12 +281,13 @@
                 for (service, software), queue in self._queues.items()
                 if service == request.service.name and software is not None and len(queue)
             }
-            return [endpoint for endpoint in endpoints if endpoint.software not in awaited]
-        same = [endpoint for endpoint in endpoints if endpoint.software == request.software]
-        if not same:
-            text = f"no decode engine of version {request.software}, which began the stream"
-            raise refusal(ErrorCode.NO_ENDPOINT, text)
-        return same
+            endpoints = [endpoint for endpoint in endpoints if endpoint.software not in awaited]
+        else:
+            endpoints = [e for e in endpoints if e.software == request.software]
+            if not endpoints:
+                text = f"no decode engine of version {request.software}, which began the stream"
+                raise refusal(ErrorCode.NO_ENDPOINT, text)
+        return endpoints
 
     async def _reserve_at(
         self, request: SlotRequest, endpoint: Endpoint, reserve_share: float
@@ -291,6 +295,8 @@
         now = self._clock()
         tokens = request.tokens + int(reserve_share * request.service.kv_tokens)
         try:
+            if request.route.is_resumable and not await self._start_checks.is_current(endpoint):
+                return None
             hold = await self._calls.request_hold(endpoint, tokens, request.service.hold_s, now)
         except EngineUnreachableError as exc:
             self._balancer.record_result(endpoint, False, self._clock())
--- /dev/null
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_start_checks.py
@@ -0,0 +1,49 @@
+"""Checks that engines run the software that their records state.
+
+An engine may start again under its name with other software, and its record follows later, by long
+if this entry has lost contact with the store. Until then streams would be taken to have begun at
+the old version. The sign of a restart is a connection that the engine has ended.
+"""
+
+import asyncio
+
+from loguru import logger as log
+
+from vanillashore_gateway._domain import Endpoint
+from vanillashore_gateway._engine_calls import EngineCalls
+from vanillashore_gateway._membership import Membership
+
+
+class StartChecks:
+    """Asks engines for their start, each once after it has ended a connection."""
+
+    def __init__(self, calls: EngineCalls, membership: Membership) -> None:
+        self._calls = calls
+        self._membership = membership
+        self._running: dict[str, asyncio.Task[bool]] = {}
+
+    async def is_current(self, endpoint: Endpoint) -> bool:
+        """Whether an engine's record is up to date, as far as can be known.
+
+        Raises EngineUnreachableError.
+        """
+        if self._membership.is_outdated(endpoint):
+            return False
+        if not self._membership.may_have_restarted(endpoint):
+            return True
+        task = self._running.get(endpoint.instance)
+        if task is None:
+            task = asyncio.get_running_loop().create_task(self._check(endpoint))
+            self._running[endpoint.instance] = task
+            task.add_done_callback(lambda _: self._running.pop(endpoint.instance, None))
+        return await asyncio.shield(task)
+
+    async def _check(self, endpoint: Endpoint) -> bool:
+        started_ms = await self._calls.started_ms(endpoint)
+        # Without both times, a restart cannot be told from a lost connection.
+        is_known = started_ms is not None and endpoint.started_ms != 0
+        self._membership.record_start(endpoint, started_ms if is_known else endpoint.started_ms)
+        log.bind(
+            endpoint=endpoint.instance, started_ms=started_ms, listed_ms=endpoint.started_ms
+        ).info("checked whether an engine has started again")
+        return not self._membership.is_outdated(endpoint)
--- a/tests/gateway/test_membership.py
+++ b/tests/gateway/test_membership.py
@@ -57,3 +57,31 @@
     assert members.remove("a", 5.0)
     assert not members.remove("a", 5.0)
     assert len(members) == 0
+
+
+def test_endpoint_that_has_started_again_is_outdated_until_its_record_is_written() -> None:
+    members = Membership()
+    members.put(_endpoint("a", started_ms=1), 0.0)
+    members.record_connection_lost("a")
+    members.record_connection_lost("unknown")
+    assert members.may_have_restarted(_endpoint("a"))
+    assert not members.may_have_restarted(_endpoint("unknown"))
+    members.record_start(_endpoint("a"), 1)
+    assert not members.may_have_restarted(_endpoint("a"))
+    assert not members.is_outdated(_endpoint("a"))
+    members.record_start(_endpoint("a"), 2)
+    assert members.is_outdated(_endpoint("a"))
+    members.put(_endpoint("a", started_ms=1, is_leaving=True), 10.5)
+    assert members.is_outdated(_endpoint("a"))
+    members.put(_endpoint("a", started_ms=2), 10.6)
+    assert not members.is_outdated(_endpoint("a"))
+
+
+def test_versions_count_for_a_while_after_their_endpoints_have_left() -> None:
+    members = Membership()
+    for name, version in (("a", "v1"), ("b", "v2")):
+        members.put(attrs.evolve(_endpoint(name), software=version), 0.0)
+    service = _endpoint("a").service
+    members.remove("a", 10.0)
+    assert members.versions(service, since=10.0) == {"v1", "v2"}
+    assert members.versions(service, since=10.1) == {"v2"}
--- a/tests/gateway/test_stream_versions.py
+++ b/tests/gateway/test_stream_versions.py
@@ -230,3 +230,40 @@
             stream.close()
         assert len({version for _, version in events}) == 1
         assert [number for number, _ in events] == list(range(1, ENGINE.events + 1))
+
+
+@pytest.mark.parametrize("versions", [1, 2])
+async def test_stream_does_not_begin_at_an_engine_that_has_restarted_under_its_name(
+    versions: int,
+) -> None:
+    async with _rig(entries=1) as rig:
+        for engine in rig.decodes[1:]:
+            engine.engine.room = 0
+            if versions == 1:
+                rig.store.remove(f"servers/{engine.instance}")
+        membership = rig.process.gateway.membership
+        left = 4 if versions == 2 else 1
+        await wait_until(lambda: len(membership.usable("models", EndpointRole.DECODE)) == left)
+        await rig.generate("/quote/1", "before")
+        rig.decodes[0].restart("v3")
+        pending = asyncio.ensure_future(rig.generate("/quote/1", "after"))
+        await wait_until(lambda: ("GET", "/-/report") in rig.decodes[0].calls)
+        await asyncio.sleep(0.2)
+        assert rig.arrivals("after") == []
+        rig.store.put("servers/d0", rig.decodes[0].entry())
+        answer = await pending
+        assert (answer.status, rig.arrivals("after")) == (200, ["d0"])
+        lookup = await rig.process.gateway.origins.find("after")
+        assert lookup.origin.software == "v3"
+
+
+async def test_engine_that_ends_a_connection_is_asked_once_whether_it_has_restarted() -> None:
+    async with _rig(entries=1) as rig:
+        for engine in rig.decodes[1:]:
+            engine.engine.room = 0
+        rig.decodes[0].faults.append(Fault.RESET_AFTER_RUN)
+        await rig.generate("/idea/1", "broken")
+        for number in range(3):
+            answer = await rig.generate("/quote/1", f"id-{number}")
+            assert (answer.status, answer.is_complete) == (200, True)
+        assert rig.decodes[0].calls.count(("GET", "/-/report")) == 1
