Let the soak's engines change their versions, and its callers take streams up again

Engines drain or restart under their names with one of three versions; callers leave resumable streams in the middle or lose them, and return at once at any entry. Checked as the platform words it: no more than two streams with events of two versions, and of twelve or more streams that are taken up again while two decode engines of their version serve, at least half as many go on as new ones begin.

--- a/packages/vanillashore-standins/src/vanillashore_standins/platform_endpoint.py
+++ b/packages/vanillashore-standins/src/vanillashore_standins/platform_endpoint.py
@@ -43,7 +43,10 @@
 
 @attrs.frozen
 class Arrival:
-    """A request received at ``at`` on the loop's clock; ``ran`` if the endpoint worked on it."""
+    """A request received at ``at`` on the loop's clock; ``ran`` if the endpoint worked on it.
+
+    ``limit_per_s`` is the request limit that the endpoint named then.
+    """
 
     request_id: str
     method: str
@@ -52,6 +55,7 @@
     body: bytes
     ran: bool
     at: float
+    limit_per_s: float | None
 
 
 @attrs.define
@@ -85,6 +89,7 @@
         self.faults: deque[Fault] = deque()
         self.limit_per_s: float | None = None
         self.version = VERSION
+        self.started_ms = 1
         self.arrivals: list[Arrival] = []
         self.calls: list[tuple[str, str]] = []
         self.holds: dict[str, int] = {}
@@ -92,6 +97,7 @@
         self.disconnected_requests: list[str] = []
         self.connections = 0
         self.address = ""
+        self._writers: set[asyncio.StreamWriter] = set()
         self._ids = itertools.count(1)
         self._server: asyncio.Server | None = None
 
@@ -111,6 +117,7 @@
             "state": "ready",
             "cold_remaining_ms": 0,
             "sequence": 0,
+            "born": self.started_ms,
         }
         if self.engine is not None:
             entry["stage"] = self.engine.stage
@@ -127,13 +134,24 @@
         """Stop listening."""
         self._server.close()
 
+    def restart(self, version: str) -> None:
+        """Start again under the same name: connections, holds and the limit are gone."""
+        self.version = version
+        self.started_ms += 1
+        self.limit_per_s = None
+        self.holds.clear()
+        for writer in list(self._writers):
+            _reset(writer)
+
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.connections += 1
+        self._writers.add(writer)
         # At the end of a test the loop cancels connections that are still open.
         expected_errors = (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError)
         with contextlib.suppress(*expected_errors):
             while await self._serve_one(reader, writer):
                 pass
+        self._writers.discard(writer)
         writer.close()
 
     async def _serve_one(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> bool:
@@ -158,6 +176,7 @@
             body,
             self._starts_work(fault, headers),
             asyncio.get_running_loop().time(),
+            self.limit_per_s,
         )
         self.arrivals.append(arrival)
         client_read = asyncio.ensure_future(reader.read(1))
@@ -279,7 +298,8 @@
             self.dropped_holds.append(name)
             return await _reply(writer, 200, {}, b"")
         if target == "/-/report":
-            return await _reply(writer, 200, {}, orjson.dumps({"sequence": 0}))
+            report = {"sequence": 0, "born": self.started_ms}
+            return await _reply(writer, 200, {}, orjson.dumps(report))
         if target == "/-/order":
             self.engine.stage = orjson.loads(body)["stage"]
             return await _reply(writer, 202, {}, b"")
--- a/packages/vanillashore-standins/src/vanillashore_standins/soak/__main__.py
+++ b/packages/vanillashore-standins/src/vanillashore_standins/soak/__main__.py
@@ -30,7 +30,9 @@
         faults = sum(report.faults.values())
         verdict = "broken" if report.violations else "kept"
         print(
-            f"seed {seed}: {verdict}; {report.request_count} requests, {faults} faults", flush=True
+            f"seed {seed}: {verdict}; {report.request_count} requests, {faults} faults, "
+            f"mixed streams: {list(report.mixed_streams)}",
+            flush=True,
         )
         print(f"  {dict(report.statuses)} {dict(report.faults)}", flush=True)
         for violation in report.violations[:10]:
--- a/packages/vanillashore-standins/src/vanillashore_standins/soak/_callers.py
+++ b/packages/vanillashore-standins/src/vanillashore_standins/soak/_callers.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import random
+import re
 from collections.abc import Callable
 
 import attrs
@@ -20,7 +21,9 @@
 class RequestRecord:
     """A request and its outcome; status 0 means that the connection broke.
 
-    ``limited_by`` is the endpoint that named a request limit in its answer, if any.
+    ``limited_by`` is the endpoint that named a request limit in its answer, if any. ``resumes`` is
+    the request that began the stream, if this one took it up again, and ``versions`` are those that
+    made the events of its answer.
     """
 
     request_id: str
@@ -31,6 +34,8 @@
     status: int
     entry: tuple[str, int]
     limited_by: str = ""
+    resumes: str = ""
+    versions: frozenset[str] = frozenset()
 
 
 @attrs.frozen
@@ -43,6 +48,25 @@
     is_stream: bool
 
 
+@attrs.define
+class _Stream:
+    """A stream over all tries of its caller."""
+
+    first_id: str = ""
+    events: int = 0
+
+    @property
+    def resume_headers(self) -> str:
+        """The headers to take the stream up again, empty before its first event."""
+        if not self.events:
+            return ""
+        return f"Resumes: {self.first_id}\r\nLast-Event-Id: {self.events}\r\n"
+
+
+EVENT = re.compile(rb"id: (\d+)\ndata: piece \d+ of (\S+)\n\n")
+MAX_RETURNS = 2
+LEAVE_SHARE = 0.3  # Of resumable streams whose callers leave in the middle and come back.
+RESUMABLE_PATH = "/quote/1"
 REQUEST_KINDS = (
     RequestKind("POST", "/pay/1", True, False),
     RequestKind("GET", "/stock/1", False, False),
@@ -68,7 +92,9 @@
         self._rng = rng
         self._addresses = addresses
         self._key = key
-        self._expected_stream = b"".join(event_bytes(n) for n in range(1, events + 1))
+        self._events = events
+        self._stream = _Stream()
+        self._body = b""
         self._limited_by = ""
         self._entry = ("", 0)
         self._connection: tuple[asyncio.StreamReader, asyncio.StreamWriter] | None = None
@@ -79,7 +105,13 @@
         try:
             while True:
                 number += 1
-                await self._send_request(f"{self._name}-{number}", self._rng.choice(REQUEST_KINDS))
+                kind = self._rng.choice(REQUEST_KINDS)
+                self._stream = _Stream()
+                await self._send_request(f"{self._name}-{number}", kind)
+                for again in range(MAX_RETURNS if kind.path == RESUMABLE_PATH else 0):
+                    if not 0 < self._stream.events < self._events:
+                        break
+                    await self._send_request(f"{self._name}-{number}-{again}", kind)
                 await asyncio.sleep(self._rng.random() * 0.05)
         finally:
             self._close_connection()
@@ -88,13 +120,17 @@
         loop = asyncio.get_running_loop()
         key, sent_at = self._key(), loop.time()
         status = 0
-        self._limited_by = ""
+        stream, resumes = self._stream, self._stream.first_id
+        self._limited_by, self._body = "", b""
         try:
             timeout_s = ANSWER_TIMEOUT_S if self._rng.random() > 0.05 else self._rng.random() * 0.2
             async with asyncio.timeout(timeout_s):
                 status = await self._exchange(request_id, kind, key)
         except (OSError, TimeoutError, asyncio.IncompleteReadError, ValueError):
             self._close_connection()
+        versions = self._check_events(request_id, kind) if kind.is_stream else frozenset()
+        if versions and not stream.first_id:
+            stream.first_id = request_id
         self.records.append(
             RequestRecord(
                 request_id,
@@ -105,19 +141,23 @@
                 status,
                 self._entry,
                 self._limited_by,
+                resumes,
+                versions,
             )
         )
 
     async def _exchange(self, request_id: str, kind: RequestKind, key: str) -> int:
-        if self._connection is None or self._rng.random() < 0.1:
+        headers = self._stream.resume_headers
+        if self._connection is None or headers or self._rng.random() < 0.1:
             self._close_connection()
             self._entry = self._rng.choice(self._addresses())
             self._connection = await asyncio.open_connection(*self._entry)
         reader, writer = self._connection
-        size_headers = "X-Token-Count: 1000,500\r\nX-Length-Hint: 50\r\n" if kind.is_stream else ""
+        if kind.is_stream:
+            headers += "X-Token-Count: 1000,500\r\nX-Length-Hint: 50\r\n"
         writer.write(
             f"{kind.method} {kind.path} HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: {request_id}\r\n"
-            f"Authorization: Bearer {key}\r\nX-Deadline-Ms: {DEADLINE_MS}\r\n{size_headers}"
+            f"Authorization: Bearer {key}\r\nX-Deadline-Ms: {DEADLINE_MS}\r\n{headers}"
             "Content-Length: 4\r\n\r\nbody".encode()
         )
         head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").lower()
@@ -126,34 +166,62 @@
             self._add_violation(request_id, "got the response of another request")
         if "server-limit: " in head and SEAL_HEADER in head:
             self._limited_by = head.split(SEAL_HEADER)[1].split("\r\n")[0]
-        body, is_complete = await self._read_body(reader, head)
-        if status == 200:
-            self._check_body(request_id, kind, body, is_complete)
+        leaves_after = self._rng.randrange(1, 300) if self._leaves(kind, status) else None
+        is_complete = await self._read_body(reader, head, leaves_after)
+        if status == 200 and not kind.is_stream:
+            self._check_body(request_id, is_complete)
+        if status == 200 and kind.is_stream and is_complete:
+            self._check_end(request_id)
         if not is_complete or "connection: close" in head:
             self._close_connection()
         return status if is_complete else 0
 
-    async def _read_body(self, reader: asyncio.StreamReader, head: str) -> tuple[bytes, bool]:
+    def _leaves(self, kind: RequestKind, status: int) -> bool:
+        is_resumable = kind.path == RESUMABLE_PATH and status == 200
+        return is_resumable and self._rng.random() < LEAVE_SHARE
+
+    async def _read_body(
+        self, reader: asyncio.StreamReader, head: str, leaves_after: int | None
+    ) -> bool:
+        """Read up to the end of the body; return whether it was reached.
+
+        With ``leaves_after`` the caller leaves once it has received that many bytes.
+        """
         if "content-length: " in head:
             length = int(head.split("content-length: ")[1].split("\r\n")[0])
-            return await reader.readexactly(length), True
-        body = b""
+            self._body = await reader.readexactly(length)
+            return True
         with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
             while size := int((await reader.readuntil(b"\r\n")).strip(), 16):
-                body += await reader.readexactly(size)
+                self._body += await reader.readexactly(size)
                 await reader.readexactly(2)
+                if leaves_after is not None and len(self._body) > leaves_after:
+                    return False
             await reader.readexactly(2)
-            return body, True
-        return body, False
-
-    def _check_body(
-        self, request_id: str, kind: RequestKind, body: bytes, is_complete: bool
-    ) -> None:
-        expected = self._expected_stream if kind.is_stream else b"answer to " + request_id.encode()
-        if is_complete and body != expected:
-            self._add_violation(request_id, f"wrong response body: {body[:80]!r}")
-        if not is_complete and not expected.startswith(body):
-            self._add_violation(request_id, f"wrong partial response body: {body[:80]!r}")
+            return True
+        return False
+
+    def _check_body(self, request_id: str, is_complete: bool) -> None:
+        expected = b"answer to " + request_id.encode()
+        if is_complete and self._body != expected:
+            self._add_violation(request_id, f"wrong response body: {self._body[:80]!r}")
+        if not is_complete and not expected.startswith(self._body):
+            self._add_violation(request_id, f"wrong partial response body: {self._body[:80]!r}")
+
+    def _check_events(self, request_id: str, kind: RequestKind) -> frozenset[str]:
+        """Check that the events go on without a gap; return the versions that made them."""
+        events = [(int(number), version.decode()) for number, version in EVENT.findall(self._body)]
+        begun = self._stream.events
+        expected = b"".join(event_bytes(begun + n, v) for n, (_, v) in enumerate(events, start=1))
+        if not self._body.startswith(expected):
+            self._add_violation(request_id, f"wrong events after {begun}: {self._body[:80]!r}")
+        self._stream.events += len(events)
+        return frozenset(version for _, version in events)
+
+    def _check_end(self, request_id: str) -> None:
+        count = self._stream.events + len(EVENT.findall(self._body))
+        if count != self._events:
+            self._add_violation(request_id, f"the stream ended as complete after {count} events")
 
     def _add_violation(self, request_id: str, text: str) -> None:
         self.violations.append(f"{request_id}: {text}")
--- a/packages/vanillashore-standins/src/vanillashore_standins/soak/_limits.py
+++ b/packages/vanillashore-standins/src/vanillashore_standins/soak/_limits.py
@@ -76,6 +76,7 @@
                 arrival.at
                 for arrival in limit.endpoint.arrivals
                 if limit.start + CONTACT_S <= arrival.at < limit.end
+                and arrival.limit_per_s is not None
                 and _was_told(
                     sender_of.get(arrival.request_id),
                     arrival.at,
--- a/packages/vanillashore-standins/src/vanillashore_standins/soak/_mutants.py
+++ b/packages/vanillashore-standins/src/vanillashore_standins/soak/_mutants.py
@@ -10,6 +10,7 @@
 
 from vanillashore_adapter import main
 from vanillashore_gateway import (
+    CallerRequest,
     HttpConnection,
     LinkError,
     LinkFailure,
@@ -17,9 +18,11 @@
     _gateway,
     _generation,
     _http_client,
+    _slot_finder,
 )
 from vanillashore_gateway._limit_requests import RequestLimits
 from vanillashore_gateway._membership import Membership
+from vanillashore_gateway._resumption import Resumption
 
 
 def _resend_unclear_calls() -> None:
@@ -90,6 +93,30 @@
     RequestLimits._homes = lambda self, start: [self._node]
 
 
+def _ignore_versions() -> None:
+    """Let streams go on at engines of any version."""
+    _slot_finder.SlotFinder._of_version = lambda self, request, endpoints: endpoints
+
+
+def _forget_origins() -> None:
+    """Guess the version of each stream that is taken up again."""
+
+    async def guess(self: Resumption, req: object, route: object) -> None:
+        return None
+
+    Resumption.origin_of = guess
+
+
+def _refuse_resumption() -> None:
+    """Refuse each stream that is taken up again."""
+
+    async def refuse(self: Resumption, req: CallerRequest, route: object) -> None:
+        if req.last_event_id is not None:
+            raise _calls.refusal(_calls.ErrorCode.ORIGIN_UNKNOWN, "refused")
+
+    Resumption.origin_of = refuse
+
+
 MUTANTS: dict[str, Callable[[], None]] = {
     "resend-unclear-calls": _resend_unclear_calls,
     "rerun-broken-streams": _rerun_broken_streams,
@@ -99,6 +126,9 @@
     "refuse-after-run": _refuse_after_run,
     "ignore-request-limits": _ignore_request_limits,
     "keep-limits-for-each-entry": _keep_limits_for_each_entry,
+    "ignore-versions": _ignore_versions,
+    "forget-origins": _forget_origins,
+    "refuse-resumption": _refuse_resumption,
 }
 
 if __name__ == "__main__":
--- a/packages/vanillashore-standins/src/vanillashore_standins/soak/_run.py
+++ b/packages/vanillashore-standins/src/vanillashore_standins/soak/_run.py
@@ -19,6 +19,7 @@
 from vanillashore_standins.soak._entries import EntryProcess
 from vanillashore_standins.soak._limits import LimitFaults
 from vanillashore_standins.soak._proxy import ProxyMode
+from vanillashore_standins.soak._versions import VersionFaults
 
 EVENTS = 6
 CHANGE_LIMIT_S = 2.0  # The platform's time limit for applying a change in small deployments.
@@ -47,12 +48,16 @@
 
 @attrs.frozen
 class SoakReport:
-    """Requests sent, their statuses, the faults injected, and the guarantees that were broken."""
+    """Requests sent, their statuses, the faults injected, and the guarantees that were broken.
+
+    ``mixed_streams`` have events of two software versions; the platform tolerates two.
+    """
 
     request_count: int
     statuses: Counter[int]
     faults: Counter[str]
     violations: tuple[str, ...]
+    mixed_streams: tuple[str, ...]
 
 
 @attrs.define
@@ -86,6 +91,11 @@
         self._entry_disruptions: list[tuple[tuple[str, int], _TimeSpan]] = []
         kinds = [[e for e in self.endpoints if e.instance.startswith(letter)] for letter in "spd"]
         self._limits = LimitFaults(kinds, random.Random(f"{plan.seed}-limits"))
+        self._versions = VersionFaults(
+            kinds[1] + kinds[2],
+            lambda engine, state: self._put_endpoint(engine, state=state),
+            random.Random(f"{plan.seed}-versions"),
+        )
         self._callers = [
             SoakCaller(
                 f"c{i}", random.Random(f"{plan.seed}-{i}"), self._entry_addresses, self._key, EVENTS
@@ -106,9 +116,9 @@
                 self.entries.append(await stack.enter_async_context(entry))
             await self._wait_for_entries()
             callers = [asyncio.ensure_future(caller.run()) for caller in self._callers]
-            limits = asyncio.ensure_future(self._limits.run())
+            background = [asyncio.ensure_future(f.run()) for f in (self._limits, self._versions)]
             await self._inject_faults()
-            await _cancel(limits)
+            await _cancel(*background)
             await self._check_recovery()
             await _cancel(*callers)
             await asyncio.sleep(0.5)
@@ -116,7 +126,10 @@
         records = [r for caller in self._callers for r in caller.records]
         statuses = Counter(r.status for r in records)
         self.faults["name_limit"] = self._limits.count
-        return SoakReport(len(records), statuses, self.faults, tuple(sorted(set(self.violations))))
+        self.faults["change_version"] = self._versions.count
+        violations = tuple(sorted(set(self.violations)))
+        mixed = tuple(self._versions.mixed_streams)
+        return SoakReport(len(records), statuses, self.faults, violations, mixed)
 
     async def _wait_for_entries(self) -> None:
         try:
@@ -284,7 +297,8 @@
         self._check_time_limits()
         runs = Counter(a.request_id for e in self.endpoints for a in e.runs)
         records = {r.request_id: r for caller in self._callers for r in caller.records}
-        self.violations += self._limits.violations(records.values(), self._was_disrupted)
+        for faults in (self._limits, self._versions):
+            self.violations += faults.violations(records.values(), self._was_disrupted)
         for caller in self._callers:
             self.violations += caller.violations
         for request_id, count in runs.items():
