--- a/tests/gateway/test_role_plan.py
+++ b/tests/gateway/test_role_plan.py
@@ -1,5 +1,6 @@
 """Planned role changes of engines."""
 
+import attrs
 import pytest
 
 from vanillashore_gateway import Endpoint, EndpointRole
@@ -63,3 +64,36 @@
     assert plan_roles(services) == []
     leaving = _pool(4, 5, leaving=1)
     assert all(change.endpoint.instance != "m0" for change in plan_roles(leaving))
+
+
+def _versions(**roles: tuple[int, int]) -> list[Endpoint]:
+    """Return a pool with the number of prefill and decode engines of each version."""
+    return [
+        attrs.evolve(engine, instance=f"{version}-{engine.instance}", software=version)
+        for version, (prefills, decodes) in roles.items()
+        for engine in _pool(prefills, decodes)
+    ]
+
+
+def _converge(pool: list[Endpoint]) -> list[Endpoint]:
+    for _ in range(40):
+        changed = {c.endpoint.instance: c.role for c in plan_roles(pool)}
+        pool = [attrs.evolve(e, role=changed.get(e.instance, e.role)) for e in pool]
+    assert plan_roles(pool) == []
+    return pool
+
+
+@pytest.mark.parametrize("v1", [(2, 0), (3, 0), (1, 1), (0, 2), (2, 3)])
+@pytest.mark.parametrize("v2", [(1, 6), (0, 7), (3, 4), (2, 0)])
+def test_each_version_with_several_engines_keeps_a_decode_engine(
+    v1: tuple[int, int], v2: tuple[int, int]
+) -> None:
+    pool = _converge(_versions(v1=v1, v2=v2))
+    decoding = {e.software for e in pool if e.role is EndpointRole.DECODE}
+    assert decoding == {"v1", "v2"}
+    prefills = sum(e.role is EndpointRole.PREFILL for e in pool)
+    assert prefills == target_prefills(len(pool))
+
+
+def test_single_engine_of_a_version_is_not_changed_for_it() -> None:
+    assert plan_roles(_versions(v1=(1, 0), v2=(2, 6))) == []
