Bound what is held of answers without end

Endpoints in trouble may send bytes that are no answer until the connection is closed. Heads, trailers, chunk sizes and plain bodies were collected without a bound until the request's time was over, so that a few such endpoints could use up an entry's memory; an event without an end as well.

Each place has a bound in bytes, at which the connection is closed and the request counts as one that may have run. A plain answer of more than 64 KiB is passed on as it arrives instead of being collected, and no longer repeated.

--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_calls.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_calls.py
@@ -12,6 +12,7 @@
 from vanillashore_gateway._http_client import LinkError, LinkFailure
 from vanillashore_gateway._http_messages import end_to_end
 from vanillashore_gateway._job import Job, Tools
+from vanillashore_gateway._sending import Sending
 
 # An idempotent request is resent after this share of the target latency.
 RESEND_AFTER_SHARE = 0.6
@@ -37,11 +38,14 @@
 
 @attrs.frozen
 class _Result:
+    """Result of one send attempt; a long answer ``is_relayed`` to the caller already."""
+
     outcome: _Outcome
     head: AnswerHead | None = None
     body: bytes = b""
     reason: str = ""
     is_broken: bool = False
+    is_relayed: bool = False
 
 
 class CallForwarder:
@@ -52,17 +56,20 @@
         self._job = job
         self._budget = tools.budgets.of(job.service.name)
         self._error_answer: _Result | None = None
+        self._responder: Responder
 
     async def run(self, responder: Responder) -> None:
         """Forward the request; raise RefusalError if no endpoint answers."""
         job = self._job
         self._budget.earn()
+        self._responder = responder
         result = await self._obtain_answer()
         head = result.head
-        headers = end_to_end(head.headers)
-        responder.begin(head.status, head.reason, headers, len(result.body))
-        await responder.write(result.body)
-        responder.finish()
+        if not result.is_relayed:
+            headers = end_to_end(head.headers)
+            responder.begin(head.status, head.reason, headers, len(result.body))
+            await responder.write(result.body)
+            responder.finish()
         job.log_decision("answered", status=head.status, sends=job.sends, bytes=len(result.body))
 
     async def _obtain_answer(self) -> _Result:
@@ -145,14 +152,20 @@
         if may_repeat and self._has_sends_left():
             timeout_s = min(timeout_s, self._job.route.target_s * RESEND_AFTER_SHARE)
         try:
-            async with asyncio.timeout(timeout_s):
+            async with asyncio.timeout(timeout_s) as limit:
                 async with self._tools.sender.send(
                     outbound, share, timeout_s, not may_repeat
                 ) as sent:
                     if sent.head.was_not_run:
                         await sent.read_to_end()
                         return _Result(_Outcome.NOT_RUN, sent.head)
-                    return _Result(_Outcome.ANSWERED, sent.head, await sent.read_to_end())
+                    body, is_complete = await sent.read_start()
+                    if is_complete:
+                        return _Result(_Outcome.ANSWERED, sent.head, body)
+                    left_s = self._job.give_up_at - self._tools.clock()
+                    limit.reschedule(asyncio.get_running_loop().time() + left_s)
+                    await self._relay(sent, body)
+                    return _Result(_Outcome.ANSWERED, sent.head, is_relayed=True)
         except TimeoutError:
             return _Result(_Outcome.UNCLEAR, reason="timed out")
         except LinkError as exc:
@@ -161,15 +174,26 @@
             is_broken = exc.failure is LinkFailure.BROKEN
             return _Result(_Outcome.UNCLEAR, reason=str(exc), is_broken=is_broken)
 
+    async def _relay(self, sent: Sending, body: bytes) -> None:
+        """Pass a long answer on as it arrives; from here on it cannot be repeated."""
+        head = sent.head
+        self._responder.begin(head.status, head.reason, end_to_end(head.headers), None)
+        await self._responder.write(body)
+        while data := await sent.read():
+            await self._responder.write(data)
+        self._responder.finish()
+
     def _has_sends_left(self) -> bool:
         return self._job.sends + 1 < self._job.route.max_attempts
 
     def _should_repeat(self, result: _Result) -> bool:
-        if self._job.route.kind is not RouteKind.IDEMPOTENT:
+        if result.is_relayed or self._job.route.kind is not RouteKind.IDEMPOTENT:
             return False
         return _is_failure(result) and self._job.sends < self._job.route.max_attempts
 
     def _may_send_again(self, result: _Result) -> bool:
+        if self._responder.has_begun:
+            return False
         if self._tools.clock() > self._job.give_up_at - MIN_TIME_LEFT_S:
             return False
         if result.outcome is _Outcome.NOT_SENT:
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_engine_calls.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_engine_calls.py
@@ -11,6 +11,7 @@
 from vanillashore_gateway._pool import ConnectionPool
 
 CALL_TIMEOUT_S = 0.3  # Engines answer such a call without a slot, within some milliseconds.
+MAX_ANSWER_BYTES = 262_144  # A report names each run of its engine.
 ORDER_TIMEOUT_S = 2.0  # After this an order counts as lost, but may still be carried out.
 
 
@@ -84,7 +85,7 @@
                 conn = await self._pool.acquire_connection(endpoint)
                 conn.send(data, self._dialect.answers_call)
                 head = await conn.head()
-                body = await conn.read_to_end()
+                body = await conn.read_to_end(MAX_ANSWER_BYTES)
             self._pool.release_connection(endpoint, conn)
             conn = None
             return _Answer(head.status, body)
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_events.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_events.py
@@ -4,10 +4,16 @@
 
 import attrs
 
+MAX_EVENT_BYTES = 1_048_576  # Far more than some tokens of text take.
+
 _ID_LINE = re.compile(rb"^id:[ ]?(\d+)\r?$", re.MULTILINE)
 _END = re.compile(rb"\r?\n\r?\n")
 
 
+class OversizedEventError(ValueError):
+    """An event does not end within `MAX_EVENT_BYTES`."""
+
+
 @attrs.define
 class EventSplitter:
     r"""Splits a stream into complete events and keeps the id of the last one.
@@ -24,13 +30,19 @@
     _rest: bytes = b""
 
     def feed(self, data: bytes) -> bytes:
-        """Add received bytes; return the bytes of all events that are now complete."""
+        """Add received bytes; return the bytes of all events that are now complete.
+
+        Raises OversizedEventError.
+        """
         buffer = self._rest + data
         end = 0
         for match in _END.finditer(buffer):
             end = match.end()
             self.events += 1
         complete, self._rest = buffer[:end], buffer[end:]
+        if len(self._rest) > MAX_EVENT_BYTES:
+            self._rest = b""
+            raise OversizedEventError(f"an event has more than {MAX_EVENT_BYTES} bytes")
         ids = _ID_LINE.findall(complete)
         if ids:
             self.last_id = int(ids[-1])
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_generation.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_generation.py
@@ -8,7 +8,7 @@
 from vanillashore_gateway._dialect import OutboundRequest
 from vanillashore_gateway._domain import Endpoint, Hold, PrefillHandle
 from vanillashore_gateway._errors import ErrorCode, RefusalError, refusal
-from vanillashore_gateway._events import EventSplitter
+from vanillashore_gateway._events import EventSplitter, OversizedEventError
 from vanillashore_gateway._front import Responder
 from vanillashore_gateway._http_client import LinkError, LinkFailure
 from vanillashore_gateway._http_messages import end_to_end
@@ -339,7 +339,10 @@
         splitter = self._stream.splitter
         while data := await self._read_or_move(sent, timeout_s):
             self._record_prompt_read(splitter.events)
-            events = splitter.feed(data)
+            try:
+                events = splitter.feed(data)
+            except OversizedEventError as exc:
+                raise LinkError(LinkFailure.GARBLED, str(exc)) from exc
             if events:
                 await self._record_origin(sent.endpoint)
             await responder.write(events)
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_http_client.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_http_client.py
@@ -19,7 +19,11 @@
 KEEPALIVE_PROBES = 2
 DEFAULT_IDLE_LIMIT_S = 2.0  # For peers that do not state how long they keep idle connections.
 IDLE_SHARE = 0.5  # Of the peer's idle time-out, so that no request is sent as the peer closes.
-MAX_BUFFERED_BYTES = 262_144  # Of an answer whose caller reads slowly.
+MAX_BUFFERED_BYTES = 65_536  # Of an answer whose caller reads slowly.
+MAX_HEAD_BYTES = 32_768  # Header lines of an answer; far more than any endpoint sends.
+# Received in a row without a byte of the awaited body: a head, chunk sizes, trailers, or answers to
+# other requests. Larger than one read from the socket, which may contain a whole answer.
+MAX_OVERHEAD_BYTES = 524_288
 
 AnswerMatcher = Callable[[ResponseHead], bool]
 
@@ -74,6 +78,8 @@
         self._answer: _Answer | None = None
         self._reason = b""
         self._headers: list[tuple[bytes, bytes]] = []
+        self._head_bytes = 0
+        self._overhead_bytes = 0
         self._is_open = False
         self._may_reuse = True
         self._is_paused = False
@@ -102,6 +108,7 @@
             raise LinkError(LinkFailure.NOT_SENT, "the connection is closed")
         self._answer = _Answer(matches, asyncio.get_running_loop().create_future())
         self._parser = httptools.HttpResponseParser(self)
+        self._overhead_bytes = 0
         self._transport.write(data)
 
     async def head(self) -> ResponseHead:
@@ -126,12 +133,25 @@
             self._transport.resume_reading()
         return data
 
-    async def read_to_end(self) -> bytes:
-        """Return the whole body; raise LinkError if it is cut off."""
+    async def read_to_end(self, max_bytes: int) -> bytes:
+        """Return the whole body; raise LinkError if it is cut off or larger than ``max_bytes``."""
+        body, is_complete = await self.read_start(max_bytes)
+        if not is_complete:
+            self.abort()
+            text = f"the body has more than {max_bytes} bytes"
+            raise LinkError(LinkFailure.GARBLED, text)
+        return body
+
+    async def read_start(self, max_bytes: int) -> tuple[bytes, bool]:
+        """Return the body and true, or its beginning and false if it exceeds ``max_bytes``."""
         parts = []
+        size = 0
         while part := await self.read():
             parts.append(part)
-        return b"".join(parts)
+            size += len(part)
+            if size > max_bytes:
+                return b"".join(parts), False
+        return b"".join(parts), True
 
     def abort(self) -> None:
         """Close at once, which makes the peer cancel the current request."""
@@ -165,26 +185,35 @@
         if self._answer is None or self._answer.is_complete or self._answer.error is not None:
             self.abort()
             return
+        self._overhead_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError as exc:
             if not self._answer.is_complete:
-                self._fail(LinkError(LinkFailure.GARBLED, str(exc)))
+                self._fail(LinkError(LinkFailure.GARBLED, str(exc.__context__ or exc)))
+            self.abort()
+            return
+        if self._overhead_bytes > MAX_OVERHEAD_BYTES and not self._answer.is_complete:
+            text = f"{self._overhead_bytes} bytes without a byte of the body"
+            self._fail(LinkError(LinkFailure.GARBLED, text))
             self.abort()
 
     def on_message_begin(self) -> None:
         """Start an answer; one that follows a complete answer is unsolicited."""
         self._headers = []
+        self._head_bytes = 0
         self._reason = b""
         if self._answer.is_complete:
             self._may_reuse = False
 
     def on_status(self, status: bytes) -> None:
         """Collect the reason phrase."""
+        self._count_head_bytes(len(status))
         self._reason += status
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Collect a header."""
+        self._count_head_bytes(len(name) + len(value))
         self._headers.append((name, value))
 
     def on_headers_complete(self) -> None:
@@ -213,6 +242,7 @@
         answer = self._answer
         if answer.is_complete or answer.is_skipped:
             return
+        self._overhead_bytes = 0
         answer.chunks.append(body)
         answer.buffered += len(body)
         if answer.buffered > MAX_BUFFERED_BYTES and not self._is_paused:
@@ -230,6 +260,11 @@
             answer.is_complete = True
             _wake(answer)
 
+    def _count_head_bytes(self, count: int) -> None:
+        self._head_bytes += count
+        if self._head_bytes > MAX_HEAD_BYTES:
+            raise ValueError(f"the head has more than {MAX_HEAD_BYTES} bytes")
+
     def _update_idle_limit(self, head: ResponseHead) -> None:
         self.idle_limit_s = DEFAULT_IDLE_LIMIT_S
         value = head.first(b"keep-alive") or b""
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_sending.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_sending.py
@@ -13,6 +13,8 @@
 from vanillashore_gateway._limit_requests import RequestLimits
 from vanillashore_gateway._pool import ConnectionPool
 
+MAX_HELD_BYTES = 65_536  # Of a body that is held until it is complete.
+
 
 @attrs.define(eq=False)
 class Sending:
@@ -31,8 +33,12 @@
             return await self._conn.read()
 
     async def read_to_end(self) -> bytes:
-        """Return the whole body; raise LinkError if it is cut off."""
-        return await self._conn.read_to_end()
+        """Return a short body; raise LinkError if it is cut off or exceeds `MAX_HELD_BYTES`."""
+        return await self._conn.read_to_end(MAX_HELD_BYTES)
+
+    async def read_start(self) -> tuple[bytes, bool]:
+        """Return the body and true, or its beginning and false if it exceeds `MAX_HELD_BYTES`."""
+        return await self._conn.read_start(MAX_HELD_BYTES)
 
 
 class Sender:
--- a/packages/vanillashore-standins/src/vanillashore_standins/platform_endpoint.py
+++ b/packages/vanillashore-standins/src/vanillashore_standins/platform_endpoint.py
@@ -13,6 +13,7 @@
 import orjson
 
 SEAL_PREFIX = "sealed-by-"
+ENDLESS_PAUSE_S = 0.002  # Between parts, so that other endpoints of the process keep working.
 VERSION = "v1"
 
 
@@ -22,7 +23,10 @@
 
 
 class Fault(StrEnum):
-    """Fault that an endpoint injects into one request."""
+    """Fault that an endpoint injects into one request.
+
+    Those named ``ENDLESS`` send bytes until the caller closes the connection.
+    """
 
     NONE = auto()
     ERROR = auto()
@@ -39,6 +43,12 @@
     SILENT = auto()
     BREAKS_MID_EVENT = auto()
     STALLS = auto()
+    ENDLESS_HEAD = auto()
+    ENDLESS_LINE = auto()
+    ENDLESS_BODY = auto()
+    ENDLESS_EVENT = auto()
+    ENDLESS_CHUNK_SIZE = auto()
+    ENDLESS_TRAILER = auto()
 
 
 @attrs.frozen
@@ -72,13 +82,13 @@
     room: int = 1_000_000
     break_after: int = 2
     stall_s: float = 3_600.0
-    stall_s: float = 3_600.0
 
 
 class EndpointStandIn:
     """Serves one instance on a loopback port.
 
-    Each request consumes one of ``faults``; requests after the last one succeed. Answers name
+    Each request consumes one of ``faults``; requests after the last one succeed, and each control
+    call has the ``control_fault``. Plain answers have ``body``, or name the request. Answers name
     ``limit_per_s`` unless it is ``None``. ``version`` is that of the endpoint's software.
     """
 
@@ -87,6 +97,8 @@
         self.service = service
         self.engine = engine
         self.faults: deque[Fault] = deque()
+        self.control_fault = Fault.NONE
+        self.body = b""
         self.limit_per_s: float | None = None
         self.version = VERSION
         self.started_ms = 1
@@ -219,6 +231,8 @@
             "X-Server-Seal": SEAL_PREFIX + self.instance,
             "X-Server-Load": "1,0,8",
         }
+        if fault.name.startswith("ENDLESS"):
+            return await self._send_endlessly(writer, fault, server_headers)
         if fault is Fault.UNSEALED:
             del server_headers["X-Server-Seal"]
         if fault is Fault.ERROR:
@@ -230,6 +244,26 @@
             return await self._send_events(writer, arrival, fault, server_headers)
         return await self._send_body(writer, arrival, fault, server_headers)
 
+    async def _send_endlessly(
+        self, writer: asyncio.StreamWriter, fault: Fault, server_headers: dict[str, str]
+    ) -> bool:
+        head = _head(200, server_headers, None)[: -len(b"\r\n")]
+        chunked = head + b"Transfer-Encoding: chunked\r\n\r\n"
+        begin, part = {
+            Fault.ENDLESS_HEAD: (head, b"X-More: and more\r\n" * 800),
+            Fault.ENDLESS_LINE: (head + b"X-More: ", b"and more" * 2_000),
+            Fault.ENDLESS_BODY: (head + b"\r\n", b"no answer. " * 1_500),
+            Fault.ENDLESS_EVENT: (chunked + b"8\r\nid: 1\nda\r\n", _chunk(b"x" * 16_000)),
+            Fault.ENDLESS_CHUNK_SIZE: (chunked + b"8;", b"extension" * 1_800),
+            Fault.ENDLESS_TRAILER: (chunked + b"0\r\n", b"X-More: and more\r\n" * 800),
+        }[fault]
+        writer.write(begin)
+        while not writer.is_closing():
+            writer.write(part)
+            await writer.drain()
+            await asyncio.sleep(ENDLESS_PAUSE_S)
+        return False
+
     async def _send_body(
         self,
         writer: asyncio.StreamWriter,
@@ -237,9 +271,9 @@
         fault: Fault,
         server_headers: dict[str, str],
     ) -> bool:
-        body = b"answer to " + arrival.request_id.encode()
+        body = self.body or b"answer to " + arrival.request_id.encode()
         if fault is Fault.TRUNCATED:
-            writer.write(_head(200, server_headers, len(body)) + body[:4])
+            writer.write(_head(200, server_headers, len(body)) + body[: len(body) // 2])
             await writer.drain()
             _reset(writer)
             return False
@@ -285,6 +319,8 @@
         self, writer: asyncio.StreamWriter, method: str, target: str, body: bytes
     ) -> bool:
         self.calls.append((method, target))
+        if self.control_fault is not Fault.NONE:
+            return await self._send_endlessly(writer, self.control_fault, {})
         if target == "/-/hold-take":
             requested_tokens = orjson.loads(body)["tokens"]
             if sum(self.holds.values()) + requested_tokens > self.engine.room:
