--- a/packages/vanillashore-standins/src/vanillashore_standins/soak/_run.py
+++ b/packages/vanillashore-standins/src/vanillashore_standins/soak/_run.py
@@ -29,6 +29,8 @@
 SECOND_KEY = "second-key"
 RUNS_ONCE_PATHS = frozenset(kind.path for kind in REQUEST_KINDS if kind.runs_once)
 REQUEST_FAULTS = [fault for fault in Fault if fault is not Fault.NONE]
+# A plain answer without end is passed on like any long one, so callers receive its bytes.
+ENGINE_FAULTS = frozenset({Fault.ENDLESS_BODY, Fault.ENDLESS_EVENT})
 
 
 @attrs.frozen
@@ -227,7 +229,8 @@
 
     async def _fail_requests(self) -> None:
         for endpoint in self.rng.sample(self.endpoints, 3):
-            endpoint.faults.extend(self.rng.choices(REQUEST_FAULTS, k=self.rng.randrange(3, 12)))
+            faults = [f for f in REQUEST_FAULTS if endpoint.engine or f not in ENGINE_FAULTS]
+            endpoint.faults.extend(self.rng.choices(faults, k=self.rng.randrange(3, 12)))
 
     async def _change_keys(self) -> None:
         self._has_second_key = not self._has_second_key
