Follow a store that was restored from an older copy

After a restore the store gives out revisions again. A watch from an old revision missed what was written since, without any sign: entries kept withdrawn keys and did not use new endpoints. Registrations were gone until the next renewal, and leases could belong to another entry. Endpoints that had left came back with the older list.

The era in each answer of the store is read in one place.

--- a/packages/vanillashore-gateway/src/vanillashore_gateway/__init__.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/__init__.py
@@ -53,6 +53,7 @@
     LeaseExpiredError,
     PlatformStore,
     Snapshot,
+    StoreRestoredError,
     StoreUnavailableError,
 )
 from vanillashore_gateway._process import GatewayProcess
@@ -103,6 +104,7 @@
     "Service",
     "ServingConfig",
     "Snapshot",
+    "StoreRestoredError",
     "StoreUnavailableError",
     "Target",
     "Workspace",
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_duty.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_duty.py
@@ -9,11 +9,12 @@
 
 from vanillashore_gateway._domain import OrderAnswer, RoleOrder
 from vanillashore_gateway._engine_calls import EngineCalls, EngineUnreachableError
-from vanillashore_gateway._following import EntryRegistration, Follower
+from vanillashore_gateway._following import REGISTRATION_TTL_S, EntryRegistration, Follower
 from vanillashore_gateway._membership import Membership
 from vanillashore_gateway._platform_store import (
     LeaseExpiredError,
     PlatformStore,
+    StoreRestoredError,
     StoreUnavailableError,
 )
 from vanillashore_gateway._role_plan import RoleChange, plan_roles
@@ -81,6 +82,8 @@
         self._rng = rng
         self._handover_s = handover_s
         self._may_order_from = 0.0
+        self._may_acquire_from = 0.0
+        self._own_fence: int | None = None
         self._changes_since: float | None = None
         self._sent_orders: list[_SentOrder] = []
 
@@ -96,8 +99,13 @@
                     await self._acquire()
                 elif self._is_holder():
                     await self._send_orders(changes)
-            except (StoreUnavailableError, LeaseExpiredError) as exc:
-                log.bind(reason=str(exc)).info("could not acquire the duty of ordering roles")
+            except (StoreUnavailableError, StoreRestoredError, LeaseExpiredError) as exc:
+                log.bind(reason=repr(exc)).info("could not acquire the duty of ordering roles")
+
+    def record_restore(self) -> None:
+        """Wait until an earlier holder that has not noticed the restore has surely stopped."""
+        self._own_fence = None
+        self._may_acquire_from = self._clock() + REGISTRATION_TTL_S
 
     def _due_changes(self) -> list[RoleChange]:
         """Return the planned changes, unless they are too new or an order is pending."""
@@ -123,16 +131,20 @@
         lease = self._registration.lease
         if self._state.holder is not None or lease is None or not self._follower.contact.is_reached:
             return
+        if self._clock() < self._may_acquire_from:
+            return
         fence = await self._store.acquire_duty(ROLES_DUTY, self._node, lease)
         if fence is None:
             return
         self._state.set_holder(self._node, fence)
+        self._own_fence = fence
         self._may_order_from = self._clock() + self._handover_s
         log.bind(fence=fence).info("acquired the duty of ordering roles")
 
     def _is_holder(self) -> bool:
         return (
             self._state.holder == self._node
+            and self._state.fence == self._own_fence
             and self._clock() >= self._may_order_from
             and self._registration.is_held(self._clock())
         )
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_following.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_following.py
@@ -1,6 +1,7 @@
 """Background tasks that keep a gateway in sync with the platform's store."""
 
 import asyncio
+import contextlib
 import random
 from collections.abc import Callable
 from typing import Protocol
@@ -15,6 +16,7 @@
     LeaseExpiredError,
     PlatformStore,
     Snapshot,
+    StoreRestoredError,
     StoreUnavailableError,
 )
 
@@ -43,6 +45,13 @@
         """Record that the state is up to date with the store."""
         ...
 
+    def record_restore(self) -> None:
+        """Record that the store has been restored; the next snapshot may be older than the state.
+
+        Called before that snapshot.
+        """
+        ...
+
     def record_store_contact(self, is_reached: bool) -> None:
         """Record that contact with the store was lost or regained."""
         ...
@@ -78,6 +87,11 @@
         self._outage_logged_at = 0.0
         self.contact = StoreContact(changed_at=clock())
 
+    @property
+    def revision(self) -> int | None:
+        """The store's revision up to which the state is known; ``None`` before a snapshot."""
+        return self._revision
+
     async def run(self) -> None:
         """Follow until cancelled."""
         while True:
@@ -93,6 +107,12 @@
                     "the missed changes are larger than a snapshot; reading a new one"
                 )
                 self._revision = None
+            except StoreRestoredError:
+                log.bind(revision=self._revision).warning(
+                    "the store was restored from an older copy; reading a new snapshot"
+                )
+                self._revision = None
+                self._listener.record_restore()
             except StoreUnavailableError as exc:
                 self._record_failure(str(exc))
                 await asyncio.sleep(self._retry_delay_s())
@@ -171,6 +191,7 @@
         self._clock = clock
         self._rng = rng
         self._renewed_at = 0.0
+        self._wake = asyncio.Event()
         self.lease: int | None = None
 
     def is_held(self, now: float) -> bool:
@@ -182,6 +203,7 @@
     async def run(self) -> None:
         """Register and renew until cancelled."""
         while True:
+            self._wake.clear()
             # The lease starts when the store receives the call, so this earlier time is safe.
             sent_at = self._clock()
             try:
@@ -199,9 +221,19 @@
                 )
                 self.lease = None
                 continue
+            except StoreRestoredError:
+                self.lease = None
+                continue
             except StoreUnavailableError as exc:
                 log.bind(reason=str(exc)).info("this entry's lease was not renewed")
-            await asyncio.sleep(RENEW_EVERY_S * (0.8 + 0.4 * self._rng.random()))
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(RENEW_EVERY_S * (0.8 + 0.4 * self._rng.random())):
+                    await self._wake.wait()
+
+    def record_restore(self) -> None:
+        """Register again at once: the lease is gone, or has been given to another entry."""
+        self.lease = None
+        self._wake.set()
 
     async def withdraw(self) -> None:
         """Remove the registration, if the store is reachable."""
@@ -209,7 +241,7 @@
             return
         try:
             await self._store.withdraw(self.lease)
-        except StoreUnavailableError as exc:
-            log.bind(reason=str(exc)).info(
+        except (StoreUnavailableError, StoreRestoredError) as exc:
+            log.bind(reason=repr(exc)).info(
                 "could not remove this entry's registration; it expires with its lease"
             )
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_gateway.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_gateway.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from collections.abc import Callable
 
 import attrs
 from loguru import logger as log
@@ -53,6 +54,7 @@
 from vanillashore_gateway._stream_origins import StreamOrigins
 
 EXPIRY_CHECK_DELAY_S = 2.0  # Slightly longer than Membership's grace period.
+REGISTER_AGAIN_S = 5.0  # Entries notice a restored store with their next call, after 3 s at most.
 STARTUP_RETRY_AFTER_S = 0.5  # Time for a new process to load its configuration.
 # Share of the fleet-wide retry limits that the entries use; the rest covers the new budgets of
 # entries that restart.
@@ -111,6 +113,9 @@
         self._resumption = Resumption(self.origins, self.membership, now)
         self._entries: dict[str, tuple[str, int]] = {}
         self._has_snapshot = False
+        self._is_restored = False
+        self._unconfirmed_entries: set[str] = set()
+        self.restore_listeners: list[Callable[[], None]] = []
         self._synced_at = now()
         self._budgets = RetryBudgets(cfg.retry_ratio * BUDGET_SHARE, cfg.retry_slack * BUDGET_SHARE)
         self.limits = RequestLimits(cfg.node, now)
@@ -207,18 +212,26 @@
     def apply_snapshot(self, snapshot: Snapshot) -> None:
         """Replace the state with a full snapshot of the store."""
         endpoints = [c.endpoint for c in snapshot.items if isinstance(c, EndpointWritten)]
-        for removed in self.membership.replace_all(endpoints, now()):
-            self._forget_endpoint(removed)
-        known = set(self._entries)
-        written = [c for c in snapshot.items if isinstance(c, EntryWritten)]
-        self._entries = {c.name: c.address for c in written}
+        entries = {c.name: c.address for c in snapshot.items if isinstance(c, EntryWritten)}
+        known = dict(self._entries)
+        if self._is_restored and self._has_snapshot:
+            self.membership.merge_older(endpoints, now())
+            self._expire_later()
+            self._unconfirmed_entries = set(known) - set(entries)
+            entries = known | entries
+            asyncio.get_running_loop().call_later(REGISTER_AGAIN_S, self._drop_unconfirmed_entries)
+        else:
+            for removed in self.membership.replace_all(endpoints, now()):
+                self._forget_endpoint(removed)
+        self._is_restored = False
+        self._entries = entries
         self._has_snapshot = True
         self.duty.clear_holder()
         for change in snapshot.items:
             if isinstance(change, ConfigWritten | DutyWritten):
                 self.apply_change(change)
         self._update_entries()
-        for name in set(self._entries) - known:
+        for name in set(self._entries) - set(known):
             self._greet(name)
         log.bind(
             revision=snapshot.revision, endpoints=len(endpoints), entries=len(self._entries)
@@ -243,6 +256,7 @@
                 self.duty.clear_holder()
             case EntryWritten(name, address):
                 self._entries[name] = address
+                self._unconfirmed_entries.discard(name)
                 self._update_entries()
                 self._greet(name)
             case EntryRemoved(name):
@@ -257,7 +271,14 @@
         """Keep endpoints whose registrations expired during a store outage for a grace period."""
         if is_reached:
             self.membership.record_store_return(now())
-            asyncio.get_running_loop().call_later(EXPIRY_CHECK_DELAY_S, self._expire_endpoints)
+            self._expire_later()
+
+    def record_restore(self) -> None:
+        """Expect a snapshot that is older than the state."""
+        self._is_restored = True
+        self.metrics.record_restore()
+        for listener in self.restore_listeners:
+            listener()
 
     async def _admit(self, req: CallerRequest) -> Job:
         table = self._table
@@ -365,6 +386,20 @@
         engines = self.membership.usable(service, EndpointRole.PREFILL)
         return self.balancer.healthy(self.limits.open_endpoints(engines), now())
 
+    def _expire_later(self) -> None:
+        asyncio.get_running_loop().call_later(EXPIRY_CHECK_DELAY_S, self._expire_endpoints)
+
+    def _drop_unconfirmed_entries(self) -> None:
+        """Drop entries that have not registered again since the store was restored."""
+        dropped = sorted(self._unconfirmed_entries & set(self._entries))
+        self._unconfirmed_entries = set()
+        for name in dropped:
+            del self._entries[name]
+        self._update_entries()
+        log.bind(dropped=dropped, entries=len(self._entries)).info(
+            "checked which entries have registered again"
+        )
+
     def _expire_endpoints(self) -> None:
         for removed in self.membership.expire(now()):
             self._forget_endpoint(removed)
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_instruments.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_instruments.py
@@ -30,6 +30,7 @@
         self._ignored_datagrams = meter.create_counter(
             "vanillashore.peer.datagrams.ignored", "{datagram}"
         )
+        self._restores = meter.create_counter("vanillashore.store.restores", "{restore}")
         meter.create_observable_counter("process.cpu.time", [_cpu_time], "s")
         for name, read in gauges.items():
             meter.create_observable_gauge(name, [_observer(read)])
@@ -47,6 +48,10 @@
         """Count a datagram that was ignored."""
         self._ignored_datagrams.add(1)
 
+    def record_restore(self) -> None:
+        """Count that the store was restored."""
+        self._restores.add(1)
+
     def render(self) -> bytes:
         """Return the metrics in the Prometheus text format."""
         return generate_latest(self._registry)
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_membership.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_membership.py
@@ -1,11 +1,13 @@
 """The platform's list of endpoints, kept through outages of the platform's store."""
 
+from collections import OrderedDict
 from collections.abc import Iterable
 
-from vanillashore_gateway._domain import Endpoint, EndpointRole
+from vanillashore_gateway._domain import Endpoint, EndpointRole, EndpointStart
 
 # Endpoints whose records expired in an outage are listed again within about two seconds.
 RETURN_GRACE_S = 1.9
+MAX_ENDED = 4_096  # Endpoints that left, for when the store comes back from an older copy.
 
 
 class Membership:
@@ -21,6 +23,7 @@
         self._grace_until = 0.0
         self._lost_connections: set[str] = set()
         self._outdated: set[str] = set()
+        self._ended: OrderedDict[EndpointStart, None] = OrderedDict()
         # The versions of endpoints that have left or changed theirs, and when they did.
         self._left_versions: dict[tuple[str, str], float] = {}
 
@@ -36,8 +39,27 @@
             self.put(endpoint, now)
         return [name for name in missing if self._mark_missing(name, now)]
 
+    def merge_older(self, endpoints: Iterable[Endpoint], now: float) -> None:
+        """Merge a list that is older than this one, from a restored store.
+
+        What is known stays; an endpoint that is known to be leaving or gone is not added again.
+        Those that the list lacks are dropped if they do not write themselves again in time.
+        """
+        listed = {endpoint.instance: endpoint for endpoint in endpoints}
+        for endpoint in listed.values():
+            if endpoint.instance not in self._endpoints and endpoint.start not in self._ended:
+                self.put(endpoint, now)
+        self.record_store_return(now)
+        for name in self._endpoints:
+            if name not in listed:
+                self._missing_since.setdefault(name, now)
+
     def put(self, endpoint: Endpoint, now: float) -> None:
         """Add or update an endpoint."""
+        if endpoint.is_leaving:
+            self._record_ended(endpoint.start)
+        else:
+            self._ended.pop(endpoint.start, None)
         known = self._endpoints.get(endpoint.instance)
         if known is not None and known.software != endpoint.software:
             self._left_versions[known.service, known.software] = now
@@ -118,10 +140,17 @@
         self._drop(name, now)
         return True
 
+    def _record_ended(self, start: EndpointStart) -> None:
+        self._ended[start] = None
+        self._ended.move_to_end(start)
+        while len(self._ended) > MAX_ENDED:
+            self._ended.popitem(last=False)
+
     def _drop(self, name: str, now: float) -> None:
         endpoint = self._endpoints.pop(name, None)
         self._lost_connections.discard(name)
         self._outdated.discard(name)
         if endpoint is not None:
+            self._record_ended(endpoint.start)
             self._left_versions[endpoint.service, endpoint.software] = now
         self._missing_since.pop(name, None)
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_metrics.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_metrics.py
@@ -48,6 +48,10 @@
         """Count a datagram of another entry whose kind is unknown."""
         self._record(lambda instruments: instruments.record_ignored_datagram())
 
+    def record_restore(self) -> None:
+        """Count that the store was restored from an older copy."""
+        self._record(lambda instruments: instruments.record_restore())
+
     def render(self) -> bytes | None:
         """Return the metrics as text, or ``None`` until the instruments are loaded."""
         return None if self._instruments is None else self._instruments.render()
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_platform_store.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_platform_store.py
@@ -15,6 +15,14 @@
     """The store has dropped the history that a watch needs to continue."""
 
 
+class StoreRestoredError(Exception):
+    """The store has come back from an older copy of itself.
+
+    What was written since that copy is gone, leases too, and revisions and leases are given out
+    again, so nothing that was read or received before may be used in a call.
+    """
+
+
 class AnswerTooLargeError(Exception):
     """The answer has more bytes than the caller accepts."""
 
@@ -114,7 +122,11 @@
 
 
 class PlatformStore(Protocol):
-    """Client of the platform's store; all calls may raise StoreUnavailableError."""
+    """Client of the platform's store.
+
+    All calls may raise StoreUnavailableError. The first answer after the store was restored, and
+    each request for changes until the next snapshot, raise StoreRestoredError.
+    """
 
     async def snapshot(self) -> Snapshot:
         """Read everything, in its state at the time of the call or later."""
@@ -144,6 +156,10 @@
         """
         ...
 
+    async def release_duty(self, name: str, fence: int) -> None:
+        """Release a duty if it still has that fence."""
+        ...
+
     async def withdraw(self, lease: int) -> None:
         """End a lease, and remove what was written under it."""
         ...
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_process.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_process.py
@@ -54,6 +54,10 @@
             rng,
             cfg.order_handover_s,
         )
+        gateway.restore_listeners += [
+            self._registration.record_restore,
+            self._roles.record_restore,
+        ]
         self._reload = reload
         self._servers: list[asyncio.Server] = []
         self._tasks: list[asyncio.Task[None]] = []
--- a/packages/vanillashore-standins/src/vanillashore_standins/platform_endpoint.py
+++ b/packages/vanillashore-standins/src/vanillashore_standins/platform_endpoint.py
@@ -98,6 +98,7 @@
         self.engine = engine
         self.faults: deque[Fault] = deque()
         self.control_fault = Fault.NONE
+        self.highest_fence = 0
         self.body = b""
         self.limit_per_s: float | None = None
         self.version = VERSION
@@ -337,7 +338,11 @@
             report = {"sequence": 0, "born": self.started_ms}
             return await _reply(writer, 200, {}, orjson.dumps(report))
         if target == "/-/order":
-            self.engine.stage = orjson.loads(body)["stage"]
+            order = orjson.loads(body)
+            if order["fencing_token"] < self.highest_fence:
+                return await _reply(writer, 412, {}, b"")
+            self.highest_fence = order["fencing_token"]
+            self.engine.stage = order["stage"]
             return await _reply(writer, 202, {}, b"")
         return await _reply(writer, 404, {}, b"")
 
--- a/packages/vanillashore-standins/src/vanillashore_standins/platform_store.py
+++ b/packages/vanillashore-standins/src/vanillashore_standins/platform_store.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import base64
-import itertools
 from typing import Any
 
 import attrs
@@ -33,8 +32,22 @@
     lease: int = 0
 
 
+@attrs.frozen
+class StoreCopy:
+    """A copy of the store at one moment."""
+
+    items: dict[str, _Item]
+    revision: int
+    events: list[dict[str, Any]]
+    leases: set[int]
+    last_lease: int
+
+
 class PlatformStoreStandIn:
-    """Stores items, leases and a history of changes; records the kind of each call."""
+    """Stores items, leases and a history of changes; records the kind of each call.
+
+    `restore` brings back an older copy, after which revisions and leases are given out again.
+    """
 
     def __init__(self) -> None:
         self.faults = StoreFaults()
@@ -42,9 +55,11 @@
         self.revision = 1
         self.calls: list[str] = []
         self._events: list[dict[str, Any]] = []
+        self.era = 1
+        self.is_away = False
         self._compacted_revision = 0
         self._leases: set[int] = set()
-        self._lease_ids = itertools.count(1_000)
+        self._last_lease = 999
         self._changed = asyncio.Event()
 
     def app(self) -> web.Application:
@@ -80,6 +95,21 @@
         for key in [key for key, item in self.items.items() if item.lease == lease]:
             self.remove(key)
 
+    def copy(self) -> StoreCopy:
+        """Return a copy to go back to."""
+        return StoreCopy(
+            dict(self.items), self.revision, list(self._events), set(self._leases), self._last_lease
+        )
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Go back to a copy: what was written since, leases included, is gone."""
+        self.items, self._events = dict(copy.items), list(copy.events)
+        self.revision = copy.revision
+        self._leases, self._last_lease = set(copy.leases), copy.last_lease
+        self.era += 1
+        self._compacted_revision = min(self._compacted_revision, self.revision)
+        self._notify_watches()
+
     def drop_history(self) -> None:
         """Drop the history of changes; watches after an older revision get status 410."""
         self._events.clear()
@@ -107,11 +137,19 @@
     @web.middleware
     async def _inject_faults(self, request: web.Request, handler: Any) -> web.StreamResponse:
         self.calls.append(request.path.removeprefix("/-/").partition("/")[0])
+        era = self.era
+        if self.is_away and request.transport is not None:
+            request.transport.abort()
         if self.faults.is_silent:
             await asyncio.sleep(3_600)
         if self.faults.status:
-            return web.json_response({}, status=self.faults.status)
+            headers = {"Store-Era": str(self.era)}
+            return web.json_response({}, status=self.faults.status, headers=headers)
         response = await handler(request)
+        # The store was away meanwhile, and all connections were lost.
+        if self.era != era and request.transport is not None:
+            request.transport.abort()
+        response.headers["Store-Era"] = str(self.era)
         if self.faults.loses_answers:
             request.transport.abort()
         return response
@@ -127,7 +165,7 @@
         prefix, after = request.query.get("path_prefix", ""), int(request.query["after"])
         deadline = asyncio.get_running_loop().time() + int(request.query["wait_ms"]) / 1_000
         while True:
-            if after < self._compacted_revision:
+            if after < self._compacted_revision or after > self.revision:
                 return web.json_response({}, status=410)
             events = [
                 event
@@ -158,7 +196,7 @@
         return web.json_response({"revision": self.revision})
 
     async def _grant_lease(self, request: web.Request) -> web.Response:
-        lease = next(self._lease_ids)
+        lease = self._last_lease = self._last_lease + 1
         self._leases.add(lease)
         return web.json_response({"lease": lease, "ttl_ms": (await request.json())["ttl_ms"]})
 
--- a/packages/vanillashore-standins/src/vanillashore_standins/soak/_mutants.py
+++ b/packages/vanillashore-standins/src/vanillashore_standins/soak/_mutants.py
@@ -8,7 +8,7 @@
 
 import attrs
 
-from vanillashore_adapter import main
+from vanillashore_adapter import HttpStore, main
 from vanillashore_gateway import (
     CallerRequest,
     HttpConnection,
@@ -117,6 +117,11 @@
     Resumption.origin_of = refuse
 
 
+def _ignore_eras() -> None:
+    """Go on after a restore of the store as if nothing had happened."""
+    HttpStore._check_era = lambda self, head: None
+
+
 MUTANTS: dict[str, Callable[[], None]] = {
     "resend-unclear-calls": _resend_unclear_calls,
     "rerun-broken-streams": _rerun_broken_streams,
@@ -129,6 +134,7 @@
     "ignore-versions": _ignore_versions,
     "forget-origins": _forget_origins,
     "refuse-resumption": _refuse_resumption,
+    "ignore-eras": _ignore_eras,
 }
 
 if __name__ == "__main__":
--- a/packages/vanillashore-standins/src/vanillashore_standins/soak/_run.py
+++ b/packages/vanillashore-standins/src/vanillashore_standins/soak/_run.py
@@ -19,6 +19,7 @@
 from vanillashore_standins.soak._entries import EntryProcess
 from vanillashore_standins.soak._limits import LimitFaults
 from vanillashore_standins.soak._proxy import ProxyMode
+from vanillashore_standins.soak._restores import RestoreFaults
 from vanillashore_standins.soak._versions import VersionFaults
 
 EVENTS = 6
@@ -84,6 +85,10 @@
             *(self._engine(f"d{i}", "decode") for i in range(plan.decodes)),
         ]
         self._folder = folder
+        self._published: dict[str, dict[str, object]] = {}
+        self._restores = RestoreFaults(
+            self.store, self._write_again, random.Random(f"{plan.seed}-restores")
+        )
         self._version = 1
         self._has_second_key = True
         self._is_recovering = False
@@ -118,7 +123,10 @@
                 self.entries.append(await stack.enter_async_context(entry))
             await self._wait_for_entries()
             callers = [asyncio.ensure_future(caller.run()) for caller in self._callers]
-            background = [asyncio.ensure_future(f.run()) for f in (self._limits, self._versions)]
+            background = [
+                asyncio.ensure_future(f.run())
+                for f in (self._limits, self._versions, self._restores)
+            ]
             await self._inject_faults()
             await _cancel(*background)
             await self._check_recovery()
@@ -129,6 +137,7 @@
         statuses = Counter(r.status for r in records)
         self.faults["name_limit"] = self._limits.count
         self.faults["change_version"] = self._versions.count
+        self.faults["restore_store"] = self._restores.count
         violations = tuple(sorted(set(self.violations)))
         mixed = tuple(self._versions.mixed_streams)
         return SoakReport(len(records), statuses, self.faults, violations, mixed)
@@ -262,6 +271,8 @@
         """Check that changes took effect within their time limit, outside of disruptions."""
         endpoints = {endpoint.instance: endpoint for endpoint in self.endpoints}
         for name, span in self._drains:
+            if self._restores.may_have_lost(span.start):
+                continue
             for arrival in endpoints[name].arrivals:
                 is_late = span.start + CHANGE_LIMIT_S < arrival.at < span.end
                 if is_late and self._was_calm(span.start, arrival.at):
@@ -269,6 +280,8 @@
         for caller in self._callers:
             for record in caller.records:
                 for span in self._key_withdrawals:
+                    if self._restores.may_have_lost(span.start):
+                        continue
                     is_late = (
                         span.start + CHANGE_LIMIT_S < record.sent_at and record.ended_at < span.end
                     )
@@ -324,7 +337,14 @@
         return EndpointStandIn(name, MODELS, EngineOptions(stage, EVENTS, pause_s=0.01))
 
     def _put_endpoint(self, endpoint: EndpointStandIn, **changes: str) -> None:
-        self.store.put(f"servers/{endpoint.instance}", endpoint.entry(**changes))
+        entry = self._published[endpoint.instance] = endpoint.entry(**changes)
+        self.store.put(f"servers/{endpoint.instance}", entry)
+
+    def _write_again(self) -> None:
+        """Write what the operator and the endpoints had written, in its newest state."""
+        self.store.put("op/config", self._config())
+        for instance, entry in self._published.items():
+            self.store.put(f"servers/{instance}", entry)
 
     def _config(self) -> dict[str, object]:
         keys = [KEY, SECOND_KEY] if self._has_second_key else [KEY]
