Release the duty of ordering roles when its holder cannot order

A holder whose order was fenced ordered nothing more, but kept the duty as long as its lease, so nobody ordered role changes. A process that found its predecessor's duty went on with that fence without the handover time.

A holder releases the duty if it did not acquire it in this process and era, or was fenced; the next one gets a higher fence.

--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_duty.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_duty.py
@@ -97,6 +97,9 @@
             try:
                 if self._state.holder is None:
                     await self._acquire()
+                elif self._state.holder == self._node and self._own_fence is None:
+                    # Acquired before a restart or a restore of the store, or fenced.
+                    await self._store.release_duty(ROLES_DUTY, self._state.fence)
                 elif self._is_holder():
                     await self._send_orders(changes)
             except (StoreUnavailableError, StoreRestoredError, LeaseExpiredError) as exc:
@@ -158,7 +161,8 @@
         endpoint = change.endpoint
         now = self._clock()
         self._sent_orders = [o for o in self._sent_orders if now - o.at < ORDER_REPEAT_S]
-        self._sent_orders.append(_SentOrder(change, now))
+        sent = _SentOrder(change, now)
+        self._sent_orders.append(sent)
         answer = OrderAnswer.FAILED
         reason = ""
         try:
@@ -175,4 +179,6 @@
             reason=reason,
         ).info("ordered a role change")
         if answer is OrderAnswer.FENCED:
-            self._may_order_from = float("inf")
+            # Another entry has used a higher fence; a new holder gets one above that.
+            self._own_fence = None
+            self._sent_orders.remove(sent)
--- a/tests/gateway/test_store_restore.py
+++ b/tests/gateway/test_store_restore.py
@@ -149,3 +149,29 @@
             rig.store.restore(copy)
             store = rig.new_client()
         assert fences[0] < fences[1]
+
+
+async def test_holder_whose_order_is_fenced_releases_the_duty_and_gets_a_higher_fence(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr("vanillashore_gateway._duty.REGISTRATION_TTL_S", 0.5)
+    async with PlatformRig(prefills=3, decodes=1) as rig:
+        highest = (rig.store.era + 1) << 32
+        for endpoint in rig.prefills:
+            endpoint.highest_fence = highest
+        duty = "vanillashore/duties/roles"
+        await wait_until(lambda: duty in rig.store.items, wait_s=15.0)
+        await wait_until(lambda: duty not in rig.store.items, wait_s=15.0)
+        for _ in range(2):
+            rig.store.restore(rig.store.copy())
+        await wait_until(lambda: any(e.highest_fence > highest for e in rig.prefills), wait_s=20.0)
+
+
+async def test_duty_of_an_earlier_process_of_the_same_entry_is_acquired_anew() -> None:
+    async with PlatformRig(prefills=3, decodes=1) as rig:
+        rig.store.put("vanillashore/duties/roles", b"entry-1")
+        await wait_until(lambda: any(e.highest_fence for e in rig.prefills), wait_s=20.0)
+        duty = rig.store.items["vanillashore/duties/roles"]
+        fence = (rig.store.era << 32) + duty.revision
+        assert duty.lease > 0
+        assert {e.highest_fence for e in rig.prefills} <= {0, fence}
