--- a/packages/vanillashore-standins/src/vanillashore_standins/soak/_callers.py
+++ b/packages/vanillashore-standins/src/vanillashore_standins/soak/_callers.py
@@ -17,6 +17,11 @@
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
 
+Address = tuple[str, int]
+# Whether an entry was disrupted between two times.
+WasDisrupted = Callable[[Address, float, float], bool]
+
+
 @attrs.frozen
 class RequestRecord:
     """A request and its outcome; status 0 means that the connection broke.
--- a/packages/vanillashore-standins/src/vanillashore_standins/soak/_limits.py
+++ b/packages/vanillashore-standins/src/vanillashore_standins/soak/_limits.py
@@ -3,21 +3,18 @@
 import asyncio
 import random
 from collections import defaultdict
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Iterable, Sequence
 
 import attrs
 
 from vanillashore_standins.limit_check import allowed_requests, most_requests
 from vanillashore_standins.platform_endpoint import EndpointStandIn
-from vanillashore_standins.soak._callers import RequestRecord
+from vanillashore_standins.soak._callers import Address, RequestRecord, WasDisrupted
 
 CONTACT_S = 3.0  # The limit holds this long after an endpoint has first named it.
 TOLD_S = 0.5  # It binds an entry this long after an answer has told the entry.
 LIMITS_PER_S = (0.5, 2.0, 5.0)
 
-Address = tuple[str, int]
-WasDisrupted = Callable[[Address, float, float], bool]
-
 
 @attrs.define
 class _NamedLimit:
--- a/packages/vanillashore-standins/src/vanillashore_standins/soak/_versions.py
+++ b/packages/vanillashore-standins/src/vanillashore_standins/soak/_versions.py
@@ -8,17 +8,13 @@
 import attrs
 
 from vanillashore_standins.platform_endpoint import EndpointStandIn
-from vanillashore_standins.soak._callers import RESUMABLE_PATH, RequestRecord
+from vanillashore_standins.soak._callers import RESUMABLE_PATH, RequestRecord, WasDisrupted
 
 VERSIONS = ("v1", "v1.1", "v2")
 MAX_MIXED = 2  # Streams with events of two versions that the platform tolerates.
 MIN_RESUMED = 12  # Fewer streams that are taken up again show nothing.
-CONTACT_S = 3.0
 DECODE_PREFIX = "d"
 
-Address = tuple[str, int]
-WasDisrupted = Callable[[Address, float, float], bool]
-
 
 @attrs.frozen
 class _Serving:
--- a/tests/gateway/test_store_restore.py
+++ b/tests/gateway/test_store_restore.py
@@ -5,8 +5,9 @@
 
 import pytest
 
-from vanillashore_standins import wait_until
+from vanillashore_standins import ServedApp, wait_until
 from vanillashore_standins.platform_rig import KEY, WORKSPACE, PlatformRig, configuration
+from vanillashore_standins.platform_store import PlatformStoreStandIn
 
 OTHER_KEY = "key-of-another"
 ENTRY_KEY = "vanillashore/entries/entry-1"
@@ -175,3 +176,16 @@
         fence = (rig.store.era << 32) + duty.revision
         assert duty.lease > 0
         assert {e.highest_fence for e in rig.prefills} <= {0, fence}
+
+
+async def test_store_at_another_address_may_be_in_an_earlier_era() -> None:
+    async with PlatformRig(services=1) as rig:
+        await _restore(rig, rig.store.copy(), new_revisions=False)
+        other = PlatformStoreStandIn()
+        other.put("op/config", _config(8, KEY))
+        other.put("servers/s0", rig.services[0].entry())
+        async with ServedApp(other.app()) as served:
+            host, _, port = served.address.removeprefix("http://").partition(":")
+            rig.process._follower._store.set_address((host, int(port)))
+            await wait_until(lambda: rig.process.gateway.config_version == 8)
+            await wait_until(lambda: ENTRY_KEY in other.items)
