Take newer records out of a restored list, and check engines while the list is stale

A record of a later start, or one that the engine itself has confirmed, now replaces what is known; one that is leaving or gone stays so. Without contact with the store there may be no sign of a restart at all, so engines are then asked for their start twice a second at most, if their service has several versions. Both tests failed before.

--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_gateway.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_gateway.py
@@ -54,6 +54,7 @@
 from vanillashore_gateway._stream_origins import StreamOrigins
 
 EXPIRY_CHECK_DELAY_S = 2.0  # Slightly longer than Membership's grace period.
+STALE_LIST_S = 3.5  # A watch without changes returns sooner.
 REGISTER_AGAIN_S = 5.0  # Entries notice a restored store with their next call, after 3 s at most.
 STARTUP_RETRY_AFTER_S = 0.5  # Time for a new process to load its configuration.
 # Share of the fleet-wide retry limits that the entries use; the rest covers the new budgets of
@@ -113,6 +114,7 @@
         self._resumption = Resumption(self.origins, self.membership, now)
         self._entries: dict[str, tuple[str, int]] = {}
         self._has_snapshot = False
+        self._has_store_contact = False
         self._is_restored = False
         self._unconfirmed_entries: set[str] = set()
         self.restore_listeners: list[Callable[[], None]] = []
@@ -124,11 +126,12 @@
         self.prefills = PrefillScheduler(
             cfg.node, self.prefill_estimator, self._prefill_engines, now
         )
+        self.start_checks = StartChecks(self.calls, self.membership, self._is_list_stale, now)
         self.slot_finder = SlotFinder(
             self.calls,
             self.balancer,
             self.limits,
-            StartChecks(self.calls, self.membership),
+            self.start_checks,
             self.prefill_estimator,
             self.membership,
             now,
@@ -215,7 +218,7 @@
         entries = {c.name: c.address for c in snapshot.items if isinstance(c, EntryWritten)}
         known = dict(self._entries)
         if self._is_restored and self._has_snapshot:
-            self.membership.merge_older(endpoints, now())
+            self.membership.merge_restored(endpoints, now())
             self._expire_later()
             self._unconfirmed_entries = set(known) - set(entries)
             entries = known | entries
@@ -269,6 +272,7 @@
 
     def record_store_contact(self, is_reached: bool) -> None:
         """Keep endpoints whose registrations expired during a store outage for a grace period."""
+        self._has_store_contact = is_reached
         if is_reached:
             self.membership.record_store_return(now())
             self._expire_later()
@@ -386,6 +390,10 @@
         engines = self.membership.usable(service, EndpointRole.PREFILL)
         return self.balancer.healthy(self.limits.open_endpoints(engines), now())
 
+    def _is_list_stale(self) -> bool:
+        """Whether changes of the list of endpoints may not have arrived."""
+        return not self._has_store_contact or now() - self._synced_at > STALE_LIST_S
+
     def _expire_later(self) -> None:
         asyncio.get_running_loop().call_later(EXPIRY_CHECK_DELAY_S, self._expire_endpoints)
 
@@ -410,6 +418,7 @@
         self.balancer.forget(instance)
         self.prefill_estimator.forget(instance)
         self.limits.forget(instance)
+        self.start_checks.forget(instance)
 
     def _log_endpoint(self, change: EndpointWritten) -> None:
         endpoint = change.endpoint
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_membership.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_membership.py
@@ -39,15 +39,21 @@
             self.put(endpoint, now)
         return [name for name in missing if self._mark_missing(name, now)]
 
-    def merge_older(self, endpoints: Iterable[Endpoint], now: float) -> None:
-        """Merge a list that is older than this one, from a restored store.
+    def merge_restored(self, endpoints: Iterable[Endpoint], now: float) -> None:
+        """Merge the list of a restored store, which may be older than this one or newer.
 
-        What is known stays; an endpoint that is known to be leaving or gone is not added again.
-        Those that the list lacks are dropped if they do not write themselves again in time.
+        An endpoint that is known to be leaving, gone or started later is not replaced. Those that
+        the list lacks are dropped if they do not write themselves again in time.
         """
         listed = {endpoint.instance: endpoint for endpoint in endpoints}
         for endpoint in listed.values():
-            if endpoint.instance not in self._endpoints and endpoint.start not in self._ended:
+            known = self._endpoints.get(endpoint.instance)
+            is_older = (
+                known is not None
+                and endpoint.started_ms < known.started_ms
+                and not self.is_outdated(known)
+            )
+            if not is_older and endpoint.start not in self._ended:
                 self.put(endpoint, now)
         self.record_store_return(now)
         for name in self._endpoints:
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_start_checks.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_start_checks.py
@@ -2,24 +2,42 @@
 
 An engine may start again under its name with other software, and its record follows later, by long
 if this entry has lost contact with the store. Until then streams would be taken to have begun at
-the old version. The sign of a restart is a connection that the engine has ended.
+the old version. The sign of a restart is a connection that the engine has ended; without contact
+with the store there may be none.
 """
 
 import asyncio
+from collections.abc import Callable
 
 from loguru import logger as log
 
 from vanillashore_gateway._domain import Endpoint
 from vanillashore_gateway._engine_calls import EngineCalls
 from vanillashore_gateway._membership import Membership
+from vanillashore_gateway._stream_origins import MAX_KEPT_S
+
+RECHECK_S = 0.5  # Between two questions to an engine while the list is out of date.
 
 
 class StartChecks:
-    """Asks engines for their start, each once after it has ended a connection."""
+    """Asks engines for their start.
+
+    Each is asked once after it has ended a connection, and repeatedly while ``is_list_stale`` and
+    its service has several versions.
+    """
 
-    def __init__(self, calls: EngineCalls, membership: Membership) -> None:
+    def __init__(
+        self,
+        calls: EngineCalls,
+        membership: Membership,
+        is_list_stale: Callable[[], bool],
+        clock: Callable[[], float],
+    ) -> None:
         self._calls = calls
         self._membership = membership
+        self._is_list_stale = is_list_stale
+        self._clock = clock
+        self._next_check_at: dict[str, float] = {}
         self._running: dict[str, asyncio.Task[bool]] = {}
 
     async def is_current(self, endpoint: Endpoint) -> bool:
@@ -29,7 +47,7 @@
         """
         if self._membership.is_outdated(endpoint):
             return False
-        if not self._membership.may_have_restarted(endpoint):
+        if not self._membership.may_have_restarted(endpoint) and not self._is_due(endpoint):
             return True
         task = self._running.get(endpoint.instance)
         if task is None:
@@ -38,8 +56,19 @@
             task.add_done_callback(lambda _: self._running.pop(endpoint.instance, None))
         return await asyncio.shield(task)
 
+    def forget(self, instance: str) -> None:
+        """Drop what is known of an engine that has left."""
+        self._next_check_at.pop(instance, None)
+
+    def _is_due(self, endpoint: Endpoint) -> bool:
+        now = self._clock()
+        if not self._is_list_stale() or now < self._next_check_at.get(endpoint.instance, 0.0):
+            return False
+        return len(self._membership.versions(endpoint.service, now - MAX_KEPT_S)) > 1
+
     async def _check(self, endpoint: Endpoint) -> bool:
         started_ms = await self._calls.started_ms(endpoint)
+        self._next_check_at[endpoint.instance] = self._clock() + RECHECK_S
         # Without both times, a restart cannot be told from a lost connection.
         is_known = started_ms is not None and endpoint.started_ms != 0
         self._membership.record_start(endpoint, started_ms if is_known else endpoint.started_ms)
--- a/tests/gateway/test_membership.py
+++ b/tests/gateway/test_membership.py
@@ -85,3 +85,19 @@
     members.remove("a", 10.0)
     assert members.versions(service, since=10.0) == {"v1", "v2"}
     assert members.versions(service, since=10.1) == {"v2"}
+
+
+def test_record_in_a_restored_list_replaces_what_is_known_of_an_earlier_start() -> None:
+    members = Membership()
+    members.put(_endpoint("a", started_ms=1), 0.0)
+    members.put(_endpoint("b", started_ms=5), 0.0)
+    members.put(_endpoint("c", started_ms=5), 0.0)
+    members.record_start(_endpoint("c", started_ms=5), 4)
+    members.put(_endpoint("d", started_ms=1, is_leaving=True), 0.0)
+    restored = [_endpoint("a", started_ms=2, software="v2"), _endpoint("b", started_ms=4)]
+    restored += [_endpoint("c", started_ms=4), _endpoint("d", started_ms=1)]
+    members.merge_restored(restored, 1.0)
+    starts = {name: members.get(name).started_ms for name in "abcd"}
+    assert starts == {"a": 2, "b": 5, "c": 4, "d": 1}
+    assert members.get("d").is_leaving
+    assert not members.is_outdated(members.get("c"))
--- a/tests/gateway/test_stream_versions.py
+++ b/tests/gateway/test_stream_versions.py
@@ -267,3 +267,18 @@
             answer = await rig.generate("/quote/1", f"id-{number}")
             assert (answer.status, answer.is_complete) == (200, True)
         assert rig.decodes[0].calls.count(("GET", "/-/report")) == 1
+
+
+async def test_engine_is_asked_for_its_start_while_the_list_is_stale() -> None:
+    async with _rig(entries=1) as rig:
+        for engine in rig.decodes[1:]:
+            engine.engine.room = 0
+        rig.store.faults.status = 503
+        gateway = rig.process.gateway
+        await wait_until(gateway._is_list_stale)
+        rig.decodes[0].version, rig.decodes[0].started_ms = "v3", 2
+        pending = asyncio.ensure_future(rig.generate("/quote/1", "id-1"))
+        await wait_until(lambda: ("GET", "/-/report") in rig.decodes[0].calls)
+        await asyncio.sleep(0.2)
+        assert rig.arrivals("id-1") == []
+        pending.cancel()
