--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_gateway.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_gateway.py
@@ -273,7 +273,7 @@
             self._expire_later()
 
     def record_restore(self) -> None:
-        """Expect a snapshot that may be older than the state; another follows after some seconds."""
+        """Expect a snapshot that may be older than the state, and another some seconds later."""
         self._is_restored = True
         self.metrics.record_restore()
         for listener in self.restore_listeners:
