Ask for the origin of a stream again after a time-out, and wait longer for the answer

Its log shows 15 queries without an answer in 0.15 s, and 11 streams refused as of unknown origin: after one late answer an entry was not asked at all for a second, and with three entries it may be the only one that knows.

Queries wait 0.5 s, and go also to an entry that has just timed out. test_origin_is_found_at_an_entry_that_has_just_timed_out_or_answers_late failed before.

--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_peer_requests.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_peer_requests.py
@@ -40,20 +40,22 @@
         """Set the list of entries with their addresses."""
         self._entries = dict(entries)
 
-    async def ask(self, entry: str, encode: Callable[[int], bytes]) -> T | None:
+    async def ask(
+        self, entry: str, encode: Callable[[int], bytes], patience_s: float | None = None
+    ) -> T | None:
         """Return an entry's answer, or ``None`` on a time-out.
 
-        An entry that has just timed out is not asked. ``encode`` makes the datagram from the
-        request's number.
+        ``encode`` makes the datagram from the request's number. An entry that has just timed out is
+        not asked, unless ``patience_s`` is given, which replaces the usual time-out.
         """
-        if self.transport is None or self.is_unresponsive(entry):
+        if self.transport is None or (patience_s is None and self.is_unresponsive(entry)):
             return None
         number = next(self._numbers)
         fut: asyncio.Future[T] = asyncio.get_running_loop().create_future()
         self._pending[number] = fut
         self.transport.sendto(encode(number), self._entries[entry])
         try:
-            async with asyncio.timeout(self._timeout_s):
+            async with asyncio.timeout(self._timeout_s if patience_s is None else patience_s):
                 return await fut
         except TimeoutError:
             self._unresponsive_until[entry] = self._clock() + UNRESPONSIVE_S
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_stream_origins.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_stream_origins.py
@@ -21,6 +21,8 @@
 
 # A notice travels while the prompt is prefilled, so a late answer seldom delays the first event.
 TIMEOUT_S = 0.15
+# A query whose answer is lost or late costs the caller its stream, and callers wait for seconds.
+QUERY_TIMEOUT_S = 0.5
 KEEPERS = 2
 # Keepers are the first that respond of these; the list of entries may have changed in between.
 MAX_KEEPERS_ASKED = 4
@@ -241,7 +243,7 @@
 
     async def _ask(self, entry: str, request_id: str) -> OriginAnswer | None:
         return await self._requests.ask(
-            entry, lambda number: OriginQuery(number, request_id).encode()
+            entry, lambda number: OriginQuery(number, request_id).encode(), QUERY_TIMEOUT_S
         )
 
     def _get(self, request_id: str) -> _Kept | None:
--- a/tests/gateway/test_stream_origins.py
+++ b/tests/gateway/test_stream_origins.py
@@ -34,6 +34,7 @@
         self.loop = asyncio.get_running_loop()
         self.rng = random.Random(size)
         self.loss = loss
+        self.one_way_s = ONE_WAY_S
         self.registered = {f"e{i}": ("10.0.0.1", i) for i in range(size)}
         self.origins: dict[str, StreamOrigins] = {}
         for name in self.registered:
@@ -47,7 +48,7 @@
     def sendto(self, data: bytes, sender: str, address: tuple[str, int]) -> None:
         receiver = f"e{address[1]}"
         if self.rng.random() >= self.loss:
-            self.loop.call_later(ONE_WAY_S, self._deliver, data, sender, receiver)
+            self.loop.call_later(self.one_way_s, self._deliver, data, sender, receiver)
 
     def _deliver(self, data: bytes, sender: str, receiver: str) -> None:
         if receiver in self.origins:
@@ -101,6 +102,25 @@
     _run(main())
 
 
+def test_origin_is_found_at_an_entry_that_has_just_timed_out_or_answers_late() -> None:
+    async def main() -> None:
+        fleet = Fleet(3)
+        await fleet.origins["e0"].begin("id-1", V1, 14.0)
+        await asyncio.sleep(0.01)
+        del fleet.origins["e0"]
+        fleet.loss = 1.0
+        assert await fleet.origins["e1"].find("id-2") == OriginLookup(None, was_answered=False)
+        fleet.loss, fleet.one_way_s = 0.0, 0.15
+        fleet.start("e1")
+        for _ in range(2):
+            assert await fleet.origins["e1"].find("id-1") == OriginLookup(V1)
+            fleet.loss = 1.0
+            assert (await fleet.origins["e1"].find("id-2")).origin is None
+            fleet.loss = 0.0
+
+    _run(main())
+
+
 def test_notice_is_confirmed_by_another_entry_before_the_first_event_leaves() -> None:
     async def main() -> None:
         fleet = Fleet(3)
