--- a/packages/vanillashore-standins/src/vanillashore_standins/platform_endpoint.py
+++ b/packages/vanillashore-standins/src/vanillashore_standins/platform_endpoint.py
@@ -6,6 +6,7 @@
 import socket
 import struct
 from collections import deque
+from collections.abc import Callable
 from enum import StrEnum, auto
 from typing import Any, Self
 
@@ -14,6 +15,7 @@
 
 SEAL_PREFIX = "sealed-by-"
 ENDLESS_PAUSE_S = 0.002  # Between parts, so that other endpoints of the process keep working.
+CRASH_DELAY_S = 0.02  # From the head of the answer to the crash.
 VERSION = "v1"
 
 
@@ -22,6 +24,12 @@
     return f"id: {number}\ndata: piece {number} of {version}\n\n".encode()
 
 
+def prompt_parts(headers: dict[str, str]) -> set[str]:
+    """Return the parts of a prompt that requests may share: all but the last."""
+    parts = headers.get("x-prompt-prefix", "").split(",")
+    return {part.partition(":")[0].strip() for part in parts[:-1]}
+
+
 class Fault(StrEnum):
     """Fault that an endpoint injects into one request.
 
@@ -90,6 +98,9 @@
     Each request consumes one of ``faults``; requests after the last one succeed, and each control
     call has the ``control_fault``. Plain answers have ``body``, or name the request. Answers name
     ``limit_per_s`` unless it is ``None``. ``version`` is that of the endpoint's software.
+
+    A generation with one of ``crash_parts`` in its prompt, the last part apart, crashes the
+    endpoint as the answer begins; the endpoint is back ``down_s`` later and calls ``on_restart``.
     """
 
     def __init__(self, instance: str, service: str, engine: EngineOptions | None = None) -> None:
@@ -103,6 +114,10 @@
         self.limit_per_s: float | None = None
         self.version = VERSION
         self.started_ms = 1
+        self.crash_parts: set[str] = set()
+        self.down_s = 0.3
+        self.on_restart: Callable[[EndpointStandIn], None] = lambda _: None
+        self.crashed_at: list[float] = []
         self.arrivals: list[Arrival] = []
         self.calls: list[tuple[str, str]] = []
         self.holds: dict[str, int] = {}
@@ -113,6 +128,7 @@
         self._writers: set[asyncio.StreamWriter] = set()
         self._ids = itertools.count(1)
         self._server: asyncio.Server | None = None
+        self._return: asyncio.Task[None] | None = None
 
     @property
     def runs(self) -> list[Arrival]:
@@ -145,6 +161,8 @@
 
     async def __aexit__(self, *exc_info: object) -> None:
         """Stop listening."""
+        if self._return is not None:
+            self._return.cancel()
         self._server.close()
 
     def restart(self, version: str) -> None:
@@ -156,6 +174,22 @@
         for writer in list(self._writers):
             _reset(writer)
 
+    def crash(self) -> None:
+        """Lose all connections and refuse new ones for ``down_s``."""
+        if self._return is not None and not self._return.done():
+            return
+        loop = asyncio.get_running_loop()
+        self.crashed_at.append(loop.time())
+        self._server.close()
+        self.restart(self.version)
+        self._return = loop.create_task(self._come_back())
+
+    async def _come_back(self) -> None:
+        await asyncio.sleep(self.down_s)
+        host, _, port = self.address.partition(":")
+        self._server = await asyncio.start_server(self._serve, host, int(port))
+        self.on_restart(self)
+
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.connections += 1
         self._writers.add(writer)
@@ -298,6 +332,11 @@
         server_headers: dict[str, str],
     ) -> bool:
         writer.write(_head(200, server_headers | {"Content-Type": "text/event-stream"}, -1))
+        if self.crash_parts & prompt_parts(arrival.headers):
+            await writer.drain()
+            await asyncio.sleep(CRASH_DELAY_S)
+            self.crash()
+            return False
         first = int(arrival.headers.get("last-event-id", 0)) + 1
         for number in range(first, self.engine.events + 1):
             event = event_bytes(number, self.version)
