--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_gateway.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_gateway.py
@@ -202,9 +202,11 @@
                 status = exc.refused.status
                 self._refuse(inbound, responder, log_id, exc.refused)
         except BaseException:
-            log.bind(request=log_id, route=route_name, begun=responder.has_begun).info(
-                "the caller disconnected before its answer was complete"
-            )
+            bound = log.bind(request=log_id, route=route_name, begun=responder.has_begun)
+            if self.shutdown.has_ended:
+                bound.warning("the process ended before the answer was complete")
+            else:
+                bound.info("the caller disconnected before its answer was complete")
             raise
         finally:
             self.active -= 1
@@ -296,7 +298,7 @@
         origin = await self._resumption.origin_of(req, route)
         service = table.service(origin.service if origin else pick_service(route, self._rng))
         job = Job(req, route, service, name, table.config.version, fingerprint, origin)
-        self._check_shutdown(job)
+        job.check_shutdown(self.shutdown, self._expected_wait_s(job))
         job.log_decision(
             "admitted",
             route=route.name,
@@ -308,12 +310,10 @@
         )
         return job
 
-    def _check_shutdown(self, job: Job) -> None:
-        if job.route.is_generation:
-            wait_s = self.slot_finder.queue(job.service.name).expected_wait_s()
-            job.check_shutdown(self.shutdown, wait_s)
-        else:
-            self.shutdown.check_call(job.give_up_at)
+    def _expected_wait_s(self, job: Job) -> float:
+        if not job.route.is_generation:
+            return 0.0
+        return self.slot_finder.queue(job.service.name).expected_wait_s()
 
     async def _acquire_quota(
         self, req: CallerRequest, workspace: Workspace, max_wait_s: float
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_job.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_job.py
@@ -127,9 +127,22 @@
         return False
 
     def check_shutdown(self, shutdown: Shutdown, wait_s: float = 0.0) -> None:
-        """Raise RefusalError if this generation may not end before a stopping process does."""
-        shutdown.check_generation(
-            self.service.name, self.req.generation_size, self.req.arrived, self.give_up_at, wait_s
+        """Raise RefusalError if this request may not end before a stopping process does."""
+        if shutdown.ends_at is None:
+            return
+        if self.route.is_generation:
+            size = self.req.generation_size
+            shutdown.check_generation(
+                self.service.name, size, self.req.arrived, self.give_up_at, wait_s
+            )
+        else:
+            shutdown.check_call(self.give_up_at)
+        now = shutdown.clock()
+        self.log_decision(
+            "accepted while stopping",
+            in_rotation=self.req.arrived < shutdown.out_of_rotation_at,
+            left_s=round(shutdown.ends_at - now, 3),
+            limit_s=round(self.give_up_at - now, 3),
         )
 
     def record_disconnect(self, tools: Tools, endpoint: Endpoint) -> None:
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_process.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_process.py
@@ -166,6 +166,7 @@
         self._close_listeners()
         await self._registration.withdraw()
         await self._wait_until_idle(ends_at)
+        gateway.shutdown.has_ended = True
         self.close()
         took_s = round(now() - began, 3)
         log.bind(active=gateway.active, took_s=took_s).info("stopped")
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_shutdown.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_shutdown.py
@@ -67,6 +67,7 @@
     rng: random.Random
     ends_at: float | None = None
     out_of_rotation_at: float = 0.0
+    has_ended: bool = False
     _times: dict[str, AnswerTimes] = attrs.field(factory=lambda: defaultdict(AnswerTimes))
 
     def begin(self, ends_at: float, out_of_rotation_at: float) -> None:
--- a/tests/gateway/test_stop.py
+++ b/tests/gateway/test_stop.py
@@ -1,6 +1,7 @@
 """Graceful shutdown: active requests finish, and those that could not finish are refused."""
 
 import asyncio
+from typing import Any
 
 import pytest
 
@@ -139,3 +140,22 @@
         monkeypatch.setattr(rig.process._registration, "withdraw", connect_and_withdraw)
         await rig.process.shut_down()
         assert outcomes == ["refused"]
+
+
+async def test_logs_tell_what_was_accepted_while_stopping_and_what_was_cut(
+    log_lines: list[dict[str, Any]],
+) -> None:
+    options = EngineOptions(events=1_000, pause_s=0.02)
+    async with PlatformRig(services=1, prefills=1, decodes=1, engine=options) as rig:
+        streaming = asyncio.ensure_future(rig.generate("/idea/1", "long", X_Deadline_Ms="60000"))
+        await wait_until(lambda: bool(rig.decodes[0].runs))
+        stopping = asyncio.ensure_future(rig.process.shut_down())
+        await asyncio.sleep(0)
+        await rig.ask("POST", "/pay/1", "pay", b"pay")
+        await stopping
+        rig.kill_entry(0)
+        assert not (await streaming).is_complete
+    accepted = [line for line in log_lines if line["message"] == "accepted while stopping"]
+    assert [(line["request"], line["in_rotation"]) for line in accepted] == [("pay", True)]
+    cut = "the process ended before the answer was complete"
+    assert [line["request"] for line in log_lines if line["message"] == cut] == ["long"]
