Reproduce streams that a stopping entry accepts and cuts, as failing tests

Out of rotation, 4 of 4 streams that were accepted by the pace of earlier answers are cut at the end of the process once engines slow down. A generation that waits for a slot at that moment gets neither an answer nor a refusal.

--- a/tests/gateway/test_stop.py
+++ b/tests/gateway/test_stop.py
@@ -159,3 +159,40 @@
     assert [(line["request"], line["in_rotation"]) for line in accepted] == [("pay", True)]
     cut = "the process ended before the answer was complete"
     assert [line["request"] for line in log_lines if line["message"] == cut] == ["long"]
+
+
+async def test_no_stream_that_arrives_out_of_rotation_is_cut_when_engines_slow_down() -> None:
+    options = EngineOptions(events=2, pause_s=0.0)
+    async with PlatformRig(prefills=1, decodes=2, engine=options) as rig:
+        for number in range(20):
+            await rig.generate("/idea/1", f"short-{number}", X_Token_Count="1000,60")
+        for engine in rig.decodes:
+            engine.engine.events, engine.engine.pause_s = 60, 0.1
+        limits = {"X_Token_Count": "1000,60", "X_Deadline_Ms": "60000"}
+        active = asyncio.ensure_future(rig.generate("/idea/1", "active", **limits))
+        await wait_until(lambda: bool(rig.arrivals("active")))
+        stopping = asyncio.ensure_future(rig.process.shut_down())
+        await asyncio.sleep(rig.process._cfg.rotation_s + 0.1)
+        late = [
+            asyncio.ensure_future(rig.generate("/idea/1", f"late-{number}", **limits))
+            for number in range(4)
+        ]
+        await stopping
+        rig.kill_entry(0)
+        answers = await asyncio.gather(*late)
+        cut = [answer for answer in answers if answer.status == 200 and not answer.is_complete]
+        assert len(cut) == 0
+        await active
+
+
+@pytest.mark.parametrize("path", ["/idea/1", "/quote/1"])
+async def test_queued_generation_is_refused_before_the_process_ends(path: str) -> None:
+    async with PlatformRig(prefills=1, decodes=1) as rig:
+        rig.decodes[0].engine.room = 0
+        queued = asyncio.ensure_future(rig.generate(path, "queued", X_Deadline_Ms="60000"))
+        await wait_until(lambda: len(rig.process.gateway.slot_finder.queue("models")) == 1)
+        await rig.process.shut_down()
+        rig.kill_entry(0)
+        answer = await queued
+        assert (answer.status, rig.arrivals("queued")) == (503, [])
+        assert b'"code":"stopping"' in answer.body
