Accept out of rotation only what surely ends before a stopping entry does

Callers saw streams cut in the middle when several entries were stopped one shortly after the other: accepted 3.2 to 3.6 s after SIGTERM, cut 7.2 s after it. Such a request was accepted if the slowest of the last 200 answers, for its size and with a margin, would have ended in time. Engines slow down just then, as callers crowd at fewer entries, so earlier answers are no bound.

Out of rotation, generations and plain requests are now accepted only if their own time limit lies before the end of the process. Everything else is refused at once as not run, as before. The forecast by size is gone; tests that asked it to accept short generations now ask that none is accepted by it.

--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_generation.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_generation.py
@@ -113,9 +113,7 @@
                 self._tools.crashes.record_success(self._job.fingerprint)
                 held_s = self._tools.clock() - hold.taken_at
                 self._tools.slot_finder.record_answer_time(self._job.service, held_s)
-                self._tools.shutdown.record_answer(
-                    self._job.service.name, self._job.req.generation_size, held_s
-                )
+                self._tools.shutdown.record_answer(self._job.service.name, held_s)
                 self._log_answered()
                 return
             if outcome is not _Outcome.NOT_SENT:
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_job.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_job.py
@@ -131,12 +131,9 @@
         if shutdown.ends_at is None:
             return
         if self.route.is_generation:
-            size = self.req.generation_size
-            shutdown.check_generation(
-                self.service.name, size, self.req.arrived, self.give_up_at, wait_s
-            )
+            shutdown.check_generation(self.service.name, self.req.arrived, self.give_up_at, wait_s)
         else:
-            shutdown.check_call(self.give_up_at)
+            shutdown.check_call(self.req.arrived, self.give_up_at)
         now = shutdown.clock()
         self.log_decision(
             "accepted while stopping",
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_shutdown.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_shutdown.py
@@ -1,44 +1,37 @@
 """What a stopping entry may still begin."""
 
-import math
 import random
 from collections import defaultdict, deque
 from collections.abc import Callable
 
 import attrs
 
-from vanillashore_gateway._domain import GenerationSize
 from vanillashore_gateway._errors import ErrorCode, RefusalError, refusal
 from vanillashore_gateway._rotation import Rotation
 
 RECENT_ANSWERS = 200
-MIN_ANSWERS = 8  # Fewer say nothing about the longest one.
+MIN_ANSWERS = 8  # Fewer say nothing about the next one.
 ASSUMED_ANSWER_S = 4.0  # While too few are known.
-LONGEST_MARGIN = 1.25  # For an answer that takes longer than all recent ones.
-START_TOKENS = 10  # The prefill and the first step take as long as this many further tokens.
 MAX_CUT_RISK = 0.25  # A broken answer costs its caller more than a later one.
 MIN_RETRY_AFTER_S = 0.1  # A retry reaches another entry.
 RETRY_SPREAD = 0.5  # Keeps callers that were refused together from returning together.
 
 
 class AnswerTimes:
-    """How long answers take, from the recent ones.
+    """How long answers take, in seconds, from the recent ones.
 
-    Times are in seconds, and sizes are the maximum number of output tokens::
+    Example::
 
-        times.record(3.2, 60)
+        times.record(3.2)
         times.share_longer_than(4.0)
-        times.longest_s(90)
     """
 
     def __init__(self) -> None:
         self._seconds: deque[float] = deque(maxlen=RECENT_ANSWERS)
-        self._seconds_per_token: deque[float] = deque(maxlen=RECENT_ANSWERS)
 
-    def record(self, seconds: float, tokens: int) -> None:
+    def record(self, seconds: float) -> None:
         """Record a complete answer."""
         self._seconds.append(seconds)
-        self._seconds_per_token.append(seconds / (tokens + START_TOKENS))
 
     def share_longer_than(self, seconds: float) -> float:
         """Return the share of answers that took longer."""
@@ -46,12 +39,6 @@
             return float(seconds < ASSUMED_ANSWER_S)
         return sum(known > seconds for known in self._seconds) / len(self._seconds)
 
-    def longest_s(self, tokens: int) -> float:
-        """Return a bound for an answer; infinite while too few are known."""
-        if len(self._seconds) < MIN_ANSWERS:
-            return math.inf
-        return max(self._seconds_per_token) * (tokens + START_TOKENS) * LONGEST_MARGIN
-
 
 @attrs.define
 class Shutdown:
@@ -75,53 +62,41 @@
         self.ends_at = ends_at
         self.out_of_rotation_at = out_of_rotation_at
 
-    def record_answer(self, service: str, size: GenerationSize | None, seconds: float) -> None:
+    def record_answer(self, service: str, seconds: float) -> None:
         """Record how long a complete answer held its slot."""
-        self._times[service].record(seconds, _output_tokens(size))
+        self._times[service].record(seconds)
 
-    def check_call(self, give_up_at: float) -> None:
+    def check_call(self, arrived: float, give_up_at: float) -> None:
         """Raise RefusalError if a plain request may not end in time.
 
-        One that arrives while this process is in rotation has nearly the whole grace time, far
-        more than plain requests usually take.
+        One that arrives in rotation has nearly the whole grace time, far more than plain requests
+        usually take.
         """
-        if self.ends_at is None or self.clock() < self.out_of_rotation_at:
-            return
-        if give_up_at > self.ends_at:
+        if not self._surely_ends(give_up_at) and arrived >= self.out_of_rotation_at:
             raise self._refusal()
 
     def check_generation(
-        self,
-        service: str,
-        size: GenerationSize | None,
-        arrived: float,
-        give_up_at: float,
-        wait_s: float = 0.0,
+        self, service: str, arrived: float, give_up_at: float, wait_s: float = 0.0
     ) -> None:
         """Raise RefusalError if a generation that gets its slot in ``wait_s`` may not end in time.
 
-        One that arrived out of rotation is accepted only if it surely ends, by its own maximum of
-        tokens at the pace of the slowest recent answer. For one that arrived in rotation, the risk
-        of a broken answer is weighed against that of meeting another stopping entry.
+        For one that arrived in rotation, the risk of a broken answer is weighed against that of
+        meeting another stopping entry. One that arrived out of rotation must surely end: earlier
+        answers are no bound for it, as engines slow down while several entries stop.
         """
-        if self.ends_at is None or give_up_at <= self.ends_at:
+        if self._surely_ends(give_up_at):
             return
-        times = self._times[service]
         left_s = self.ends_at - self.clock() - wait_s
-        if arrived < self.out_of_rotation_at:
-            risk = min(MAX_CUT_RISK, self.rotation.stopping_share())
-            may_begin = times.share_longer_than(left_s) <= risk
-        else:
-            may_begin = times.longest_s(_output_tokens(size)) <= left_s
-        if not may_begin:
+        risk = min(MAX_CUT_RISK, self.rotation.stopping_share())
+        is_in_rotation = arrived < self.out_of_rotation_at
+        if not is_in_rotation or self._times[service].share_longer_than(left_s) > risk:
             raise self._refusal()
 
+    def _surely_ends(self, give_up_at: float) -> bool:
+        return self.ends_at is None or give_up_at <= self.ends_at
+
     def _refusal(self) -> RefusalError:
         text = f"this entry stops in {self.ends_at - self.clock():.1f} s"
         after_s = self.rotation.retry_after_s(MIN_RETRY_AFTER_S)
         spread = 1 + RETRY_SPREAD * self.rng.random()
         return refusal(ErrorCode.STOPPING, text, after_s * spread)
-
-
-def _output_tokens(size: GenerationSize | None) -> int:
-    return size.max_output_tokens if size is not None else 0
--- a/tests/gateway/test_shutdown.py
+++ b/tests/gateway/test_shutdown.py
@@ -5,12 +5,10 @@
 import pytest
 
 from vanillashore_gateway import RefusalError
-from vanillashore_gateway._domain import GenerationSize
 from vanillashore_gateway._rotation import Rotation, StoppingNotice
-from vanillashore_gateway._shutdown import AnswerTimes, Shutdown
+from vanillashore_gateway._shutdown import Shutdown
 
 SERVICE = "models"
-USUAL_TOKENS = 60
 OUT_OF_ROTATION_AT = 3.0
 ENDS_AT = 7.0
 FAR = 60.0
@@ -26,7 +24,7 @@
         self.rotation.update_entries(dict.fromkeys(names, ("127.0.0.1", 1)))
         self.shutdown = Shutdown(self.rotation, lambda: self.now, random.Random(1))
         for taken_s in seconds:
-            self.shutdown.record_answer(SERVICE, GenerationSize(3_000, USUAL_TOKENS), taken_s)
+            self.shutdown.record_answer(SERVICE, taken_s)
         self.shutdown.begin(ENDS_AT, OUT_OF_ROTATION_AT)
         self.stop("a")
 
@@ -37,16 +35,14 @@
     def accepts(
         self,
         now: float,
-        tokens: int = USUAL_TOKENS,
         arrived: float | None = None,
         give_up_at: float = FAR,
         wait_s: float = 0.0,
     ) -> bool:
         self.now = now
-        size = GenerationSize(3_000, tokens)
         arrived = now if arrived is None else arrived
         try:
-            self.shutdown.check_generation(SERVICE, size, arrived, give_up_at, wait_s)
+            self.shutdown.check_generation(SERVICE, arrived, give_up_at, wait_s)
         except RefusalError as exc:
             refused = exc.refused
         else:
@@ -56,16 +52,20 @@
         return False
 
 
-def test_out_of_rotation_a_long_generation_is_refused_although_most_are_short() -> None:
-    entry = _Entry(entries=3, seconds=[2.0] * 100)
-    assert entry.accepts(3.1)
-    assert not entry.accepts(3.1, tokens=3 * USUAL_TOKENS)
-    assert not entry.accepts(5.0)
+@pytest.mark.parametrize("answer_s", [0.01, 2.0, 6.5])
+def test_out_of_rotation_only_what_surely_ends_is_accepted(answer_s: float) -> None:
+    entry = _Entry(entries=3, seconds=[answer_s] * 100)
+    assert entry.accepts(3.1, give_up_at=ENDS_AT)
+    assert not entry.accepts(3.1, give_up_at=ENDS_AT + 0.01)
+    assert not entry.accepts(3.1)
 
 
-def test_out_of_rotation_the_pace_of_the_slowest_recent_answer_counts() -> None:
-    entry = _Entry(entries=3, seconds=[2.0] * 99 + [4.0])
-    assert not entry.accepts(3.1)
+def test_out_of_rotation_calls_are_accepted_if_they_surely_end() -> None:
+    entry = _Entry(entries=3, seconds=[])
+    entry.shutdown.check_call(arrived=2.9, give_up_at=FAR)
+    entry.shutdown.check_call(arrived=3.1, give_up_at=ENDS_AT)
+    with pytest.raises(RefusalError):
+        entry.shutdown.check_call(arrived=3.1, give_up_at=ENDS_AT + 0.01)
 
 
 def test_in_rotation_the_risk_of_a_cut_is_weighed_against_a_second_refusal() -> None:
@@ -100,11 +100,3 @@
     assert not entry.accepts(2.9, wait_s=0.2)
     assert entry.accepts(3.1, give_up_at=ENDS_AT)
     assert not entry.accepts(3.1, give_up_at=ENDS_AT + 0.1)
-
-
-def test_longest_time_grows_with_the_size() -> None:
-    times = AnswerTimes()
-    for _ in range(100):
-        times.record(3.0, 60)
-    assert 3.0 < times.longest_s(60) < 4.0
-    assert times.longest_s(600) > 20.0
