Refuse what still waits when a stopping entry ends

Callers whose request waited for a slot, a permit or rate tokens when their entry ended had their connection closed: neither an answer nor a refusal. Waits have limits of their own, by the target latency, which may lie after the end of the process.

Waits that no endpoint has seen now end 0.2 s before the process does, with a refusal as not run.

--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_calls.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_calls.py
@@ -85,7 +85,8 @@
     async def _send_next(self) -> _Result:
         """Send to the best endpoint; wait for one if all are full or at their limits."""
         job, tools = self._job, self._tools
-        endpoint = await self._next_endpoint()
+        async with tools.shutdown.refuse_at_end():
+            endpoint = await self._next_endpoint()
         if endpoint is None:
             return self._error_answer
         job.tried.add(endpoint.instance)
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_gateway.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_gateway.py
@@ -194,7 +194,8 @@
             try:
                 req = self._dialect.decode_request(inbound.head, inbound.body, inbound.arrived)
                 log_id = req.log_id
-                job = await self._admit(req)
+                async with self.shutdown.refuse_at_end():
+                    job = await self._admit(req)
                 route_name = job.route.name
                 await self._forwarder(job).run(responder)
                 status = 200
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_generation.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_generation.py
@@ -94,13 +94,15 @@
     async def _run(self, responder: Responder) -> None:
         handle: PrefillHandle | None = None
         for attempt in range(1, MAX_DECODES + 1):
-            hold = await self._acquire_hold()
+            async with self._tools.shutdown.refuse_at_end():
+                hold = await self._acquire_hold()
             endpoint = hold.endpoint
             is_used = False
             try:
                 if attempt == 1:
                     self._job.check_shutdown(self._tools.shutdown)
-                    handle = await self._prefill(endpoint)
+                    async with self._tools.shutdown.refuse_at_end():
+                        handle = await self._prefill(endpoint)
                 usable = handle if self._is_usable(handle, endpoint) else None
                 current = hold if self._tools.clock() < self._hold_usable_until(hold) else None
                 is_used = current is not None
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_shutdown.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_shutdown.py
@@ -1,8 +1,10 @@
 """What a stopping entry may still begin."""
 
+import asyncio
+import contextlib
 import random
 from collections import defaultdict, deque
-from collections.abc import Callable
+from collections.abc import AsyncIterator, Callable
 
 import attrs
 
@@ -14,6 +16,7 @@
 ASSUMED_ANSWER_S = 4.0  # While too few are known.
 MAX_CUT_RISK = 0.25  # A broken answer costs its caller more than a later one.
 MIN_RETRY_AFTER_S = 0.1  # A retry reaches another entry.
+REFUSAL_MARGIN_S = 0.2  # Before the end, for the refusals of what still waits to reach its callers.
 RETRY_SPREAD = 0.5  # Keeps callers that were refused together from returning together.
 
 
@@ -56,11 +59,42 @@
     out_of_rotation_at: float = 0.0
     has_ended: bool = False
     _times: dict[str, AnswerTimes] = attrs.field(factory=lambda: defaultdict(AnswerTimes))
+    _waits: set[asyncio.Timeout] = attrs.field(factory=set)
 
     def begin(self, ends_at: float, out_of_rotation_at: float) -> None:
         """Start to stop."""
         self.ends_at = ends_at
         self.out_of_rotation_at = out_of_rotation_at
+        for wait in self._waits:
+            wait.reschedule(self._waits_until())
+
+    @contextlib.asynccontextmanager
+    async def refuse_at_end(self) -> AsyncIterator[None]:
+        """Raise RefusalError in a request that still waits inside when the process ends.
+
+        Example::
+
+            async with shutdown.refuse_at_end():
+                hold = await slot_finder.find(...)
+        """
+        wait = asyncio.timeout_at(self._waits_until())
+        try:
+            async with wait:
+                self._waits.add(wait)
+                yield
+        except TimeoutError:
+            if wait.expired():
+                raise self._refusal() from None
+            raise
+        finally:
+            self._waits.discard(wait)
+
+    def _waits_until(self) -> float | None:
+        """Return the end of all waits on the loop's clock, ``None`` before a stop."""
+        if self.ends_at is None:
+            return None
+        left_s = self.ends_at - REFUSAL_MARGIN_S - self.clock()
+        return asyncio.get_running_loop().time() + left_s
 
     def record_answer(self, service: str, seconds: float) -> None:
         """Record how long a complete answer held its slot."""
--- a/tests/gateway/test_stop.py
+++ b/tests/gateway/test_stop.py
@@ -196,3 +196,21 @@
         answer = await queued
         assert (answer.status, rig.arrivals("queued")) == (503, [])
         assert b'"code":"stopping"' in answer.body
+
+
+@pytest.mark.parametrize(("component", "method"), [("quotas", "take"), ("limits", "acquire")])
+async def test_call_that_waits_is_refused_before_the_process_ends(
+    component: str, method: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def wait(*args: object) -> None:
+        await asyncio.Event().wait()
+
+    async with PlatformRig(services=1) as rig:
+        monkeypatch.setattr(getattr(rig.process.gateway, component), method, wait)
+        waiting = asyncio.ensure_future(rig.ask("GET", "/stock/1", "id-1", X_Deadline_Ms="60000"))
+        await wait_until(lambda: rig.process.gateway.active == 1)
+        await rig.process.shut_down()
+        rig.kill_entry(0)
+        answer = await waiting
+        assert (answer.status, rig.arrivals("id-1")) == (503, [])
+        assert b'"code":"stopping"' in answer.body
