Cut answers in the last sixth of short grace times only

The platform excuses an answer that a stopping entry cuts only in the last sixth of the grace time. The entry ended 0.8 s before it was over, which lies there for 8 s, but not for 3 s (after 2.2 s; the last sixth begins at 2.5 s). The margin is now at most a tenth. The test fails with the margin of before for 1 s and 3 s.

--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_process.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_process.py
@@ -20,7 +20,10 @@
 BACKLOG = 1_024
 READY_PATH = b"/-/readyz"
 METRICS_PATH = b"/metrics"
-STOP_MARGIN_S = 0.8  # Part of the grace time reserved for closing connections.
+# Part of the grace time reserved for closing connections. The platform excuses a broken answer only
+# in the last sixth.
+MAX_STOP_MARGIN_S = 0.8
+STOP_MARGIN_SHARE = 0.1
 TEXT_HEADERS = ((b"Content-Type", b"text/plain; charset=utf-8"),)
 
 
@@ -153,7 +156,7 @@
         """
         gateway = self.gateway
         began = now()
-        ends_at = began + self._cfg.grace_s - STOP_MARGIN_S
+        ends_at = began + working_time_s(self._cfg.grace_s)
         out_of_rotation_at = began + self._cfg.rotation_s
         gateway.shutdown.begin(ends_at, out_of_rotation_at)
         self._start_task(gateway.rotation.announce_stop(out_of_rotation_at, ends_at))
@@ -197,5 +200,10 @@
                 conn.close()
 
 
+def working_time_s(grace_s: float) -> float:
+    """Return how long after the signal a stopping process still works on requests."""
+    return grace_s - min(MAX_STOP_MARGIN_S, grace_s * STOP_MARGIN_SHARE)
+
+
 def _address_of(server: asyncio.Server) -> tuple[str, int]:
     return server.sockets[0].getsockname()[:2]
--- a/tests/gateway/test_shutdown.py
+++ b/tests/gateway/test_shutdown.py
@@ -5,6 +5,7 @@
 import pytest
 
 from vanillashore_gateway import RefusalError
+from vanillashore_gateway._process import working_time_s
 from vanillashore_gateway._rotation import Rotation, StoppingNotice
 from vanillashore_gateway._shutdown import Shutdown
 
@@ -100,3 +101,8 @@
     assert not entry.accepts(2.9, wait_s=0.2)
     assert entry.accepts(3.1, give_up_at=ENDS_AT)
     assert not entry.accepts(3.1, give_up_at=ENDS_AT + 0.1)
+
+
+@pytest.mark.parametrize("grace_s", [1.0, 3.0, 8.0, 30.0])
+def test_answers_are_cut_in_the_last_sixth_of_the_grace_time_only(grace_s: float) -> None:
+    assert grace_s * 5 / 6 < working_time_s(grace_s) < grace_s
