Take requests as out of rotation in time when the stop signal is handled late

The platform excuses broken answers to requests sent up to 3 s after SIGTERM. An entry counted these 3 s from when it handled the signal, so a busy one weighed the risk of a cut for requests that are not excused. It now counts 2.7 s; the load balancer needs 2 s at the most. The test fails with 3 s.

--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_gateway.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_gateway.py
@@ -67,11 +67,12 @@
 class GatewaySettings:
     """Settings of one entry; the retry limits apply to the whole fleet.
 
-    A stopping process still gets new connections for up to ``rotation_s``: the load balancer probes
-    once a second and removes a process after two failed probes. The process is killed after
-    ``grace_s``. A long poll of the store waits up to ``watch_s``, which limits how long a silent
-    connection stays undetected. A new holder of the duty to give role orders waits for
-    ``order_handover_s`` before its first order.
+    A stopping process counts as in rotation for ``rotation_s`` after it has handled the signal. The
+    load balancer probes once a second and removes a process after two failed probes; the platform
+    excuses broken answers to requests sent up to 3 s after the signal, which may be handled late.
+    The process is killed after ``grace_s``. A long poll of the store waits up to ``watch_s``, which
+    limits how long a silent connection stays undetected. A new holder of the duty to give role
+    orders waits for ``order_handover_s`` before its first order.
     """
 
     node: str
@@ -81,7 +82,7 @@
     metrics: tuple[str, int]
     peers: tuple[str, int]
     grace_s: float = 8.0
-    rotation_s: float = 3.0
+    rotation_s: float = 2.7
     order_handover_s: float = 3.0
     watch_s: float = 2.0
     expected_entries: int = 1
--- a/tests/gateway/test_shutdown.py
+++ b/tests/gateway/test_shutdown.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from vanillashore_gateway import RefusalError
+from vanillashore_gateway import GatewaySettings, RefusalError
 from vanillashore_gateway._process import working_time_s
 from vanillashore_gateway._rotation import Rotation, StoppingNotice
 from vanillashore_gateway._shutdown import Shutdown
@@ -106,3 +106,12 @@
 @pytest.mark.parametrize("grace_s", [1.0, 3.0, 8.0, 30.0])
 def test_answers_are_cut_in_the_last_sixth_of_the_grace_time_only(grace_s: float) -> None:
     assert grace_s * 5 / 6 < working_time_s(grace_s) < grace_s
+
+
+def test_request_sent_three_seconds_after_a_signal_that_is_handled_late_is_out_of_rotation() -> (
+    None
+):
+    address = ("127.0.0.1", 0)
+    cfg = GatewaySettings("a", "dc-a", address, address, address, address)
+    sent_after_s, handled_after_s = 3.0, 0.25
+    assert sent_after_s > handled_after_s + cfg.rotation_s
