Keep the output of the processes of a failed test

A fleet of processes now leaves its logs, its settings with the ports, and the signals it sent, with times, in a folder of its own, and names it in the test's output.

--- a/packages/vanillashore-standins/src/vanillashore_standins/_fleet_base.py
+++ b/packages/vanillashore-standins/src/vanillashore_standins/_fleet_base.py
@@ -1,6 +1,7 @@
 """Base of the small fleets: their plan, configuration and stand-ins on loopback ports."""
 
 import asyncio
+import sys
 from collections.abc import Callable
 from contextlib import AsyncExitStack
 from types import TracebackType
@@ -109,7 +110,7 @@
         try:
             await self._start()
         except BaseException:
-            await self._stack.aclose()
+            await self._stack.__aexit__(*sys.exc_info())
             raise
         return self
 
@@ -119,7 +120,7 @@
         exc: BaseException | None,
         trace: TracebackType | None,
     ) -> None:
-        await self._stack.aclose()
+        await self._stack.__aexit__(exc_type, exc, trace)
 
     async def start_sidecar(self, vm: str, endpoint: EndpointSettings) -> None:
         """Start a sidecar and add its VM to the VM list."""
--- a/packages/vanillashore-standins/src/vanillashore_standins/_process_fleet.py
+++ b/packages/vanillashore-standins/src/vanillashore_standins/_process_fleet.py
@@ -4,7 +4,6 @@
 import signal
 import subprocess
 import sys
-import tempfile
 import time
 from pathlib import Path
 
@@ -14,6 +13,7 @@
 
 from vanillashore_schema import EndpointSettings, NodeRole, NodeSettings
 from vanillashore_standins._fleet_base import KEY, MODEL, POLL_S, FleetBase
+from vanillashore_standins._kept_output import KeptOutput
 from vanillashore_standins._ports import free_port
 from vanillashore_standins._process_log import last_line
 
@@ -22,29 +22,34 @@
 
 @attrs.define
 class NodeProcess:
-    """The process of one node; signals are sent by process id."""
+    """The process of one node; signals are sent by process id and noted in the output."""
 
     cfg: NodeSettings
     address: str
     process: subprocess.Popen[bytes]
     log_path: Path
+    output: KeptOutput
 
     def kill(self) -> None:
         """Kill the process at once, without any cleanup."""
-        self.process.kill()
+        self._send(signal.SIGKILL)
         self.process.wait()
 
     def freeze(self) -> None:
         """Suspend the process, as when its VM is paused."""
-        self.process.send_signal(signal.SIGSTOP)
+        self._send(signal.SIGSTOP)
 
     def thaw(self) -> None:
         """Resume a frozen process."""
-        self.process.send_signal(signal.SIGCONT)
+        self._send(signal.SIGCONT)
 
     def terminate(self) -> None:
         """Request a graceful stop with SIGTERM."""
-        self.process.send_signal(signal.SIGTERM)
+        self._send(signal.SIGTERM)
+
+    def _send(self, number: signal.Signals) -> None:
+        self.output.note(f"{self.cfg.node.name} (process {self.process.pid}): {number.name}")
+        self.process.send_signal(number)
 
     def ensure_ended(self) -> None:
         """Kill the process if it still runs."""
@@ -66,9 +71,11 @@
     def __init__(self, *args: object) -> None:
         super().__init__(*args)
         self.nodes: dict[str, NodeProcess] = {}
-        folder = tempfile.TemporaryDirectory(prefix="vanillashore-test-")
-        self._stack.callback(folder.cleanup)
-        self._folder = Path(folder.name)
+        self._output = KeptOutput()
+
+    async def _start(self) -> None:
+        self._stack.enter_context(self._output)
+        await super()._start()
 
     async def start_sidecar(self, vm: str, endpoint: EndpointSettings) -> None:
         """Start a sidecar and add its VM to the VM list."""
@@ -97,16 +104,18 @@
 
     def _spawn(self, cfg: NodeSettings) -> None:
         name = cfg.node.name
-        path = self._folder / f"{name}.toml"
+        path = self._output.folder / f"{name}.toml"
         path.write_text(settings_to_toml(cfg))
-        log_path = self._folder / f"{name}.log"
+        log_path = self._output.folder / f"{name}.log"
         command = [sys.executable, "-m", "vanillashore_node", "--settings", str(path)]
         with log_path.open("ab") as log_file:
             process = subprocess.Popen(command, stderr=log_file, stdin=subprocess.DEVNULL)
-        node = NodeProcess(cfg, f"http://{cfg.node.host}:{cfg.node.port}", process, log_path)
+        address = f"http://{cfg.node.host}:{cfg.node.port}"
+        node = NodeProcess(cfg, address, process, log_path, self._output)
+        self._output.note(f"{name} (process {process.pid}): started at {address}")
         self.nodes[name] = node
         self._stack.callback(node.ensure_ended)
-        self._add_to_vm_list(cfg, node.address)
+        self._add_to_vm_list(cfg, address)
 
     async def _wait_until_ready(self, url: str) -> None:
         deadline = time.monotonic() + START_WAIT_S
