State when an entry that ended early is back in Retry-After

Entries that stop tell the others when they end at the latest. One that ended early and was back was still counted as stopping until then, so callers refused by the others were told to return seconds later than they could. Its removal from the list now means that its successor is back 1.2 s later, and its new registration that it is back.

The test failed before: 4.2 s where 1.2 s is due.

--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_rotation.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_rotation.py
@@ -86,7 +86,18 @@
         return {name: stop for name, stop in self._stops.items() if stop.back_at > now}
 
     def update_entries(self, entries: Mapping[str, Address]) -> None:
-        """Set the list of entries with their addresses."""
+        """Set the list of entries.
+
+        A stopping entry leaves the list as it ends, and its successor is added.
+        """
+        now = self._clock()
+        for name in self._entries.keys() - entries.keys():
+            if name in self._stops:
+                stop = self._stops[name]
+                back_at = min(stop.back_at, now + RESTART_S)
+                self._stops[name] = attrs.evolve(stop, back_at=back_at)
+        for name in entries.keys() - self._entries.keys():
+            self._stops.pop(name, None)
         self._entries = dict(entries)
 
     async def announce_stop(self, out_of_rotation_at: float, ends_at: float) -> None:
--- a/tests/gateway/test_rotation.py
+++ b/tests/gateway/test_rotation.py
@@ -84,3 +84,28 @@
     rotation.update_entries(ENTRIES)
     rotation.datagram_received(data, ENTRIES["b"])
     assert rotation.retry_after_s(SOON_S) == SOON_S
+
+
+def test_refused_caller_returns_in_time_to_an_entry_that_ended_early() -> None:
+    now = 0.0
+    rotation = Rotation("a", lambda: now)
+    rotation.update_entries({"a": ENTRIES["a"], "b": ENTRIES["b"]})
+    for name in "ab":
+        rotation.datagram_received(StoppingNotice(name, 3.0, 7.0).encode(), ENTRIES[name])
+    now = 4.0
+    assert rotation.retry_after_s(SOON_S) == pytest.approx(3.0 + RESTART_S)
+    rotation.update_entries({"a": ENTRIES["a"]})
+    assert rotation.retry_after_s(SOON_S) == pytest.approx(RESTART_S)
+    now = 4.5
+    rotation.update_entries({"a": ENTRIES["a"], "b": ENTRIES["b"]})
+    assert rotation.retry_after_s(SOON_S) == SOON_S
+
+
+def test_change_of_the_list_does_not_return_a_stopping_entry_to_the_rotation() -> None:
+    now = 0.0
+    rotation = Rotation("a", lambda: now)
+    rotation.update_entries({"a": ENTRIES["a"], "b": ENTRIES["b"]})
+    rotation.datagram_received(StoppingNotice("b", 0.0, 7.0).encode(), ENTRIES["b"])
+    rotation.update_entries(ENTRIES)
+    rotation.update_entries({"a": ENTRIES["a"], "b": ENTRIES["b"]})
+    assert rotation.retry_after_s(SOON_S) == pytest.approx(7.0 + RESTART_S)
