Keep fractional weights of a route's services, and accept routes without any weight

A configuration that splits a route's traffic by fractions, or with every weight at zero, was put into force, and from then on each request of the route had its connection closed without an answer: weights were cut to whole numbers, 0.9 and 0.1 to zero, and a choice among weights that add up to zero raised ValueError, after which the connection is aborted.

test_weights_that_are_fractions_or_zero_leave_no_request_unanswered failed before with 0 bytes read, for each of its three splits.

--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_domain.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_domain.py
@@ -23,10 +23,10 @@
 
 @attrs.frozen
 class Target:
-    """A service of a route, and its weight among the route's services."""
+    """A service of a route, and its weight, not negative, among the route's services."""
 
     service: str
-    weight: int = 1
+    weight: float = 1.0
 
 
 @attrs.frozen
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_routing.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_routing.py
@@ -51,8 +51,9 @@
 
 
 def pick_service(route: Route, rng: random.Random) -> str:
-    """Return one of the route's services, by weight."""
+    """Return one of the route's services, by weight; with no weight at all, each is as likely."""
     if len(route.targets) == 1:
         return route.targets[0].service
     weights = [target.weight for target in route.targets]
-    return rng.choices([target.service for target in route.targets], weights)[0]
+    services = [target.service for target in route.targets]
+    return rng.choices(services, weights if any(weights) else None)[0]
