Answer 500 to a request that fails unexpectedly

The caller could not tell whether the entry had died or may have run the request.

It gets `internal`, 500, ran unknown, with its request id; the log keeps the trace. After the answer has begun the connection is still aborted. test_request_that_fails_unexpectedly_is_answered failed before with 0 bytes read, for a plain request and for a stream.

--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_errors.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_errors.py
@@ -28,6 +28,7 @@
     CRASHES_ENDPOINTS = "crashes_endpoints"
     ENDPOINT_FAILED = "endpoint_failed"
     TIMED_OUT = "timed_out"
+    INTERNAL = "internal"
 
 
 STATUS = {
@@ -38,6 +39,7 @@
     ErrorCode.BODY_TOO_LARGE: 413,
     ErrorCode.RATE_LIMITED: 429,
     ErrorCode.HEADERS_TOO_LARGE: 431,
+    ErrorCode.INTERNAL: 500,
     ErrorCode.ENDPOINT_FAILED: 502,
     ErrorCode.NO_CONFIGURATION: 503,
     ErrorCode.NO_ENDPOINT: 503,
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_gateway.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_gateway.py
@@ -22,7 +22,12 @@
 from vanillashore_gateway._duty import DutyState
 from vanillashore_gateway._engine_calls import EngineCalls
 from vanillashore_gateway._errors import ErrorCode, RefusalError, Refused, refusal
-from vanillashore_gateway._front import Inbound, ListenerState, Responder
+from vanillashore_gateway._front import (
+    CallerDisconnectedError,
+    Inbound,
+    ListenerState,
+    Responder,
+)
 from vanillashore_gateway._generation import GenerationForwarder
 from vanillashore_gateway._job import Job, RetryBudgets, Tools
 from vanillashore_gateway._limit_requests import RequestLimits
@@ -203,6 +208,13 @@
             except RefusalError as exc:
                 status = exc.refused.status
                 self._refuse(inbound, responder, log_id, exc.refused)
+            except CallerDisconnectedError:
+                raise
+            except Exception as exc:
+                log.bind(request=log_id, error=repr(exc)).exception("a request failed unexpectedly")
+                refused = Refused(ErrorCode.INTERNAL, "the entry failed to handle the request")
+                status = refused.status
+                self._refuse(inbound, responder, log_id, refused)
         except BaseException:
             bound = log.bind(request=log_id, route=route_name, begun=responder.has_begun)
             if self.shutdown.has_ended:
--- a/tests/gateway/test_config_changes.py
+++ b/tests/gateway/test_config_changes.py
@@ -26,3 +26,19 @@
         _activate(rig, configuration(2, routes=routes))
         answer = await rig.ask("GET", "/stock/1", "id-1")
         assert (answer.status, answer.is_complete) == (200, True)
+
+
+@pytest.mark.parametrize("path", ["/stock/1", "/quote/1"])
+async def test_request_that_fails_unexpectedly_is_answered(
+    path: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async with PlatformRig(services=1, prefills=1, decodes=1) as rig:
+
+        def fail(*_: object) -> None:
+            raise KeyError("unexpected")
+
+        monkeypatch.setattr(rig.process.gateway.balancer, "choose", fail)
+        answer = await rig.generate(path, "id-1")
+        assert (answer.status, answer.is_complete) == (500, True)
+        assert answer.headers["x-request-id"] == "id-1"
+        assert b'"ran":"unknown"' in answer.body
