Ask no entry that has left while another one was being asked

One that needs tokens of its workspace's rate, a permit of an endpoint's request limit, or a prefill engine, asks the entry in charge and then its substitutes, in an order that is fixed before the first is asked. If the next one left during the 20 to 40 ms in which the first did not answer, its address was looked up in the new list, which raised KeyError.

An entry that is no longer listed counts as one that does not answer. test_request_is_answered_although_the_entry_to_ask_next_leaves_meanwhile failed before for each of the three messages, with 500 and `KeyError: 'peer-11'` or `'peer-1'` in the log.

--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_peer_requests.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_peer_requests.py
@@ -43,17 +43,20 @@
     async def ask(
         self, entry: str, encode: Callable[[int], bytes], patience_s: float | None = None
     ) -> T | None:
-        """Return an entry's answer, or ``None`` on a time-out.
+        """Return an entry's answer, or ``None`` on a time-out or if the entry has left.
 
         ``encode`` makes the datagram from the request's number. An entry that has just timed out is
         not asked, unless ``patience_s`` is given, which replaces the usual time-out.
         """
-        if self.transport is None or (patience_s is None and self.is_unresponsive(entry)):
+        address = self._entries.get(entry)
+        if self.transport is None or address is None:
+            return None
+        if patience_s is None and self.is_unresponsive(entry):
             return None
         number = next(self._numbers)
         fut: asyncio.Future[T] = asyncio.get_running_loop().create_future()
         self._pending[number] = fut
-        self.transport.sendto(encode(number), self._entries[entry])
+        self.transport.sendto(encode(number), address)
         try:
             async with asyncio.timeout(self._timeout_s if patience_s is None else patience_s):
                 return await fut
