Let callers read the last answer on a connection before it is closed

The end of an answer, or a whole refusal, could be destroyed after the entry had sent it: on a connection that closes after its answer, because the entry is stopping or a limit was exceeded, the socket was closed at once. Bytes that the caller was still sending then reset the connection, and a reset drops what the caller's side has not read or received yet. Beside a change this hits callers with a request on its way that exceeds a limit which was just lowered, and beside a stop those that pipeline.

The entry now ends its own direction, reads and drops what arrives, and closes once the caller has, or 2 s later. Such a connection does not count as idle while the entry stops.

Three tests failed before: the first two received the beginning of a 60,000 byte answer only (test_answer_is_not_cut_off_...: next request at a stopping entry; headers above a lowered limit), the third got ConnectionResetError instead of 413 (test_refusal_reaches_a_caller_that_reads_it_after_sending_ all_of_its_body: body limit lowered while the body arrives). They pass on asyncio's loop and on uvloop.

--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_front.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_front.py
@@ -14,6 +14,7 @@
 
 MAX_PIPELINED = 16  # Requests that may be queued on a connection.
 HEADER_LINE_OVERHEAD_BYTES = 4  # Colon, space, CR and LF.
+LINGER_S = 2.0  # For a caller to read the last answer and close.
 REASON_PHRASES = {
     200: b"OK",
     400: b"Bad Request",
@@ -133,6 +134,7 @@
         self._body_bytes = 0
         self._began_at: float | None = None
         self._is_failed = False
+        self._is_lingering = False
         self._close_requested = False
 
     @property
@@ -142,8 +144,9 @@
 
     @property
     def is_idle(self) -> bool:
-        """Whether no request is active, queued or partly read."""
-        return self._task is None and not self._queue and self._began_at is None
+        """Whether no request is active, queued or partly read, and no answer is being read."""
+        is_unused = self._task is None and not self._queue and self._began_at is None
+        return is_unused and not self._is_lingering
 
     def write(self, data: bytes) -> None:
         """Send bytes; raise CallerDisconnectedError if the connection is closed."""
@@ -195,7 +198,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes."""
-        if self._is_failed:
+        if self._is_failed or self._is_lingering:
             return
         if self._began_at is None:
             self._began_at = self._settings.clock()
@@ -270,10 +273,24 @@
         if self._transport is None or self._transport.is_closing():
             return
         if self.closes_after_answer:
-            self.close()
+            self._linger()
         elif self._began_at is None:
             self._set_timer(self._settings.limits.idle_timeout_s)
 
+    def _linger(self) -> None:
+        """Tell the caller that nothing follows, and close once it has closed or time is over.
+
+        Closing a connection while its caller still sends resets it, and a reset can destroy an
+        answer that the caller has not read yet.
+        """
+        self._is_lingering = True
+        self._set_timer(LINGER_S)
+        try:
+            self._transport.write_eof()
+        except OSError as exc:
+            log.bind(reason=repr(exc)).info("the caller has reset its connection")
+            self.abort()
+
     async def _serve_one(self, inbound: "Inbound | Refused") -> None:
         responder = Responder(self)
         if isinstance(inbound, Refused):
@@ -309,7 +326,7 @@
     def _on_timer(self) -> None:
         if self._task is not None:
             return
-        if self._began_at is None:
+        if self._is_lingering or self._began_at is None:
             self.close()
         else:
             self._fail(ErrorCode.SLOW_CALLER, "the request did not arrive in time")
--- a/tests/gateway/test_config_changes.py
+++ b/tests/gateway/test_config_changes.py
@@ -1,6 +1,8 @@
 """Changes of the configuration beside requests: each gets a complete answer or a refusal."""
 
 import asyncio
+import contextlib
+import socket
 from collections.abc import Callable
 from typing import Any
 
@@ -9,6 +11,7 @@
 
 from vanillashore_adapter import decode_config
 from vanillashore_gateway import ConfigWritten, EntryRemoved, EntryWritten
+from vanillashore_standins import wait_until
 from vanillashore_standins.platform_rig import (
     KEY,
     LOOPBACK,
@@ -97,3 +100,78 @@
         answer = await rig.generate(path, "id-1")
         assert (answer.status, answer.is_complete) == (200, True)
         assert left == peers
+
+
+class _SlowReader:
+    """A caller whose kernel takes little of an answer before the caller reads it."""
+
+    def __init__(self) -> None:
+        self._sock = socket.socket()
+        self._sock.setblocking(False)
+        self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
+
+    async def connect(self, address: tuple[str, int]) -> None:
+        await asyncio.get_running_loop().sock_connect(self._sock, address)
+
+    async def send(self, data: bytes) -> None:
+        await asyncio.get_running_loop().sock_sendall(self._sock, data)
+
+    async def read_to_end(self) -> bytes:
+        """Return all bytes until the connection ends, by a reset or otherwise."""
+        parts = []
+        with self._sock, contextlib.suppress(ConnectionError):
+            while part := await asyncio.get_running_loop().sock_recv(self._sock, 65_536):
+                parts.append(part)
+        return b"".join(parts)
+
+
+async def _send_before_reading(rig: PlatformRig, *later: bytes) -> bytes:
+    """Send a request, and more once its answer has been written; return all that comes back."""
+    rig.services[0].body = b"x" * 60_000 + b"the end"
+    caller = _SlowReader()
+    await caller.connect(rig.process.front_address)
+    await caller.send(rig.encode("GET", "/stock/1", "id-1", Connection="keep-alive"))
+    await wait_until(lambda: bool(rig.arrivals("id-1")) and not rig.process.gateway.active)
+    with contextlib.suppress(ConnectionError):
+        for data in later:
+            await caller.send(data)
+            await asyncio.sleep(0.01)
+    return await caller.read_to_end()
+
+
+async def test_answer_is_not_cut_off_if_its_caller_sends_another_request_to_a_stopping_entry() -> (
+    None
+):
+    async with PlatformRig(services=1) as rig:
+        stopping = asyncio.ensure_future(rig.process.shut_down())
+        await wait_until(lambda: rig.process.gateway.shutdown.ends_at is not None)
+        another = rig.encode("GET", "/stock/1", "id-2")
+        received = await _send_before_reading(rig, another, another)
+        assert received.endswith(b"the end")
+        await stopping
+
+
+async def test_answer_is_not_cut_off_if_its_caller_exceeds_a_lowered_limit_meanwhile() -> None:
+    async with PlatformRig(services=1) as rig:
+        limits = {"max_header_bytes": 300}
+        _activate(rig, configuration(2, limits=limits))
+        too_large = rig.encode("GET", "/stock/1", "id-2", X_More="x" * 400)
+        received = await _send_before_reading(rig, too_large, too_large)
+        assert received.count(b"the end") == 1
+        assert received.partition(b"the end")[2].startswith(b"HTTP/1.1 431 ")
+        assert received.endswith(b"}")
+
+
+async def test_refusal_reaches_a_caller_that_reads_it_after_sending_all_of_its_body() -> None:
+    async with PlatformRig(services=1) as rig:
+        data = rig.encode("POST", "/stock/1", "id-1", b"x" * 90_000)
+        reader, writer = await asyncio.open_connection(*rig.process.front_address)
+        writer.write(data[:20_000])
+        await wait_until(lambda: any(not c.is_idle for c in rig.process.gateway.front.connections))
+        _activate(rig, configuration(2, limits={"max_body_bytes": 30_000}))
+        for start in range(20_000, len(data), 10_000):
+            writer.write(data[start : start + 10_000])
+            await writer.drain()
+            await asyncio.sleep(0.01)
+        assert (await reader.read()).startswith(b"HTTP/1.1 413 ")
+        writer.close()
