Announce the close of a connection only in its last answer

When an entry stopped, or a caller's last request asked for the close, each answer to the requests that were still queued on the connection carried `Connection: close`. A caller that keeps to HTTP stops reading after the first such answer, so the other requests, already read and partly run, got none.

Only the answer after which no request is queued announces it. test_only_the_last_answer_to_pipelined_requests_says_that_the_connection_closes failed before with the header in the first of two answers, in both cases.

--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_front.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_front.py
@@ -139,8 +139,9 @@
 
     @property
     def closes_after_answer(self) -> bool:
-        """Whether the connection closes after the current answer."""
-        return self._settings.is_closing or self._close_requested or self._is_failed
+        """Whether the connection closes after the current answer, which is the last one."""
+        closes = self._settings.is_closing or self._close_requested or self._is_failed
+        return closes and not self._queue
 
     @property
     def is_idle(self) -> bool:
--- a/tests/gateway/test_config_changes.py
+++ b/tests/gateway/test_config_changes.py
@@ -175,3 +175,26 @@
             await asyncio.sleep(0.01)
         assert (await reader.read()).startswith(b"HTTP/1.1 413 ")
         writer.close()
+
+
+@pytest.mark.parametrize("is_stopping", [False, True])
+async def test_only_the_last_answer_to_pipelined_requests_says_that_the_connection_closes(
+    is_stopping: bool,
+) -> None:
+    async with PlatformRig(services=1) as rig:
+        if is_stopping:
+            stopping = asyncio.ensure_future(rig.process.shut_down())
+            await wait_until(lambda: rig.process.gateway.shutdown.ends_at is not None)
+        reader, writer = await asyncio.open_connection(*rig.process.front_address)
+        last = {"Connection": "keep-alive" if is_stopping else "close"}
+        writer.write(
+            rig.encode("GET", "/stock/1", "id-1", Connection="keep-alive")
+            + rig.encode("GET", "/stock/1", "id-2", **last)
+        )
+        first, _, second = (await reader.read()).partition(b"answer to id-1")
+        writer.close()
+        assert b"Connection: close" not in first
+        assert b"Connection: close" in second
+        assert second.endswith(b"answer to id-2")
+        if is_stopping:
+            await stopping
