Play changes of the configuration beside requests in every state

Calls and streams that run, that have reserved a slot and are being prefilled, that wait for a slot, a permit of a request limit or tokens of a rate, or are taken up again, requests that are read in part and kept connections. Beside them routes, services, workspaces and keys go, rates, limits, time-outs and attempts fall, routes turn into another kind or lead elsewhere, also while the entry stops, or the endpoints leave, drain, or change service or stage.

--- a/packages/vanillashore-standins/src/vanillashore_standins/platform_endpoint.py
+++ b/packages/vanillashore-standins/src/vanillashore_standins/platform_endpoint.py
@@ -97,7 +97,8 @@
 
     Each request consumes one of ``faults``; requests after the last one succeed, and each control
     call has the ``control_fault``. Plain answers have ``body``, or name the request. Answers name
-    ``limit_per_s`` unless it is ``None``. ``version`` is that of the endpoint's software.
+    ``limit_per_s`` unless it is ``None``. ``version`` is that of the endpoint's software. While
+    ``may_answer`` is not set, answers do not begin, and streams pause.
 
     A generation with one of ``crash_parts`` in its prompt, the last part apart, crashes the
     endpoint as the answer begins; the endpoint is back ``down_s`` later and calls ``on_restart``.
@@ -113,6 +114,8 @@
         self.body = b""
         self.limit_per_s: float | None = None
         self.version = VERSION
+        self.may_answer = asyncio.Event()
+        self.may_answer.set()
         self.started_ms = 1
         self.crash_parts: set[str] = set()
         self.down_s = 0.3
@@ -245,6 +248,7 @@
         return fault not in (Fault.SHED, Fault.OTHER_INSTANCE)
 
     async def _answer(self, writer: asyncio.StreamWriter, arrival: Arrival, fault: Fault) -> bool:
+        await self.may_answer.wait()
         limit = {} if self.limit_per_s is None else {"Server-Limit": f"{self.limit_per_s:g}"}
         if (
             fault is Fault.OTHER_INSTANCE
@@ -340,6 +344,7 @@
         first = int(arrival.headers.get("last-event-id", 0)) + 1
         for number in range(first, self.engine.events + 1):
             event = event_bytes(number, self.version)
+            await self.may_answer.wait()
             if number > self.engine.break_after and fault is Fault.BREAKS_MID_EVENT:
                 writer.write(_chunk(event[:7]))
                 await writer.drain()
--- a/packages/vanillashore-standins/src/vanillashore_standins/platform_rig.py
+++ b/packages/vanillashore-standins/src/vanillashore_standins/platform_rig.py
@@ -222,7 +222,7 @@
         reader, writer = await asyncio.open_connection(*address)
         writer.write(data)
         try:
-            return await _read_answer(reader)
+            return await read_answer(reader)
         finally:
             writer.transport.abort()
 
@@ -250,7 +250,8 @@
         )
 
 
-async def _read_answer(reader: asyncio.StreamReader) -> Answer:
+async def read_answer(reader: asyncio.StreamReader) -> Answer:
+    """Read one answer; raise IncompleteReadError if the connection ends before its head."""
     head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
     status_line, *header_lines = head.strip().split("\r\n")
     headers = {
--- a/tests/gateway/test_config_changes.py
+++ b/tests/gateway/test_config_changes.py
@@ -3,21 +3,31 @@
 import asyncio
 import contextlib
 import socket
-from collections.abc import Callable
-from typing import Any
+from collections.abc import Callable, Coroutine
+from typing import Any, Self
 
 import orjson
 import pytest
 
-from vanillashore_adapter import decode_config
-from vanillashore_gateway import ConfigWritten, EntryRemoved, EntryWritten
+from vanillashore_adapter import decode_config, decode_endpoint
+from vanillashore_gateway import (
+    ConfigWritten,
+    EndpointRemoved,
+    EndpointWritten,
+    EntryRemoved,
+    EntryWritten,
+)
 from vanillashore_standins import wait_until
+from vanillashore_standins.platform_endpoint import EngineOptions
 from vanillashore_standins.platform_rig import (
     KEY,
     LOOPBACK,
     ORDERS,
+    WORKSPACE,
+    Answer,
     PlatformRig,
     configuration,
+    read_answer,
     route,
 )
 
@@ -198,3 +208,175 @@
         assert second.endswith(b"answer to id-2")
         if is_stopping:
             await stopping
+
+
+_TENANTS = [
+    {"name": WORKSPACE, "api_keys": [KEY], "unit": "token_stream"},
+    {"name": "till", "api_keys": ["key-of-till"], "rate_per_s": 4_000, "burst": 4_000},
+]
+_CONFIG = configuration(2, tenants=_TENANTS)
+
+
+class _RequestsInEveryState:
+    """Requests that wait or run at each point at which a change may find them.
+
+    ``finish`` lets the endpoints go on and returns the answers. Those of ``begun`` were admitted
+    before the change; the others were sent in part or, with ``has_idle``, on an idle connection.
+    """
+
+    def __init__(self, log_lines: list[dict[str, Any]], has_idle: bool = True) -> None:
+        options = EngineOptions(events=20, pause_s=0.005)
+        self.rig = PlatformRig(services=1, prefills=1, decodes=1, engine=options)
+        self.begun: dict[str, asyncio.Task[Answer]] = {}
+        self._log_lines = log_lines
+        self._later_bodies = (b"half read", b"") if has_idle else (b"half read",)
+        self._later: list[tuple[asyncio.StreamReader, asyncio.StreamWriter, bytes]] = []
+
+    async def __aenter__(self) -> Self:
+        rig = await self.rig.__aenter__()
+        service, prefill, decode = rig.endpoints
+        _activate(rig, _CONFIG)
+        service.limit_per_s = 5.0
+        for body in self._later_bodies:
+            await self._send_first(body)
+        self._begin("running stream", rig.generate("/idea/1", "running"))
+        await wait_until(lambda: bool(decode.runs))
+        for endpoint in rig.endpoints:
+            endpoint.may_answer.clear()
+        self._begin("reserved", rig.generate("/idea/1", "reserved"))
+        await wait_until(lambda: len(prefill.arrivals) == 2)
+        decode.engine.room = 0
+        self._begin("queued", rig.generate("/idea/1", "queued"))
+        resumed = {"Last_Event_Id": "2", "Resumes": "first-part"}
+        self._begin("taken up again", rig.generate("/quote/1", "again", **resumed))
+        self._begin("running call", rig.ask("POST", "/pay/1", "running-call"))
+        await wait_until(lambda: bool(rig.arrivals("running-call")))
+        for number in range(2):
+            self._begin(f"limited {number}", rig.ask("GET", "/stock/1", f"limited-{number}"))
+        await wait_until(self._has_logged("the endpoint is at its request limit"))
+        self._begin("without tokens", rig.generate("/idea/1", "tokens", key="key-of-till"))
+        await wait_until(lambda: rig.process.gateway.active == len(self.begun))
+        return self
+
+    async def __aexit__(self, *exc_info: object) -> None:
+        for task in self.begun.values():
+            task.cancel()
+        for _, writer, _ in self._later:
+            writer.close()
+        await self.rig.__aexit__(*exc_info)
+
+    async def finish(self) -> tuple[dict[str, Answer], list[Answer]]:
+        """Let the endpoints go on; return the answers of ``begun``, and the other ones."""
+        for endpoint in self.rig.endpoints:
+            endpoint.may_answer.set()
+        self.rig.decodes[0].engine.room = 1_000_000
+        answers = await asyncio.gather(*self.begun.values())
+        later = []
+        for reader, writer, data in self._later:
+            writer.write(data)
+            later.append(await read_answer(reader))
+        return dict(zip(self.begun, answers, strict=True)), later
+
+    def _begin(self, name: str, asking: Coroutine[Any, Any, Answer]) -> None:
+        self.begun[name] = asyncio.ensure_future(asking)
+
+    def _has_logged(self, message: str) -> Callable[[], bool]:
+        return lambda: any(line["message"] == message for line in self._log_lines)
+
+    async def _send_first(self, body: bytes) -> None:
+        """Send a request on a connection that is kept, and the first half of ``body``'s request."""
+        reader, writer = await asyncio.open_connection(*self.rig.process.front_address)
+        writer.write(self.rig.encode("GET", "/open/1", "first", Connection="keep-alive"))
+        assert (await read_answer(reader)).status == 200
+        data = self.rig.encode("POST", "/open/1", "later", body)
+        sent = len(data) // 2 if body else 0
+        writer.write(data[:sent])
+        self._later.append((reader, writer, data[sent:]))
+
+
+def _without(name: str) -> dict[str, Any]:
+    return _CONFIG | {"version": 3, name: []}
+
+
+def _with_routes(**changes: Any) -> dict[str, Any]:
+    return _CONFIG | {"version": 3, "routes": [row | changes for row in _CONFIG["routes"]]}
+
+
+def _with_tenants(**changes: Any) -> dict[str, Any]:
+    return _CONFIG | {"version": 3, "tenants": [row | changes for row in _TENANTS]}
+
+
+_LOWEST_LIMITS = {
+    "max_header_bytes": 1,
+    "max_body_bytes": 1,
+    "header_timeout_ms": 1,
+    "idle_timeout_ms": 1,
+}
+_CHANGES = {
+    "routes removed": _without("routes"),
+    "services removed": _without("services"),
+    "workspaces removed": _without("tenants"),
+    "keys withdrawn": _with_tenants(api_keys=["another"]),
+    "rates lifted": _with_tenants(rate_per_s=0),
+    "rates lowered": _with_tenants(rate_per_s=1e-3),
+    "limits lowered": _CONFIG | {"version": 3, "limits": _LOWEST_LIMITS},
+    "time-outs lowered": _with_routes(timeout_ms=1, target_latency_ms=1, gap_target_ms=1),
+    "attempts lowered": _with_routes(max_attempts=0, resumable=False),
+    "streams become calls": _with_routes(kind="non_idempotent", session_affinity=False),
+    "calls become streams": _with_routes(kind="streaming", session_affinity=True, resumable=True),
+    "routes moved": _with_routes(service="another"),
+}
+
+
+@pytest.mark.parametrize("change", _CHANGES)
+async def test_requests_in_every_state_are_answered_beside_a_change(
+    change: str, log_lines: list[dict[str, Any]]
+) -> None:
+    async with _RequestsInEveryState(log_lines) as requests:
+        _activate(requests.rig, _CHANGES[change])
+        begun, later = await requests.finish()
+        assert {name: answer.status for name, answer in begun.items()} == dict.fromkeys(begun, 200)
+        assert all(answer.is_complete for answer in [*begun.values(), *later])
+        assert all(answer.status != 500 for answer in later)
+
+
+@pytest.mark.parametrize("change", _CHANGES)
+async def test_requests_in_every_state_are_answered_beside_a_change_while_the_entry_stops(
+    change: str, log_lines: list[dict[str, Any]]
+) -> None:
+    async with _RequestsInEveryState(log_lines, has_idle=False) as requests:
+        stopping = asyncio.ensure_future(requests.rig.process.shut_down())
+        await wait_until(lambda: requests.rig.process.gateway.shutdown.ends_at is not None)
+        _activate(requests.rig, _CHANGES[change])
+        begun, later = await requests.finish()
+        assert {answer.status for answer in begun.values()} <= {200, 503}
+        assert begun["running stream"].status == begun["running call"].status == 200
+        assert all(answer.is_complete for answer in [*begun.values(), *later])
+        await stopping
+
+
+_ENDPOINT_CHANGES: dict[str, dict[str, Any]] = {
+    "gone": {},
+    "draining": {"state": "draining"},
+    "other service": {"service": "another"},
+    "other stage": {"stage": "prefill"},
+}
+
+
+@pytest.mark.parametrize("change", _ENDPOINT_CHANGES)
+async def test_requests_in_every_state_are_answered_while_their_endpoints_leave(
+    change: str, log_lines: list[dict[str, Any]]
+) -> None:
+    async with _RequestsInEveryState(log_lines) as requests:
+        for endpoint in requests.rig.endpoints:
+            record = endpoint.entry(**_ENDPOINT_CHANGES[change])
+            written = decode_endpoint(endpoint.instance, orjson.dumps(record))
+            gone = EndpointRemoved(endpoint.instance)
+            is_gone = change == "gone"
+            requests.rig.process.gateway.apply_change(gone if is_gone else EndpointWritten(written))
+        begun, later = await requests.finish()
+        assert {answer.status for answer in begun.values()} <= {200, 503}
+        for name in ("running stream", "running call", "reserved"):
+            assert begun[name].status == 200
+        assert all(answer.is_complete for answer in [*begun.values(), *later])
+        assert all(answer.status != 500 for answer in later)
