Answer the next request after an answer that began before the stop

A stream that had begun before SIGTERM ended without announcing that its connection closes, and then the entry closed the connection at once. A caller that keeps its connections sends the next request on it in good faith: it was whole, and got neither an answer nor a refusal.

A connection is closed after its answer only if that answer announced it. Otherwise the caller has half a second to send the next request, whose answer does announce it. test_request_after_an_answer_that_began_before_the_stop_is_answered failed before with an empty read.

--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_front.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_front.py
@@ -15,6 +15,8 @@
 MAX_PIPELINED = 16  # Requests that may be queued on a connection.
 HEADER_LINE_OVERHEAD_BYTES = 4  # Colon, space, CR and LF.
 LINGER_S = 2.0  # For a caller to read the last answer and close.
+# At a stopping entry, for the next request of a caller whose answer did not announce the close.
+MAX_IDLE_AT_STOP_S = 0.5
 REASON_PHRASES = {
     200: b"OK",
     400: b"Bad Request",
@@ -88,7 +90,10 @@
         self._is_chunked = length is None
         if length is not None:
             framing = b"Content-Length: %d\r\n" % length
-        closing = b"Connection: close\r\n" if self._conn.closes_after_answer else b""
+        closing = b""
+        if self._conn.closes_after_answer:
+            self._conn.has_announced_close = True
+            closing = b"Connection: close\r\n"
         line = b"HTTP/1.1 %d %b\r\n" % (status, reason or REASON_PHRASES.get(status, b"Status"))
         self.has_begun = True
         self._conn.write(line + render_headers(headers) + framing + closing + b"\r\n")
@@ -136,6 +141,7 @@
         self._is_failed = False
         self._is_lingering = False
         self._close_requested = False
+        self.has_announced_close = False
 
     @property
     def closes_after_answer(self) -> bool:
@@ -273,10 +279,13 @@
             self._task = None
         if self._transport is None or self._transport.is_closing():
             return
-        if self.closes_after_answer:
+        if self.has_announced_close:
             self._linger()
         elif self._began_at is None:
-            self._set_timer(self._settings.limits.idle_timeout_s)
+            idle_s = self._settings.limits.idle_timeout_s
+            self._set_timer(
+                min(idle_s, MAX_IDLE_AT_STOP_S) if self._settings.is_closing else idle_s
+            )
 
     def _linger(self) -> None:
         """Tell the caller that nothing follows, and close once it has closed or time is over.
--- a/tests/gateway/test_config_changes.py
+++ b/tests/gateway/test_config_changes.py
@@ -18,7 +18,7 @@
     EntryWritten,
 )
 from vanillashore_standins import wait_until
-from vanillashore_standins.platform_endpoint import EngineOptions
+from vanillashore_standins.platform_endpoint import EngineOptions, Fault
 from vanillashore_standins.platform_rig import (
     KEY,
     LOOPBACK,
@@ -380,3 +380,23 @@
             assert begun[name].status == 200
         assert all(answer.is_complete for answer in [*begun.values(), *later])
         assert all(answer.status != 500 for answer in later)
+
+
+async def test_request_after_an_answer_that_began_before_the_stop_is_answered() -> None:
+    options = EngineOptions(events=3)
+    async with PlatformRig(services=1, decodes=1, engine=options) as rig:
+        reader, writer = await asyncio.open_connection(*rig.process.front_address)
+        rig.decodes[0].faults.append(Fault.STALLS)
+        rig.decodes[0].engine.stall_s = 0.1
+        writer.write(rig.encode("POST", "/idea/1", "id-1", Connection="keep-alive"))
+        head = await reader.readuntil(b"\r\n\r\n")
+        stopping = asyncio.ensure_future(rig.process.shut_down())
+        await wait_until(lambda: rig.process.gateway.shutdown.ends_at is not None)
+        await reader.readuntil(b"0\r\n\r\n")
+        writer.write(rig.encode("GET", "/stock/1", "id-2", Connection="keep-alive"))
+        second = await reader.read()
+        writer.close()
+        assert b"Connection: close" not in head
+        assert b"Connection: close" in second
+        assert second.endswith(b"answer to id-2")
+        await stopping
