Keep the time limit of a request that is received in part behind another one

Half of a request that arrived while the answer to the one before it was in progress had no time limit any more: its timer was ignored then, and not set again after the answer. If the half came together with the request before it, the connection counted as idle. A stopping entry waited for such a connection until its grace time ended, or closed it as idle while the rest of the request was on its way.

The time limit begins anew after the answer, and a request that is received in part is noticed wherever in the received bytes it begins. The test, named for the missing limit, waited for 408 in vain before, in both cases.

--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_front.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_front.py
@@ -217,6 +217,11 @@
         except httptools.HttpParserError as exc:
             self._fail(ErrorCode.BAD_REQUEST, f"the request is not valid HTTP/1.1: {exc}")
 
+    def on_message_begin(self) -> None:
+        """Note when a request began that was received together with the one before it."""
+        if self._began_at is None:
+            self._began_at = self._settings.clock()
+
     def on_url(self, url: bytes) -> None:
         """Collect the request target."""
         self._target += url
@@ -281,7 +286,9 @@
             return
         if self.has_announced_close:
             self._linger()
-        elif self._began_at is None:
+        elif self._began_at is not None:
+            self._set_timer(self._settings.limits.header_timeout_s)
+        else:
             idle_s = self._settings.limits.idle_timeout_s
             self._set_timer(
                 min(idle_s, MAX_IDLE_AT_STOP_S) if self._settings.is_closing else idle_s
--- a/tests/gateway/test_config_changes.py
+++ b/tests/gateway/test_config_changes.py
@@ -400,3 +400,23 @@
         assert b"Connection: close" in second
         assert second.endswith(b"answer to id-2")
         await stopping
+
+
+@pytest.mark.parametrize("is_in_one_part", [False, True])
+async def test_half_of_a_request_behind_a_long_answer_is_not_kept_without_a_time_limit(
+    is_in_one_part: bool,
+) -> None:
+    async with PlatformRig(services=1) as rig:
+        _activate(rig, configuration(2, limits={"header_timeout_ms": 50}))
+        rig.services[0].may_answer.clear()
+        reader, writer = await asyncio.open_connection(*rig.process.front_address)
+        whole = rig.encode("GET", "/stock/1", "id-1", Connection="keep-alive")
+        parts = (whole, whole[:40])
+        for data in [b"".join(parts)] if is_in_one_part else parts:
+            writer.write(data)
+            await wait_until(lambda: bool(rig.arrivals("id-1")))
+        await asyncio.sleep(0.1)
+        rig.services[0].may_answer.set()
+        answers = await reader.read()
+        writer.close()
+        assert answers.partition(b"answer to id-1")[2].startswith(b"HTTP/1.1 408 ")
