Grant tokens of a rate that the home already knows to be lifted

When a configuration lifts a workspace's rate, its home may have the change before other entries. A request for tokens from one of those divided by the new rate of zero. The home did not answer, counted as unresponsive for a second, and a substitute granted a part of the old rate meanwhile.

The home grants what is asked for. The test failed before with "an entry did not answer in time" and ZeroDivisionError in the home.

--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_quota.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_quota.py
@@ -73,7 +73,10 @@
         """Grant ``need`` tokens and as many of ``spare`` as are left, or nothing.
 
         A request larger than the bucket is granted when the bucket is full, and leaves it negative.
+        Another entry may still ask for tokens of a workspace that has no limit any more.
         """
+        if workspace.tokens_per_s <= 0:
+            return Grant(need)
         rate = workspace.tokens_per_s * share
         capacity = (workspace.burst_tokens + self._slack) * share
         bucket = self._buckets.get(workspace.name)
--- a/tests/gateway/test_config_changes.py
+++ b/tests/gateway/test_config_changes.py
@@ -17,6 +17,7 @@
     EntryRemoved,
     EntryWritten,
 )
+from vanillashore_gateway._home_ranking import rank_homes
 from vanillashore_standins import wait_until
 from vanillashore_standins.platform_endpoint import EngineOptions, Fault
 from vanillashore_standins.platform_rig import (
@@ -420,3 +421,19 @@
         answers = await reader.read()
         writer.close()
         assert answers.partition(b"answer to id-1")[2].startswith(b"HTTP/1.1 408 ")
+
+
+async def test_home_that_knows_first_that_a_rate_is_lifted_grants_the_tokens(
+    log_lines: list[dict[str, Any]],
+) -> None:
+    async with PlatformRig(services=1, entries=2) as rig:
+        tenants = [{"name": WORKSPACE, "api_keys": [KEY], "rate_per_s": 1e6, "burst": 1e6}]
+        _activate(rig, configuration(2, tenants=tenants))
+        lifted = configuration(3, tenants=[tenants[0] | {"rate_per_s": 0}])
+        homes = rank_homes(WORKSPACE, ["entry-1", "entry-2"])
+        home, other = (int(name[-1]) - 1 for name in homes)
+        change = ConfigWritten(decode_config(orjson.dumps(lifted)))
+        rig.processes[home].gateway.apply_change(change)
+        assert (await rig.generate("/stock/1", "id-1", entry=other)).status == 200
+        messages = [line["message"] for line in log_lines]
+        assert "an entry did not answer in time" not in messages
