Await the first request of a connection as long as a request may take

A new connection was closed after the idle time of the configuration, before its first request could be read. After a change to a very short idle time, or to zero, each connection was reset while its caller was sending, and no request of the callers was answered.

The idle time holds between requests. A new connection gets the longer one of the idle time and the time for a request's headers. The test failed before with 0 bytes read.

--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_front.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_front.py
@@ -177,10 +177,11 @@
             self._transport.close()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Register the connection and start its idle timer."""
+        """Register the connection and start its timer."""
         self._transport = transport
         self._settings.connections.add(self)
-        self._set_timer(self._settings.limits.idle_timeout_s)
+        limits = self._settings.limits
+        self._set_timer(max(limits.idle_timeout_s, limits.header_timeout_s))
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the active request: its caller has disconnected."""
--- a/tests/gateway/test_config_changes.py
+++ b/tests/gateway/test_config_changes.py
@@ -437,3 +437,14 @@
         assert (await rig.generate("/stock/1", "id-1", entry=other)).status == 200
         messages = [line["message"] for line in log_lines]
         assert "an entry did not answer in time" not in messages
+
+
+async def test_first_request_of_a_connection_is_awaited_longer_than_a_short_idle_time() -> None:
+    async with PlatformRig(services=1) as rig:
+        _activate(rig, configuration(2, limits={"idle_timeout_ms": 1}))
+        reader, writer = await asyncio.open_connection(*rig.process.front_address)
+        await asyncio.sleep(0.05)
+        writer.write(rig.encode("GET", "/stock/1", "id-1"))
+        answer = await read_answer(reader)
+        writer.close()
+        assert (answer.status, answer.is_complete) == (200, True)
