Answer what has no answer yet when a stopping entry ends, and truly

Two faults of the stop, found in review. And requests that an endpoint still worked on, without an answer so far, had their connection closed without a byte.

One guard around the whole request now refuses it 0.2 s before the end, until its answer begins, and one place turns each refusal as not run into 502 if an endpoint may have run the request, from the moment at which it is sent. The tests failed before with 503, and with 0 bytes read (call, generation).

--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_calls.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_calls.py
@@ -85,8 +85,7 @@
     async def _send_next(self) -> _Result:
         """Send to the best endpoint; wait for one if all are full or at their limits."""
         job, tools = self._job, self._tools
-        async with tools.shutdown.refuse_at_end():
-            endpoint = await self._next_endpoint()
+        endpoint = await self._next_endpoint()
         if endpoint is None:
             return self._error_answer
         job.tried.add(endpoint.instance)
@@ -94,9 +93,12 @@
         if time_left_s < MIN_TIME_LEFT_S:
             raise self._refuse(ErrorCode.TOO_LATE, "no time is left for the request")
         outbound = OutboundRequest(job.req, endpoint, job.workspace, time_left_s)
+        had_run, job.may_have_run = job.may_have_run, True
         result = await self._send(outbound)
         if result.outcome in (_Outcome.ANSWERED, _Outcome.UNCLEAR):
             job.sends += 1
+        else:
+            job.may_have_run = had_run
         is_healthy = result.outcome in (_Outcome.ANSWERED, _Outcome.NOT_RUN) and not _is_failure(
             result
         )
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_front.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_front.py
@@ -80,6 +80,7 @@
         self._conn = conn
         self.has_begun = False
         self.is_complete = False
+        self.on_begin: Callable[[], None] = lambda: None
         self._is_chunked = False
 
     def begin(
@@ -96,6 +97,7 @@
             closing = b"Connection: close\r\n"
         line = b"HTTP/1.1 %d %b\r\n" % (status, reason or REASON_PHRASES.get(status, b"Status"))
         self.has_begun = True
+        self.on_begin()
         self._conn.write(line + render_headers(headers) + framing + closing + b"\r\n")
 
     async def write(self, data: bytes) -> None:
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_gateway.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_gateway.py
@@ -196,18 +196,21 @@
         status = 0
         route_name = UNKNOWN_ROUTE
         log_id = ""
+        job: Job | None = None
         try:
             try:
                 req = self._dialect.decode_request(inbound.head, inbound.body, inbound.arrived)
                 log_id = req.log_id
-                async with self.shutdown.refuse_at_end():
+                async with self.shutdown.refuse_at_end() as release:
+                    responder.on_begin = release
                     job = await self._admit(req)
-                route_name = job.route.name
-                await self._forwarder(job).run(responder)
+                    route_name = job.route.name
+                    await self._forwarder(job).run(responder)
                 status = 200
             except RefusalError as exc:
-                status = exc.refused.status
-                self._refuse(inbound, responder, log_id, exc.refused)
+                refused = exc.refused if job is None else job.state_run(exc.refused)
+                status = refused.status
+                self._refuse(inbound, responder, log_id, refused)
             except CallerDisconnectedError:
                 raise
             except Exception as exc:
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_generation.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_generation.py
@@ -79,30 +79,20 @@
                 await self._run(responder)
         except TimeoutError:
             raise refusal(ErrorCode.TIMED_OUT, "the answer was not complete in time") from None
-        except RefusalError as exc:
-            raise self._mark_possibly_run(exc) from exc
         finally:
             if self._next_hold is not None:
                 self._tools.slot_finder.release(self._next_hold)
 
-    def _mark_possibly_run(self, exc: RefusalError) -> RefusalError:
-        """Replace a "not run" refusal if an endpoint may have run the request."""
-        if not self._stream.runs or exc.refused.ran != "no":
-            return exc
-        return refusal(ErrorCode.ENDPOINT_FAILED, f"the answer was lost; {exc.refused.text}")
-
     async def _run(self, responder: Responder) -> None:
         handle: PrefillHandle | None = None
         for attempt in range(1, MAX_DECODES + 1):
-            async with self._tools.shutdown.refuse_at_end():
-                hold = await self._acquire_hold()
+            hold = await self._acquire_hold()
             endpoint = hold.endpoint
             is_used = False
             try:
                 if attempt == 1:
                     self._job.check_shutdown(self._tools.shutdown)
-                    async with self._tools.shutdown.refuse_at_end():
-                        handle = await self._prefill(endpoint)
+                    handle = await self._prefill(endpoint)
                 usable = handle if self._is_usable(handle, endpoint) else None
                 current = hold if self._tools.clock() < self._hold_usable_until(hold) else None
                 is_used = current is not None
@@ -281,7 +271,10 @@
         )
         reads_prompt = handle is None and job.req.generation_size is not None
         self._prompt_sent_at = tools.clock() if reads_prompt else None
+        had_run, job.may_have_run = job.may_have_run, True
         outcome = await self._send_decode(outbound, self._first_event_timeout_s(left_s), responder)
+        if outcome in (_Outcome.NOT_SENT, _Outcome.NOT_RUN):
+            job.may_have_run = had_run
         if outcome is _Outcome.BROKEN:
             self._stream.splitter.discard_partial_event()
             self._stream.runs = max(1, self._stream.runs)
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_job.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_job.py
@@ -10,6 +10,7 @@
 from vanillashore_gateway._crashes import CrashMonitor
 from vanillashore_gateway._dialect import Dialect
 from vanillashore_gateway._domain import CallerRequest, Endpoint, EndpointRole, Route, Service
+from vanillashore_gateway._errors import ErrorCode, Refused
 from vanillashore_gateway._limit_requests import RequestLimits
 from vanillashore_gateway._membership import Membership
 from vanillashore_gateway._prefill_estimator import PrefillEstimator
@@ -70,7 +71,8 @@
     """An admitted request that is being forwarded under configuration ``config_version``.
 
     ``fingerprint`` is the same each time that the caller sends the request. ``origin`` is that of a
-    stream that the caller takes up again.
+    stream that the caller takes up again. ``may_have_run`` is true from the moment at which an
+    endpoint may have begun to work on the request, unless it states that it has not.
     """
 
     req: CallerRequest
@@ -82,12 +84,19 @@
     origin: StreamOrigin | None = None
     tried: set[str] = attrs.field(factory=set)
     sends: int = 0
+    may_have_run: bool = False
 
     @property
     def give_up_at(self) -> float:
         """Time by which the caller must have a final answer."""
         return min(self.req.deadline, self.req.arrived + self.route.timeout_s)
 
+    def state_run(self, refused: Refused) -> Refused:
+        """Replace a refusal as not run if an endpoint may have run the request."""
+        if not self.may_have_run or refused.ran != "no":
+            return refused
+        return Refused(ErrorCode.ENDPOINT_FAILED, f"the answer was lost; {refused.text}")
+
     def choose(self, tools: Tools, role: EndpointRole, share: float) -> Endpoint | None:
         """Choose an endpoint that was not tried yet, and log the choice."""
         now = tools.clock()
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_shutdown.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_shutdown.py
@@ -16,7 +16,7 @@
 ASSUMED_ANSWER_S = 4.0  # While too few are known.
 MAX_CUT_RISK = 0.25  # A broken answer costs its caller more than a later one.
 MIN_RETRY_AFTER_S = 0.1  # A retry reaches another entry.
-REFUSAL_MARGIN_S = 0.2  # Before the end, for the refusals of what still waits to reach its callers.
+REFUSAL_MARGIN_S = 0.2  # Before the end, for the last refusals to reach their callers.
 RETRY_SPREAD = 0.5  # Keeps callers that were refused together from returning together.
 
 
@@ -69,19 +69,26 @@
             wait.reschedule(self._waits_until())
 
     @contextlib.asynccontextmanager
-    async def refuse_at_end(self) -> AsyncIterator[None]:
-        """Raise RefusalError in a request that still waits inside when the process ends.
+    async def refuse_at_end(self) -> AsyncIterator[Callable[[], None]]:
+        """Raise RefusalError in a request that has no answer yet shortly before the process ends.
 
-        Example::
+        The function that is yielded lets the request go on, as once its answer has begun::
 
-            async with shutdown.refuse_at_end():
-                hold = await slot_finder.find(...)
+            async with shutdown.refuse_at_end() as release:
+                responder.on_begin = release
+                ...
         """
         wait = asyncio.timeout_at(self._waits_until())
+
+        def release() -> None:
+            if wait in self._waits and not wait.expired():
+                self._waits.discard(wait)
+                wait.reschedule(None)
+
         try:
             async with wait:
                 self._waits.add(wait)
-                yield
+                yield release
         except TimeoutError:
             if wait.expired():
                 raise self._refusal() from None
--- a/tests/gateway/test_stop.py
+++ b/tests/gateway/test_stop.py
@@ -5,9 +5,10 @@
 
 import pytest
 
+from vanillashore_gateway import Endpoint
 from vanillashore_standins import wait_until
-from vanillashore_standins.platform_endpoint import EngineOptions
-from vanillashore_standins.platform_rig import HOST, KEY, PlatformRig
+from vanillashore_standins.platform_endpoint import EngineOptions, Fault
+from vanillashore_standins.platform_rig import HOST, KEY, PlatformRig, fail_first
 
 
 def _request(request_id: str) -> bytes:
@@ -214,3 +215,39 @@
         answer = await waiting
         assert (answer.status, rig.arrivals("id-1")) == (503, [])
         assert b'"code":"stopping"' in answer.body
+
+
+async def test_call_that_has_run_and_waits_at_the_end_is_not_refused_as_not_run(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async with PlatformRig(services=2) as rig:
+        fail_first(rig.services, Fault.RESET_AFTER_RUN)
+        limits = rig.process.gateway.limits
+        acquire = limits.acquire
+
+        async def acquire_once(endpoint: Endpoint, max_wait_s: float = 0.0) -> float | None:
+            if rig.arrivals("id-1"):
+                await asyncio.Event().wait()
+            return await acquire(endpoint, max_wait_s)
+
+        monkeypatch.setattr(limits, "acquire", acquire_once)
+        asking = asyncio.ensure_future(rig.ask("GET", "/stock/1", "id-1", X_Deadline_Ms="60000"))
+        await wait_until(lambda: bool(rig.arrivals("id-1")))
+        await rig.process.shut_down()
+        rig.kill_entry(0)
+        answer = await asking
+        assert (answer.status, len(rig.arrivals("id-1"))) == (502, 1)
+        assert b'"ran":"unknown"' in answer.body
+
+
+@pytest.mark.parametrize(("method", "path"), [("POST", "/pay/1"), ("POST", "/idea/1")])
+async def test_request_without_an_answer_at_the_end_gets_one(method: str, path: str) -> None:
+    async with PlatformRig(services=1, prefills=1, decodes=1) as rig:
+        fail_first([*rig.services, *rig.decodes], Fault.SILENT)
+        asking = asyncio.ensure_future(rig.ask(method, path, "id-1", b"x", X_Deadline_Ms="60000"))
+        await wait_until(lambda: bool(rig.arrivals("id-1")))
+        await rig.process.shut_down()
+        rig.kill_entry(0)
+        answer = await asking
+        assert (answer.status, answer.is_complete) == (502, True)
+        assert b'"ran":"unknown"' in answer.body
