Let the test of a delayed store keep its time limits beside load

test_change_is_installed_despite_store_faults[delay_s] gave the store's calls 0.2 s of real time and delayed them by 0.1 s, so that on a busy machine each call timed out and no change could arrive. Both are five times as long now, in the same proportion; what is checked and its bound are unchanged.

--- a/tests/node/test_config_following.py
+++ b/tests/node/test_config_following.py
@@ -181,11 +181,13 @@
 @pytest.mark.parametrize("fault", ["lose_answers", "delay_s", "outage"])
 async def test_change_is_installed_despite_store_faults(fault: str) -> None:
     plan = _plan(entries=4, services=1)
+    if fault == "delay_s":
+        plan = attrs.evolve(plan, store_timeout_s=1.0)
     async with SmallFleet(plan) as fleet:
         if fault == "lose_answers":
             fleet.kv_faults.lose_answers = 1
         elif fault == "delay_s":
-            fleet.kv_faults.delay_s = 0.1
+            fleet.kv_faults.delay_s = plan.store_timeout_s / 2
         head = await fleet.config_store.apply(_without_key(small_configuration(plan), 0), 1)
         if fault == "outage":
             await fleet.until(lambda: any(e.core.directory.revision == 2 for e in fleet.entries))
