End within a grace time that is shorter than the time in rotation

A stopping entry waited for its whole time in rotation, 2.7 s, before it looked at the end of its grace time: with one of 1 s or 2 s it was killed. The test failed before.

--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_process.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_process.py
@@ -157,12 +157,12 @@
         gateway = self.gateway
         began = now()
         ends_at = began + working_time_s(self._cfg.grace_s)
-        out_of_rotation_at = began + self._cfg.rotation_s
+        out_of_rotation_at = min(began + self._cfg.rotation_s, ends_at)
         gateway.shutdown.begin(ends_at, out_of_rotation_at)
         self._start_task(gateway.rotation.announce_stop(out_of_rotation_at, ends_at))
         gateway.front.is_closing = True
         log.bind(active=gateway.active, connections=len(gateway.front.connections)).info("stopping")
-        await asyncio.sleep(self._cfg.rotation_s)
+        await asyncio.sleep(out_of_rotation_at - now())
         self._close_idle()
         await self._wait_until_idle(ends_at)
         # A caller who is accepted from here on would be cut.
--- a/tests/gateway/test_stop.py
+++ b/tests/gateway/test_stop.py
@@ -3,6 +3,7 @@
 import asyncio
 from typing import Any
 
+import attrs
 import pytest
 
 from vanillashore_gateway import Endpoint
@@ -10,6 +11,8 @@
 from vanillashore_standins.platform_endpoint import EngineOptions, Fault
 from vanillashore_standins.platform_rig import HOST, KEY, PlatformRig, fail_first
 
+FAR_S = 20.0  # Far longer than the grace time.
+
 
 def _request(request_id: str) -> bytes:
     rows = f"Host: {HOST}\r\nX-Request-Id: {request_id}\r\nAuthorization: Bearer {KEY}\r\n"
@@ -251,3 +254,10 @@
         answer = await asking
         assert (answer.status, answer.is_complete) == (502, True)
         assert b'"ran":"unknown"' in answer.body
+
+
+async def test_process_ends_with_a_grace_time_shorter_than_its_time_in_rotation() -> None:
+    async with PlatformRig() as rig:
+        rig.process._cfg = attrs.evolve(rig.process._cfg, rotation_s=2 * FAR_S)
+        async with asyncio.timeout(FAR_S):
+            await rig.process.shut_down()
