End within the grace time although the store is silent

A stopping entry whose callers stay until the end removes its registration after that, and waited 1 s or more for a store that does not answer: 4.0 to 4.8 s of grace times of 3 s and 4 s in review, so that the process was killed before it had logged what it cut. The removal now ends in the middle of the margin; the registration expires with its lease. The test failed before: it did not end.

--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_process.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_process.py
@@ -167,13 +167,20 @@
         await self._wait_until_idle(ends_at)
         # A caller who is accepted from here on would be cut.
         self._close_listeners()
-        await self._registration.withdraw()
+        await self._withdraw(ends_at + (began + self._cfg.grace_s - ends_at) / 2)
         await self._wait_until_idle(ends_at)
         gateway.shutdown.has_ended = True
         self.close()
         took_s = round(now() - began, 3)
         log.bind(active=gateway.active, took_s=took_s).info("stopped")
 
+    async def _withdraw(self, until: float) -> None:
+        try:
+            async with asyncio.timeout(until - now()):
+                await self._registration.withdraw()
+        except TimeoutError:
+            log.info("the registration was not withdrawn in time; it expires with its lease")
+
     async def _wait_until_idle(self, until: float) -> None:
         """Wait until no caller is connected, or until the time is over."""
         with contextlib.suppress(TimeoutError):
--- a/tests/gateway/test_stop.py
+++ b/tests/gateway/test_stop.py
@@ -256,6 +256,15 @@
         assert b'"ran":"unknown"' in answer.body
 
 
+async def test_process_ends_although_the_store_never_answers_the_withdrawal(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async with PlatformRig() as rig:
+        monkeypatch.setattr(rig.process._registration, "withdraw", asyncio.Event().wait)
+        async with asyncio.timeout(FAR_S):
+            await rig.process.shut_down()
+
+
 async def test_process_ends_with_a_grace_time_shorter_than_its_time_in_rotation() -> None:
     async with PlatformRig() as rig:
         rig.process._cfg = attrs.evolve(rig.process._cfg, rotation_s=2 * FAR_S)
