Count a request as in rotation by its last byte

A stopping entry told requests in and out of rotation by their first byte. One whose last byte came up to the header time-out later was accepted at a risk, although nothing excuses a cut then. Found in review: last byte 1.4 s out of rotation, passed on, closed without a byte. Requests now carry both times. The test failed before: the call was accepted.

--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_front.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_front.py
@@ -35,11 +35,12 @@
 
 @attrs.frozen
 class Inbound:
-    """A complete request as received; ``arrived`` is when its first byte was read."""
+    """A complete request; its first byte ``arrived``, and its last was ``received``, at a time."""
 
     head: RequestHead
     body: bytes
     arrived: float
+    received: float
 
 
 class CallerDisconnectedError(Exception):
@@ -255,7 +256,8 @@
         if self._is_failed:
             return
         head = RequestHead(self._parser.get_method(), self._target, tuple(self._headers))
-        inbound = Inbound(head, b"".join(self._body), self._began_at or self._settings.clock())
+        received = self._settings.clock()
+        inbound = Inbound(head, b"".join(self._body), self._began_at or received, received)
         self._close_requested = not self._parser.should_keep_alive()
         self._target, self._headers, self._header_bytes = b"", [], 0
         self._body, self._body_bytes, self._began_at = [], 0, None
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_gateway.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_gateway.py
@@ -203,7 +203,7 @@
                 log_id = req.log_id
                 async with self.shutdown.refuse_at_end() as release:
                     responder.on_begin = release
-                    job = await self._admit(req)
+                    job = await self._admit(req, inbound.received)
                     route_name = job.route.name
                     await self._forwarder(job).run(responder)
                 status = 200
@@ -298,7 +298,7 @@
         for listener in self.restore_listeners:
             listener()
 
-    async def _admit(self, req: CallerRequest) -> Job:
+    async def _admit(self, req: CallerRequest, received: float) -> Job:
         table = self._table
         if table is None:
             text = "this entry has not loaded its configuration yet"
@@ -314,7 +314,7 @@
             await self._acquire_quota(req, workspace, route.target_s * QUOTA_WAIT_SHARE)
         origin = await self._resumption.origin_of(req, route)
         service = table.service(origin.service if origin else pick_service(route, self._rng))
-        job = Job(req, route, service, name, table.config.version, fingerprint, origin)
+        job = Job(req, route, service, name, table.config.version, fingerprint, received, origin)
         job.check_shutdown(self.shutdown, self._expected_wait_s(job))
         job.log_decision(
             "admitted",
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_job.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_job.py
@@ -81,6 +81,7 @@
     workspace: str
     config_version: int
     fingerprint: str
+    received: float
     origin: StreamOrigin | None = None
     tried: set[str] = attrs.field(factory=set)
     sends: int = 0
@@ -140,13 +141,13 @@
         if shutdown.ends_at is None:
             return
         if self.route.is_generation:
-            shutdown.check_generation(self.service.name, self.req.arrived, self.give_up_at, wait_s)
+            shutdown.check_generation(self.service.name, self.received, self.give_up_at, wait_s)
         else:
-            shutdown.check_call(self.req.arrived, self.give_up_at)
+            shutdown.check_arrival(self.received, self.give_up_at)
         now = shutdown.clock()
         self.log_decision(
             "accepted while stopping",
-            in_rotation=self.req.arrived < shutdown.out_of_rotation_at,
+            in_rotation=self.received < shutdown.out_of_rotation_at,
             left_s=round(shutdown.ends_at - now, 3),
             limit_s=round(self.give_up_at - now, 3),
         )
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_shutdown.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_shutdown.py
@@ -107,30 +107,29 @@
         """Record how long a complete answer held its slot."""
         self._times[service].record(seconds)
 
-    def check_call(self, arrived: float, give_up_at: float) -> None:
-        """Raise RefusalError if a plain request may not end in time.
+    def check_arrival(self, received: float, give_up_at: float) -> None:
+        """Raise RefusalError if a request that was received out of rotation may not end in time.
 
-        One that arrives in rotation has nearly the whole grace time, far more than plain requests
-        usually take.
+        It must surely end: earlier answers are no bound for it, as endpoints slow down while
+        several entries stop.
         """
-        if not self._surely_ends(give_up_at) and arrived >= self.out_of_rotation_at:
+        if received >= self.out_of_rotation_at and not self._surely_ends(give_up_at):
             raise self._refusal()
 
     def check_generation(
-        self, service: str, arrived: float, give_up_at: float, wait_s: float = 0.0
+        self, service: str, received: float, give_up_at: float, wait_s: float = 0.0
     ) -> None:
         """Raise RefusalError if a generation that gets its slot in ``wait_s`` may not end in time.
 
-        For one that arrived in rotation, the risk of a broken answer is weighed against that of
-        meeting another stopping entry. One that arrived out of rotation must surely end: earlier
-        answers are no bound for it, as engines slow down while several entries stop.
+        For one that was received in rotation, the risk of a broken answer is weighed against that
+        of meeting another stopping entry.
         """
+        self.check_arrival(received, give_up_at)
         if self._surely_ends(give_up_at):
             return
         left_s = self.ends_at - self.clock() - wait_s
         risk = min(MAX_CUT_RISK, self.rotation.stopping_share())
-        is_in_rotation = arrived < self.out_of_rotation_at
-        if not is_in_rotation or self._times[service].share_longer_than(left_s) > risk:
+        if self._times[service].share_longer_than(left_s) > risk:
             raise self._refusal()
 
     def _surely_ends(self, give_up_at: float) -> bool:
--- a/tests/gateway/test_shutdown.py
+++ b/tests/gateway/test_shutdown.py
@@ -36,14 +36,14 @@
     def accepts(
         self,
         now: float,
-        arrived: float | None = None,
+        received: float | None = None,
         give_up_at: float = FAR,
         wait_s: float = 0.0,
     ) -> bool:
         self.now = now
-        arrived = now if arrived is None else arrived
+        received = now if received is None else received
         try:
-            self.shutdown.check_generation(SERVICE, arrived, give_up_at, wait_s)
+            self.shutdown.check_generation(SERVICE, received, give_up_at, wait_s)
         except RefusalError as exc:
             refused = exc.refused
         else:
@@ -63,10 +63,10 @@
 
 def test_out_of_rotation_calls_are_accepted_if_they_surely_end() -> None:
     entry = _Entry(entries=3, seconds=[])
-    entry.shutdown.check_call(arrived=2.9, give_up_at=FAR)
-    entry.shutdown.check_call(arrived=3.1, give_up_at=ENDS_AT)
+    entry.shutdown.check_arrival(received=2.9, give_up_at=FAR)
+    entry.shutdown.check_arrival(received=3.1, give_up_at=ENDS_AT)
     with pytest.raises(RefusalError):
-        entry.shutdown.check_call(arrived=3.1, give_up_at=ENDS_AT + 0.01)
+        entry.shutdown.check_arrival(received=3.1, give_up_at=ENDS_AT + 0.01)
 
 
 def test_in_rotation_the_risk_of_a_cut_is_weighed_against_a_second_refusal() -> None:
@@ -86,12 +86,12 @@
     assert not entry.accepts(1.0, wait_s=2.5)
 
 
-def test_generation_that_arrived_in_rotation_is_checked_again_by_its_arrival() -> None:
+def test_generation_received_in_rotation_is_checked_again_by_that_time() -> None:
     entry = _Entry(entries=3, seconds=[2.0] * 90 + [6.5] * 10)
     for other in "bc":
         entry.stop(other, out_of_rotation_at=4.0)
-    assert entry.accepts(3.5, arrived=2.9)
-    assert not entry.accepts(3.5, arrived=3.1)
+    assert entry.accepts(3.5, received=2.9)
+    assert not entry.accepts(3.5, received=3.1)
 
 
 @pytest.mark.parametrize("answers", [0, 3])
--- a/tests/gateway/test_stop.py
+++ b/tests/gateway/test_stop.py
@@ -256,6 +256,21 @@
         assert b'"ran":"unknown"' in answer.body
 
 
+async def test_call_whose_last_byte_comes_out_of_rotation_is_not_accepted_as_in_rotation() -> None:
+    async with PlatformRig(services=1) as rig:
+        data = rig.encode("POST", "/pay/1", "id-1", b"pay", X_Deadline_Ms="60000")
+        reader, writer = await asyncio.open_connection(*rig.process.front_address)
+        writer.write(data[:-1])
+        await wait_until(lambda: not all(c.is_idle for c in rig.process.gateway.front.connections))
+        stopping = asyncio.ensure_future(rig.process.shut_down())
+        await asyncio.sleep(rig.process._cfg.rotation_s + 0.1)
+        writer.write(data[-1:])
+        answer = await reader.read()
+        assert b'"code":"stopping"' in answer
+        assert rig.arrivals("id-1") == []
+        await stopping
+
+
 async def test_process_ends_although_the_store_never_answers_the_withdrawal(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
