Refuse before rate tokens are taken what a stopping entry does not accept

The check that needs no tokens now comes first. The test failed before: both refused requests had taken tokens.

--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_gateway.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_gateway.py
@@ -29,7 +29,7 @@
     Responder,
 )
 from vanillashore_gateway._generation import GenerationForwarder
-from vanillashore_gateway._job import Job, RetryBudgets, Tools
+from vanillashore_gateway._job import Job, RetryBudgets, Tools, give_up_at
 from vanillashore_gateway._limit_requests import RequestLimits
 from vanillashore_gateway._membership import Membership
 from vanillashore_gateway._metrics import GatewayMetrics
@@ -310,6 +310,7 @@
         if self.crashes.is_refused(fingerprint):
             text = "this request is blocked because it crashes endpoints"
             raise refusal(ErrorCode.CRASHES_ENDPOINTS, text)
+        self.shutdown.check_arrival(received, give_up_at(req, route))
         if workspace is not None:
             await self._acquire_quota(req, workspace, route.target_s * QUOTA_WAIT_SHARE)
         origin = await self._resumption.origin_of(req, route)
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_job.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_job.py
@@ -66,6 +66,11 @@
     rng: random.Random
 
 
+def give_up_at(req: CallerRequest, route: Route) -> float:
+    """Return the time by which the caller of a request must have a final answer."""
+    return min(req.deadline, req.arrived + route.timeout_s)
+
+
 @attrs.define
 class Job:
     """An admitted request that is being forwarded under configuration ``config_version``.
@@ -90,7 +95,7 @@
     @property
     def give_up_at(self) -> float:
         """Time by which the caller must have a final answer."""
-        return min(self.req.deadline, self.req.arrived + self.route.timeout_s)
+        return give_up_at(self.req, self.route)
 
     def state_run(self, refused: Refused) -> Refused:
         """Replace a refusal as not run if an endpoint may have run the request."""
--- a/tests/gateway/test_stop.py
+++ b/tests/gateway/test_stop.py
@@ -6,7 +6,7 @@
 import attrs
 import pytest
 
-from vanillashore_gateway import Endpoint
+from vanillashore_gateway import Endpoint, Workspace
 from vanillashore_standins import wait_until
 from vanillashore_standins.platform_endpoint import EngineOptions, Fault
 from vanillashore_standins.platform_rig import HOST, KEY, PlatformRig, fail_first
@@ -271,6 +271,29 @@
         await stopping
 
 
+async def test_refusal_out_of_rotation_takes_no_tokens_of_the_rate(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    taken = []
+
+    async def take(workspace: Workspace, *args: object) -> None:
+        taken.append(workspace.name)
+
+    options = EngineOptions(events=1_000, pause_s=0.02)
+    async with PlatformRig(services=1, prefills=1, decodes=1, engine=options) as rig:
+        streaming = asyncio.ensure_future(rig.generate("/idea/1", "long"))
+        await wait_until(lambda: bool(rig.decodes[0].runs))
+        monkeypatch.setattr(rig.process.gateway.quotas, "take", take)
+        stopping = asyncio.ensure_future(rig.process.shut_down())
+        await asyncio.sleep(rig.process._cfg.rotation_s + 0.1)
+        for path in ("/pay/1", "/idea/1"):
+            answer = await rig.ask("POST", path, f"id{path}", b"x", X_Deadline_Ms="60000")
+            assert answer.status == 503
+        assert taken == []
+        streaming.cancel()
+        await stopping
+
+
 async def test_process_ends_although_the_store_never_answers_the_withdrawal(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
