Treat malformed answers of the store as no answer

An answer without a field that the client needs, or with one of another type, ended the background task that had asked, and with it the process; one such answer could have ended all entries at once. Found in review of what can begin a stop. Nine new tests failed before, with KeyError, TypeError, or a value of the wrong type passed on.

--- a/tests/adapter/test_store.py
+++ b/tests/adapter/test_store.py
@@ -5,7 +5,7 @@
 import pytest
 
 from vanillashore_adapter import HttpStore
-from vanillashore_gateway import StoreUnavailableError
+from vanillashore_gateway import EntryWritten, StoreUnavailableError
 from vanillashore_standins.slow_link import SlowLink, StoreCall
 from vanillashore_standins.virtual_time import run_in_virtual_time
 
@@ -43,3 +43,42 @@
         assert (await snapshot).revision == 1
 
     run_in_virtual_time(read_and_renew())
+
+
+@pytest.mark.parametrize("body", ["{}", '{"items":[],"at":"7"}', '{"items":{},"at":7}', "[]"])
+def test_malformed_snapshot_counts_as_no_answer(monkeypatch: pytest.MonkeyPatch, body: str) -> None:
+    with pytest.raises(StoreUnavailableError, match="malformed"):
+        run_in_virtual_time(_store_answering(monkeypatch, body).snapshot())
+
+
+@pytest.mark.parametrize("body", ['{"events":[],"at":"7"}', '{"events":7,"at":7}'])
+def test_malformed_changes_count_as_no_answer(monkeypatch: pytest.MonkeyPatch, body: str) -> None:
+    store = _store_answering(monkeypatch, body)
+    with pytest.raises(StoreUnavailableError, match="malformed"):
+        run_in_virtual_time(store.changes(1, 0.0, 1_000_000))
+
+
+@pytest.mark.parametrize("body", ["{}", '{"lease":"7","revision":"7"}'])
+def test_malformed_answer_to_a_call_counts_as_no_answer(
+    monkeypatch: pytest.MonkeyPatch, body: str
+) -> None:
+    store = _store_answering(monkeypatch, body)
+    for call in (store.register_entry("a", ADDRESS, 8.0), store.acquire_duty("d", "a", 7)):
+        with pytest.raises(StoreUnavailableError, match="malformed"):
+            run_in_virtual_time(call)
+
+
+def test_items_without_a_key_are_left_out_of_a_snapshot(monkeypatch: pytest.MonkeyPatch) -> None:
+    entry = '{"key":"vanillashore/entries/a","value":"WyIxMC4wLjAuMSIsMV0=","revision":3}'
+    body = f'{{"items":[{{}},{{"key":7}},7,{entry}],"at":7}}'
+    snapshot = run_in_virtual_time(_store_answering(monkeypatch, body).snapshot())
+    assert snapshot.items == (EntryWritten("a", ("10.0.0.1", 1)),)
+
+
+def _store_answering(monkeypatch: pytest.MonkeyPatch, body: str) -> HttpStore:
+    async def answer(call: StoreCall) -> bytes:
+        return body.encode()
+
+    link = SlowLink(answer, bytes_per_s=1e6)
+    monkeypatch.setattr("vanillashore_adapter._store.open_connection", link.open_connection)
+    return HttpStore(ADDRESS, 1.0)
