Go on to another engine if an answer to a reservation is malformed

An answer with status 200 that is no JSON raised out of the search for a slot: the generation failed, and from the queue the task that assigns slots ended. It now counts as no answer of the engine. test_engine_whose_reservations_cannot_be_read_is_avoided failed before with 500 for each of four generations, and JSONDecodeError in the log.

--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_dialect.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_dialect.py
@@ -72,7 +72,10 @@
         ...
 
     def decode_hold(self, status: int, body: bytes) -> str | None:
-        """Return the name of a reservation, or ``None`` if it was refused."""
+        """Return the name of a reservation, or ``None`` if it was refused.
+
+        Raises ValueError if the body is malformed.
+        """
         ...
 
     def encode_hold_drop(self, endpoint: Endpoint, name: str) -> bytes:
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_engine_calls.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_engine_calls.py
@@ -41,7 +41,10 @@
         """
         data = self._dialect.encode_hold(endpoint, tokens, ttl_s)
         answer = await self._call(endpoint, data, CALL_TIMEOUT_S)
-        name = self._dialect.decode_hold(answer.status, answer.body)
+        try:
+            name = self._dialect.decode_hold(answer.status, answer.body)
+        except ValueError as exc:
+            raise EngineUnreachableError(str(exc)) from exc
         return None if name is None else Hold(endpoint, name, now)
 
     async def release_hold(self, hold: Hold) -> None:
--- a/packages/vanillashore-standins/src/vanillashore_standins/platform_endpoint.py
+++ b/packages/vanillashore-standins/src/vanillashore_standins/platform_endpoint.py
@@ -364,6 +364,8 @@
         self, writer: asyncio.StreamWriter, method: str, target: str, body: bytes
     ) -> bool:
         self.calls.append((method, target))
+        if self.control_fault is Fault.GARBAGE:
+            return await _reply(writer, 200, {}, b"this is no JSON")
         if self.control_fault is not Fault.NONE:
             return await self._send_endlessly(writer, self.control_fault, {})
         if target == "/-/hold-take":
--- a/tests/gateway/test_generation.py
+++ b/tests/gateway/test_generation.py
@@ -179,3 +179,14 @@
             answer = await rig.generate("/idea/1", f"id-{number}")
             assert (answer.status, answer.body) == (200, WHOLE)
         assert len(changing.arrivals) <= 3
+
+
+async def test_engine_whose_reservations_cannot_be_read_is_avoided() -> None:
+    async with PlatformRig(prefills=1, decodes=2) as rig:
+        rig.decodes[0].control_fault = Fault.GARBAGE
+        rig.decodes[1].engine.room = 0
+        asking = [rig.generate("/idea/1", f"id-{number}") for number in range(4)]
+        answers = asyncio.gather(*asking)
+        await wait_until(lambda: len(rig.decodes[0].calls) > 2)
+        rig.decodes[1].engine.room = 1_000_000
+        assert {answer.status for answer in await answers} == {200}
