Add failing tests of a prompt part that crashes engines

Three entries, eight decode engines and a prefill engine; each engine crashes as it begins an answer to a prompt with one part, which comes ten times a second at any entry, beside sound requests that share the other parts.

--- /dev/null
+++ b/tests/gateway/test_crash_parts.py
@@ -0,0 +1,151 @@
+"""Requests of one prompt part that crash engines, among sound requests that share other parts."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import attrs
+import pytest
+
+from vanillashore_standins.platform_endpoint import EndpointStandIn, EngineOptions
+from vanillashore_standins.platform_rig import PlatformRig
+
+BAD = "bad0"  # The part that crashes engines.
+COMMON = "c0"  # The first part of all requests.
+MAX_LATE = 3  # Requests that may reach endpoints from `SETTLE_S` after the fifth crash on.
+CRASHES = 5
+SETTLE_S = 1.0  # A third of what the rule grants.
+BEFORE_S = 1.0
+DURING_S = 5.0
+SOUND_INTERVAL_S = 0.04
+BAD_INTERVAL_S = 0.1
+
+
+@attrs.define
+class Sent:
+    """A request, when it was sent, and whether its answer began."""
+
+    request_id: str
+    at: float
+    has_begun: bool = False
+
+
+class Traffic:
+    """Sound requests all the time, and after ``BEFORE_S`` also some with the bad part."""
+
+    def __init__(self, rig: PlatformRig, route: str, is_uniform: bool) -> None:
+        self.rig = rig
+        self.route = route
+        self.is_uniform = is_uniform
+        self.sound: list[Sent] = []
+        self.bad: list[Sent] = []
+        self._tasks: list[asyncio.Task[None]] = []
+
+    @property
+    def crashes(self) -> list[float]:
+        return sorted(at for engine in self.rig.decodes for at in engine.crashed_at)
+
+    @property
+    def settled_at(self) -> float:
+        """Time from which at most ``MAX_LATE`` requests may reach endpoints."""
+        return self.crashes[:CRASHES][-1] + SETTLE_S
+
+    def late(self) -> list[str]:
+        """Return the requests with the bad part that reached endpoints although they were late."""
+        reached = {a.request_id for e in self.rig.endpoints for a in e.arrivals}
+        return [
+            sent.request_id
+            for sent in self.bad
+            if sent.at > self.settled_at and sent.request_id in reached
+        ]
+
+    def begun_share(self, since: float, until: float = float("inf")) -> float:
+        """Return the share of sound requests, sent in a time, whose answers began."""
+        sent = [sent for sent in self.sound if since <= sent.at < until]
+        return sum(s.has_begun for s in sent) / len(sent)
+
+    async def run(self) -> None:
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        step = 0
+        while (elapsed := loop.time() - began) < BEFORE_S + DURING_S:
+            self._start(self.sound, f"{0x5000 + step % 4:x}", step)
+            if elapsed > BEFORE_S + len(self.bad) * BAD_INTERVAL_S:
+                self._start(self.bad, BAD, step)
+            step += 1
+            await asyncio.sleep(SOUND_INTERVAL_S)
+        await asyncio.gather(*self._tasks)
+
+    def _start(self, sent: list[Sent], part: str, step: int) -> None:
+        request = Sent(f"{part}-{step}", asyncio.get_running_loop().time())
+        sent.append(request)
+        self._tasks.append(asyncio.ensure_future(self._ask(request, part, step)))
+
+    async def _ask(self, sent: Sent, part: str, step: int) -> None:
+        number = 0 if self.is_uniform else step
+        body = b"" if self.is_uniform else f"prompt {step}".encode()
+        # A request with the bad part shares each of its other parts with sound ones.
+        parts = (COMMON, f"{0x5000 + step % 4:x}", part, f"{0x9000 + step:x}")
+        headers = {
+            "X_Token_Count": "1000,500",
+            "X_Length_Hint": "100",
+            "X_Prompt_Prefix": ",".join(f"{name}:250" for name in parts),
+        }
+        entry = step % len(self.rig.processes)
+        path = f"{self.route}{number}"
+        try:
+            answer = await self.rig.ask("POST", path, sent.request_id, body, entry=entry, **headers)
+        except (OSError, asyncio.IncompleteReadError):
+            return
+        sent.has_begun = answer.status == 200 and b"id: 1\n" in answer.body
+
+
+@asynccontextmanager
+async def running_fleet() -> AsyncIterator[PlatformRig]:
+    options = EngineOptions(events=5, pause_s=0.02)
+    async with PlatformRig(entries=3, decodes=8, prefills=1, engine=options) as rig:
+
+        def list_again(engine: EndpointStandIn) -> None:
+            rig.store.put(f"servers/{engine.instance}", engine.entry())
+
+        for engine in rig.decodes:
+            engine.crash_parts = {BAD}
+            engine.on_restart = list_again
+        yield rig
+
+
+def check(traffic: Traffic) -> None:
+    late = traffic.late()
+    began = traffic.sound[0].at
+    before = traffic.begun_share(began, began + BEFORE_S)
+    after = traffic.begun_share(traffic.settled_at + SETTLE_S)
+    figures = f"{len(traffic.crashes)} crashes, {len(late)} late, begun {before:.2f}, {after:.2f}"
+    assert len(late) <= MAX_LATE, figures
+    assert after >= before / 2, figures
+
+
+@pytest.mark.parametrize("route", ["/quote/", "/idea/"])
+@pytest.mark.parametrize("is_uniform", [False, True], ids=["distinct", "uniform"])
+async def test_part_that_crashes_engines_stops_reaching_them(route: str, is_uniform: bool) -> None:
+    async with running_fleet() as rig:
+        traffic = Traffic(rig, route, is_uniform)
+        await traffic.run()
+        check(traffic)
+
+
+@pytest.mark.parametrize("entry", [0, 1, 2])
+async def test_part_is_blocked_although_an_entry_is_killed_and_another_starts(entry: int) -> None:
+    async with running_fleet() as rig:
+        traffic = Traffic(rig, "/quote/", is_uniform=False)
+        running = asyncio.ensure_future(traffic.run())
+        while len(traffic.crashes) < CRASHES - 1:
+            await asyncio.sleep(0.01)
+            assert not running.done()
+            if traffic.bad and traffic.bad[-1].at - traffic.bad[0].at > DURING_S / 2:
+                break  # The part is blocked already.
+        name = rig.processes[entry].gateway.cfg.node
+        rig.kill_entry(entry)
+        await asyncio.sleep(0.3)
+        await rig.start_entry(name)
+        await running
+        check(traffic)
