--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_crashes.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_crashes.py
@@ -37,6 +37,17 @@
     return digest.hexdigest()
 
 
+@attrs.frozen
+class LostRun:
+    """A run of a request whose connection broke after ``events`` events."""
+
+    request_id: str
+    fingerprint: str
+    endpoint: Endpoint
+    events: int = 0
+    prompt_parts: tuple[str, ...] = ()
+
+
 @attrs.define
 class _Suspect:
     """The crashes during one request, with the last time at each endpoint and overall."""
@@ -184,19 +195,20 @@
         """Whether a request is refused."""
         return self._tracker.is_refused(fingerprint, self._clock())
 
-    def record_disconnect(self, fingerprint: str, endpoint: Endpoint, request_id: str) -> None:
+    def record_disconnect(self, run: LostRun) -> None:
         """Check in the background whether an endpoint that lost a request has crashed."""
-        check = self._check(fingerprint, endpoint, request_id)
-        task = asyncio.get_running_loop().create_task(check)
+        task = asyncio.get_running_loop().create_task(self._check(run))
         self._checks.add(task)
         task.add_done_callback(self._checks.discard)
 
-    async def _check(self, fingerprint: str, endpoint: Endpoint, request_id: str) -> None:
+    async def _check(self, run: LostRun) -> None:
         await asyncio.sleep(DOWN_CHECK_DELAY_S)
-        if await self._is_down(endpoint):
-            bound = log.bind(request=request_id, endpoint=endpoint.instance)
-            bound.bind(fingerprint=fingerprint).info("an endpoint crashed while it ran a request")
-            self.record_crash(fingerprint, endpoint.instance)
+        if await self._is_down(run.endpoint):
+            bound = log.bind(request=run.request_id, endpoint=run.endpoint.instance)
+            bound.bind(fingerprint=run.fingerprint, events=run.events, parts=run.prompt_parts).info(
+                "an endpoint crashed while it ran a request"
+            )
+            self.record_crash(run.fingerprint, run.endpoint.instance)
 
     def record_crash(self, fingerprint: str, instance: str) -> None:
         """Report to the homes that an endpoint crashed while it ran a request."""
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_domain.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_domain.py
@@ -172,7 +172,8 @@
     ``headers`` are those to pass to an endpoint as the caller sent them. ``deadline`` and
     ``arrived`` are in seconds of `vanillashore_gateway.now`. A caller that takes a stream up again
     states the ``last_event_id`` that it has, and in ``resumes`` the id of the request
-    that brought it the first event.
+    that brought it the first event. ``prompt_parts`` are the ids of its prompt's parts in order;
+    requests may share any but the last.
     """
 
     request_id: bytes
@@ -188,6 +189,7 @@
     generation_size: GenerationSize | None = None
     last_event_id: int | None = None
     resumes: str | None = None
+    prompt_parts: tuple[str, ...] = ()
 
     @property
     def log_id(self) -> str:
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_generation.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_generation.py
@@ -46,12 +46,19 @@
 class _Stream:
     """Events passed to the caller, and how many endpoints may have run the request.
 
-    ``software`` is the version that made the events; ``None`` while the caller has none.
+    ``software`` is the version that made the events; ``None`` while the caller has none. The
+    present run began after ``events_before`` events.
     """
 
     splitter: EventSplitter = attrs.field(factory=EventSplitter)
     runs: int = 0
     software: str | None = None
+    events_before: int = 0
+
+    @property
+    def run_events(self) -> int:
+        """How many events the present run has brought."""
+        return self.splitter.events - self.events_before
 
 
 class GenerationForwarder:
@@ -296,14 +303,15 @@
         self, outbound: OutboundRequest, timeout_s: float, responder: Responder
     ) -> _Outcome:
         must_be_fresh = not self._job.route.is_resumable
-        sender = self._tools.sender
+        sender, stream = self._tools.sender, self._stream
+        stream.events_before = stream.splitter.events
         try:
             async with sender.send(outbound, self._share, timeout_s, must_be_fresh) as sent:
                 if sent.head.was_not_run:
                     await sent.read_to_end()
                     self._reason = f"not run, status {sent.head.status}"
                     return _Outcome.NOT_RUN
-                self._stream.runs += 1
+                stream.runs += 1
                 await self._relay_answer(sent, responder, timeout_s)
                 return _Outcome.DONE
         except TimeoutError:
@@ -313,7 +321,7 @@
             if exc.failure is LinkFailure.NOT_SENT:
                 return _Outcome.NOT_SENT
             if exc.failure is LinkFailure.BROKEN:
-                self._job.record_disconnect(self._tools, outbound.endpoint)
+                self._job.record_disconnect(self._tools, outbound.endpoint, stream.run_events)
         return _Outcome.BROKEN
 
     async def _relay_answer(self, sent: Sending, responder: Responder, timeout_s: float) -> None:
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_job.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_job.py
@@ -7,7 +7,7 @@
 from loguru import logger as log
 
 from vanillashore_gateway._balancing import Balancer
-from vanillashore_gateway._crashes import CrashMonitor
+from vanillashore_gateway._crashes import CrashMonitor, LostRun
 from vanillashore_gateway._dialect import Dialect
 from vanillashore_gateway._domain import CallerRequest, Endpoint, EndpointRole, Route, Service
 from vanillashore_gateway._errors import ErrorCode, Refused
@@ -157,9 +157,11 @@
             limit_s=round(self.give_up_at - now, 3),
         )
 
-    def record_disconnect(self, tools: Tools, endpoint: Endpoint) -> None:
-        """Record that an endpoint's connection broke while it ran the request."""
-        tools.crashes.record_disconnect(self.fingerprint, endpoint, self.req.log_id)
+    def record_disconnect(self, tools: Tools, endpoint: Endpoint, events: int = 0) -> None:
+        """Record that a connection broke, ``events`` events after it got the request."""
+        req = self.req
+        run = LostRun(req.log_id, self.fingerprint, endpoint, events, req.prompt_parts)
+        tools.crashes.record_disconnect(run)
 
     def log_decision(self, decision: str, **inputs: object) -> None:
         """Log a decision about this request."""
--- a/tests/adapter/test_decoding.py
+++ b/tests/adapter/test_decoding.py
@@ -160,6 +160,26 @@
         PlatformDialect().decode_request(_head(header), b"", 0.0)
 
 
+@pytest.mark.parametrize(
+    ("values", "parts"),
+    [
+        ((b"c0:120,BAD0:30, 9f:4",), ("c0", "bad0", "9f")),
+        ((b"c0:120",), ("c0",)),
+        ((), ()),
+        ((b"",), ()),
+        ((b"c0:120,",), ()),
+        ((b"c0",), ()),
+        ((b"c0:x",), ()),
+        ((b"chat:1",), ()),
+        ((b"c0:1", b"c1:1"), ()),
+        ((b"a" * 65 + b":1",), ()),
+    ],
+)
+def test_parts_of_a_prompt(values: tuple[bytes, ...], parts: tuple[str, ...]) -> None:
+    head = _head(*((b"X-Prompt-Prefix", value) for value in values))
+    assert PlatformDialect().decode_request(head, b"", 0.0).prompt_parts == parts
+
+
 def test_request_is_decoded() -> None:
     head = _head(
         (b"X-Token-Count", b"1460,80"),
--- a/tests/gateway/test_crash_parts.py
+++ b/tests/gateway/test_crash_parts.py
@@ -3,9 +3,11 @@
 import asyncio
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
+from typing import Any
 
 import attrs
 import pytest
+from loguru import logger as log
 
 from vanillashore_standins.platform_endpoint import EndpointStandIn, EngineOptions
 from vanillashore_standins.platform_rig import PlatformRig
@@ -149,3 +151,27 @@
         await rig.start_entry(name)
         await running
         check(traffic)
+
+
+async def test_crash_is_logged_with_the_events_and_the_parts_of_the_request() -> None:
+    lines: list[dict[str, Any]] = []
+    sink = log.add(lambda line: lines.append(line.record), level="INFO")
+    options = EngineOptions(events=60, pause_s=0.01)
+    async with PlatformRig(decodes=1, engine=options) as rig:
+        rig.decodes[0].crash_parts = {BAD}
+        sound = asyncio.ensure_future(
+            rig.generate("/idea/1", "sound", X_Prompt_Prefix="c0:9,5000:9,1:9")
+        )
+        await asyncio.sleep(0.2)
+        await rig.generate("/idea/2", "bad", X_Prompt_Prefix=f"c0:9,{BAD}:9,2:9")
+        await sound
+        await asyncio.gather(*rig.process.gateway.crashes._checks)
+    log.remove(sink)
+    crashes = {
+        line["extra"]["request"]: line["extra"]
+        for line in lines
+        if line["message"] == "an endpoint crashed while it ran a request"
+    }
+    assert crashes["bad"]["events"] == 0
+    assert crashes["bad"]["parts"] == ("c0", BAD, "2")
+    assert crashes["sound"]["events"] > 0
