Refuse requests with a prompt part that crashes endpoints

Where all requests share path, caller and an empty body, sound ones were refused.

Cause: crashes were counted by a fingerprint of workspace, target and body. No two of these requests are alike, so no count reached three; and the fingerprint left the prompt out.

Evidence: no fingerprint occurs twice in the entries' logs, nothing is refused, and on each crashed engine one request, seldom two, had brought no event yet.

Fix: the fingerprint takes in the ids of the prompt's parts. Besides, a request that is lost in a crash before its first event is reported to the home of its service and to the substitute with its traits: its fingerprint and the parts that others may share. An event of any request that has one of them clears it. What all candidates with one trait have in common, and nothing has cleared, is blocked at all entries after three separate crashes while others begin, after five crashes otherwise, and after five separate ones if all of it had brought events in the minute before, as the common parts have. Requests under way are checked again before each endpoint. Entries that start ask for the blocks and are told; home and substitute repeat them every 2 s. One request is let through after 10, 60 and 310 s, at the home alone; an event ends the block.

--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_crashes.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_crashes.py
@@ -15,6 +15,7 @@
 import xxhash
 from loguru import logger as log
 
+from vanillashore_gateway._crashing_parts import CrashingParts
 from vanillashore_gateway._domain import Endpoint
 from vanillashore_gateway._home_ranking import Address, rank_homes
 from vanillashore_gateway._http_client import LinkError, open_connection
@@ -28,10 +29,12 @@
 DOWN_CHECK_DELAY_S = 0.05  # After a broken connection; a crashing process is down sooner.
 
 
-def fingerprint_of(workspace: str, target: bytes, body: bytes) -> str:
+def fingerprint_of(
+    workspace: str, target: bytes, body: bytes, prompt_parts: tuple[str, ...] = ()
+) -> str:
     """Return a digest that is the same each time that a caller sends a request."""
     digest = xxhash.xxh3_128(workspace.encode())
-    for part in (target, body):
+    for part in (target, body, *(part.encode() for part in prompt_parts)):
         digest.update(len(part).to_bytes(8, "big"))
         digest.update(part)
     return digest.hexdigest()
@@ -46,6 +49,7 @@
     endpoint: Endpoint
     events: int = 0
     prompt_parts: tuple[str, ...] = ()
+    traits: tuple[str, ...] = ()
 
 
 @attrs.define
@@ -182,10 +186,12 @@
         node: str,
         clock: Callable[[], float],
         is_down: "Callable[[Endpoint], Awaitable[bool]] | None" = None,
+        parts: CrashingParts | None = None,
     ) -> None:
         self._node = node
         self._clock = clock
         self._is_down = is_down or _refuses_connections
+        self._parts = parts
         self._checks: set[asyncio.Task[None]] = set()
         self._tracker = CrashTracker()
         self._entries: Mapping[str, Address] = {}
@@ -205,10 +211,16 @@
         await asyncio.sleep(DOWN_CHECK_DELAY_S)
         if await self._is_down(run.endpoint):
             bound = log.bind(request=run.request_id, endpoint=run.endpoint.instance)
-            bound.bind(fingerprint=run.fingerprint, events=run.events, parts=run.prompt_parts).info(
-                "an endpoint crashed while it ran a request"
-            )
+            bound.bind(
+                fingerprint=run.fingerprint,
+                events=run.events,
+                parts=run.prompt_parts,
+                traits=run.traits,
+            ).info("an endpoint crashed while it ran a request")
             self.record_crash(run.fingerprint, run.endpoint.instance)
+            if self._parts is not None and run.traits and not run.events:
+                endpoint = run.endpoint
+                self._parts.record_crash(endpoint.service, endpoint.instance, run.traits)
 
     def record_crash(self, fingerprint: str, instance: str) -> None:
         """Report to the homes that an endpoint crashed while it ran a request."""
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_gateway.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_gateway.py
@@ -10,12 +10,15 @@
 from vanillashore_gateway._balancing import Balancer
 from vanillashore_gateway._calls import CallForwarder
 from vanillashore_gateway._clock import now
+from vanillashore_gateway._crash_evidence import traits_of
 from vanillashore_gateway._crashes import CrashMonitor, fingerprint_of
+from vanillashore_gateway._crashing_parts import CrashingParts
 from vanillashore_gateway._dialect import Dialect
 from vanillashore_gateway._domain import (
     CallerRequest,
     Endpoint,
     EndpointRole,
+    Route,
     ServingConfig,
     Workspace,
 )
@@ -29,7 +32,7 @@
     Responder,
 )
 from vanillashore_gateway._generation import GenerationForwarder
-from vanillashore_gateway._job import Job, RetryBudgets, Tools, give_up_at
+from vanillashore_gateway._job import Job, RetryBudgets, Tools, crash_refusal, give_up_at
 from vanillashore_gateway._limit_requests import RequestLimits
 from vanillashore_gateway._membership import Membership
 from vanillashore_gateway._metrics import GatewayMetrics
@@ -114,7 +117,8 @@
         self._dialect = dialect
         self._table: RouteTable | None = None
         self.quotas = Quotas(cfg.node, cfg.quota, now)
-        self.crashes = CrashMonitor(cfg.node, now)
+        self.parts = CrashingParts(cfg.node, now)
+        self.crashes = CrashMonitor(cfg.node, now, parts=self.parts)
         self.origins = StreamOrigins(cfg.node, now)
         self._resumption = Resumption(self.origins, self.membership, now)
         self._entries: dict[str, tuple[str, int]] = {}
@@ -151,6 +155,7 @@
             self.prefill_estimator,
             self.prefills,
             self.crashes,
+            self.parts,
             self.membership,
             self._budgets,
             self.shutdown,
@@ -160,6 +165,7 @@
         self.peer_handlers = (
             self.quotas,
             self.crashes,
+            self.parts,
             self.prefills,
             self.rotation,
             self.limits,
@@ -306,16 +312,18 @@
         route = table.route(req.host, req.path)
         workspace = table.workspace(req, route)
         name = workspace.name if workspace is not None else ""
-        fingerprint = fingerprint_of(name, req.target, req.body)
-        if self.crashes.is_refused(fingerprint):
-            text = "this request is blocked because it crashes endpoints"
-            raise refusal(ErrorCode.CRASHES_ENDPOINTS, text)
+        fingerprint = fingerprint_of(name, req.target, req.body, req.prompt_parts)
+        # Before the workspace's rate is charged; `Job.check_crashes` follows at each endpoint.
+        if self._crashes_endpoints(req, route, fingerprint):
+            raise crash_refusal()
         self.shutdown.check_arrival(received, give_up_at(req, route))
         if workspace is not None:
             await self._acquire_quota(req, workspace, route.target_s * QUOTA_WAIT_SHARE)
         origin = await self._resumption.origin_of(req, route)
         service = table.service(origin.service if origin else pick_service(route, self._rng))
-        job = Job(req, route, service, name, table.config.version, fingerprint, received, origin)
+        traits = _traits(req, route, service.name, fingerprint)
+        version = table.config.version
+        job = Job(req, route, service, name, version, fingerprint, traits, received, origin)
         job.check_shutdown(self.shutdown, self._expected_wait_s(job))
         job.log_decision(
             "admitted",
@@ -328,6 +336,16 @@
         )
         return job
 
+    def _crashes_endpoints(self, req: CallerRequest, route: Route, fingerprint: str) -> bool:
+        """Whether a request is refused at each service of its route, and no trial is due."""
+        if self.crashes.is_refused(fingerprint):
+            return True
+        for target in route.targets:
+            traits = _traits(req, route, target.service, fingerprint)
+            if not self.parts.refuses(traits) or self.parts.is_trial_due(target.service, traits):
+                return False
+        return True
+
     def _expected_wait_s(self, job: Job) -> float:
         if not job.route.is_generation:
             return 0.0
@@ -396,7 +414,7 @@
 
     def _greet(self, entry: str) -> None:
         """Tell an entry that has registered what it cannot know."""
-        for handler in (self.limits, self.origins):
+        for handler in (self.limits, self.origins, self.parts):
             handler.greet(entry)
 
     def _prefill_engines(self, service: str) -> list[Endpoint]:
@@ -435,3 +453,7 @@
                 software=endpoint.software,
                 is_new=known is None,
             ).info("endpoint added or changed")
+
+
+def _traits(req: CallerRequest, route: Route, service: str, fingerprint: str) -> tuple[str, ...]:
+    return traits_of(service, fingerprint, req.prompt_parts) if route.is_generation else ()
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_generation.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_generation.py
@@ -97,9 +97,11 @@
             endpoint = hold.endpoint
             is_used = False
             try:
+                self._check_crashes()
                 if attempt == 1:
                     self._job.check_shutdown(self._tools.shutdown)
                     handle = await self._prefill(endpoint)
+                    self._check_crashes()
                 usable = handle if self._is_usable(handle, endpoint) else None
                 current = hold if self._tools.clock() < self._hold_usable_until(hold) else None
                 is_used = current is not None
@@ -121,6 +123,9 @@
                 break
         raise self._final_refusal(outcome)
 
+    def _check_crashes(self) -> None:
+        self._job.check_crashes(self._tools, has_run=self._stream.runs > 0)
+
     async def _acquire_hold(self) -> Hold:
         job = self._job
         hold, self._next_hold = self._next_hold, None
@@ -228,6 +233,7 @@
         timeout_s = min(left_s, send.timeout_s)
         handle: PrefillHandle | None = None
         try:
+            self._check_crashes()
             async with asyncio.timeout(timeout_s):
                 async with tools.sender.send(outbound, share, timeout_s) as sent:
                     body = await sent.read_to_end()
@@ -340,11 +346,15 @@
         splitter = self._stream.splitter
         while data := await self._read_or_move(sent, timeout_s):
             self._record_prompt_read(splitter.events)
+            is_first = not self._stream.run_events
             try:
                 events = splitter.feed(data)
             except OversizedEventError as exc:
                 raise LinkError(LinkFailure.GARBLED, str(exc)) from exc
             if events:
+                if is_first:
+                    job = self._job
+                    self._tools.parts.record_event(job.service.name, job.traits)
                 await self._record_origin(sent.endpoint)
             await responder.write(events)
             timeout_s = self._stall_timeout_s()
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_job.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_job.py
@@ -8,9 +8,10 @@
 
 from vanillashore_gateway._balancing import Balancer
 from vanillashore_gateway._crashes import CrashMonitor, LostRun
+from vanillashore_gateway._crashing_parts import CrashingParts
 from vanillashore_gateway._dialect import Dialect
 from vanillashore_gateway._domain import CallerRequest, Endpoint, EndpointRole, Route, Service
-from vanillashore_gateway._errors import ErrorCode, Refused
+from vanillashore_gateway._errors import ErrorCode, RefusalError, Refused, refusal
 from vanillashore_gateway._limit_requests import RequestLimits
 from vanillashore_gateway._membership import Membership
 from vanillashore_gateway._prefill_estimator import PrefillEstimator
@@ -59,6 +60,7 @@
     prefill_estimator: PrefillEstimator
     prefills: PrefillScheduler
     crashes: CrashMonitor
+    parts: CrashingParts
     membership: Membership
     budgets: RetryBudgets
     shutdown: Shutdown
@@ -75,9 +77,11 @@
 class Job:
     """An admitted request that is being forwarded under configuration ``config_version``.
 
-    ``fingerprint`` is the same each time that the caller sends the request. ``origin`` is that of a
+    ``fingerprint`` is the same each time that the caller sends the request; ``traits`` are it and
+    the parts of the prompt that other requests may share, as digests. ``origin`` is that of a
     stream that the caller takes up again. ``may_have_run`` is true from the moment at which an
-    endpoint may have begun to work on the request, unless it states that it has not.
+    endpoint may have begun to work on the request, unless it states that it has not. A request
+    ``on_trial`` is let through although it may crash an endpoint.
     """
 
     req: CallerRequest
@@ -86,8 +90,10 @@
     workspace: str
     config_version: int
     fingerprint: str
+    traits: tuple[str, ...]
     received: float
     origin: StreamOrigin | None = None
+    on_trial: bool = False
     tried: set[str] = attrs.field(factory=set)
     sends: int = 0
     may_have_run: bool = False
@@ -157,12 +163,32 @@
             limit_s=round(self.give_up_at - now, 3),
         )
 
+    def check_crashes(self, tools: Tools, has_run: bool = False) -> None:
+        """Raise RefusalError if the request is refused because it crashes endpoints.
+
+        To be called before each time that an endpoint gets the request.
+        """
+        if tools.crashes.is_refused(self.fingerprint):
+            raise crash_refusal()
+        if not tools.parts.refuses(self.traits) or (self.on_trial and not has_run):
+            return
+        if has_run or not tools.parts.is_trial_due(self.service.name, self.traits):
+            raise crash_refusal()
+        tools.parts.begin_trial(self.traits, self.req.log_id)
+        self.on_trial = True
+
     def record_disconnect(self, tools: Tools, endpoint: Endpoint, events: int = 0) -> None:
         """Record that a connection broke, ``events`` events after it got the request."""
         req = self.req
-        run = LostRun(req.log_id, self.fingerprint, endpoint, events, req.prompt_parts)
+        run = LostRun(req.log_id, self.fingerprint, endpoint, events, req.prompt_parts, self.traits)
         tools.crashes.record_disconnect(run)
 
     def log_decision(self, decision: str, **inputs: object) -> None:
         """Log a decision about this request."""
         log.bind(request=self.req.log_id, config=self.config_version, **inputs).info(decision)
+
+
+def crash_refusal() -> RefusalError:
+    """Return the refusal of a request that crashes endpoints."""
+    text = "this request is blocked because it crashes endpoints"
+    return refusal(ErrorCode.CRASHES_ENDPOINTS, text)
--- a/tests/gateway/test_crash_parts.py
+++ b/tests/gateway/test_crash_parts.py
@@ -117,6 +117,7 @@
 
 
 def check(traffic: Traffic) -> None:
+    assert traffic.crashes
     late = traffic.late()
     began = traffic.sound[0].at
     before = traffic.begun_share(began, began + BEFORE_S)
--- a/tests/gateway/test_crashes.py
+++ b/tests/gateway/test_crashes.py
@@ -143,6 +143,11 @@
     assert len({fingerprint_of(*row) for row in rows}) == 4
 
 
+def test_fingerprint_differs_by_the_parts_of_the_prompt() -> None:
+    rows = [(), ("c0", "1"), ("c0", "2"), ("c01",)]
+    assert len({fingerprint_of("w", b"/a", b"", parts) for parts in rows}) == 4
+
+
 @attrs.frozen
 class _Down:
     """Replaces the check after a broken connection; the endpoints accept the next request."""
