Recognise a request that crashes engines by the parts of its prompt that are shared

With the last part in its fingerprint, a request that came again with a new one, as the last part belongs to each request, was never recognised: 8 of 8 reached engines, four may. The fingerprint now takes in the shared parts only.

--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_crashes.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_crashes.py
@@ -2,8 +2,9 @@
 
 Handles a request that is sent again and again, through any entry, and crashes an endpoint each
 time. A broken connection alone does not count as a crash, as only the answer may have been lost:
-the endpoint must also refuse connections. All requests that ran on a crashed endpoint are suspect,
-so one is refused only after several crashes with no success of the same request in between.
+the endpoint must also refuse connections. All requests that had brought no event on a crashed
+endpoint are suspect, so one is refused only after several crashes in which none of the same
+requests has begun to be answered.
 """
 
 import asyncio
@@ -30,11 +31,14 @@
 
 
 def fingerprint_of(
-    workspace: str, target: bytes, body: bytes, prompt_parts: tuple[str, ...] = ()
+    workspace: str, target: bytes, body: bytes, shared_parts: tuple[str, ...] = ()
 ) -> str:
-    """Return a digest that is the same each time that a caller sends a request."""
+    """Return a digest that is the same each time that a caller sends a request.
+
+    Of the parts of its prompt, the last one may be new each time.
+    """
     digest = xxhash.xxh3_128(workspace.encode())
-    for part in (target, body, *(part.encode() for part in prompt_parts)):
+    for part in (target, body, *(part.encode() for part in shared_parts)):
         digest.update(len(part).to_bytes(8, "big"))
         digest.update(part)
     return digest.hexdigest()
@@ -217,9 +221,11 @@
                 parts=run.prompt_parts,
                 traits=run.traits,
             ).info("an endpoint crashed while it ran a request")
-            self.record_crash(run.fingerprint, run.endpoint.instance)
-            if self._parts is not None and run.traits and not run.events:
-                endpoint = run.endpoint
+            if run.events:
+                return  # The cause lets no request begin.
+            endpoint = run.endpoint
+            self.record_crash(run.fingerprint, endpoint.instance)
+            if self._parts is not None and run.traits:
                 self._parts.record_crash(endpoint.service, endpoint.instance, run.traits)
 
     def record_crash(self, fingerprint: str, instance: str) -> None:
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_gateway.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_gateway.py
@@ -312,7 +312,7 @@
         route = table.route(req.host, req.path)
         workspace = table.workspace(req, route)
         name = workspace.name if workspace is not None else ""
-        fingerprint = fingerprint_of(name, req.target, req.body, req.prompt_parts)
+        fingerprint = fingerprint_of(name, req.target, req.body, req.prompt_parts[:-1])
         # Before the workspace's rate is charged; `Job.check_crashes` follows at each endpoint.
         if self._crashes_endpoints(req, route, fingerprint):
             raise crash_refusal()
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_generation.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_generation.py
@@ -355,6 +355,7 @@
                 if is_first:
                     job = self._job
                     self._tools.parts.record_event(job.service.name, job.traits)
+                    self._tools.crashes.record_success(job.fingerprint)
                 await self._record_origin(sent.endpoint)
             await responder.write(events)
             timeout_s = self._stall_timeout_s()
--- a/tests/gateway/test_crashes.py
+++ b/tests/gateway/test_crashes.py
@@ -193,6 +193,30 @@
         assert (await _send_repeatedly(rig, is_down=True))[-1] == 503
 
 
+async def test_stream_that_comes_again_with_a_new_last_part_of_its_prompt_is_recognised() -> None:
+    async with PlatformRig(decodes=6) as rig:
+        rig.process.gateway.crashes._is_down = _Down(True)
+        for endpoint in rig.endpoints:
+            endpoint.faults.extend([Fault.RESET_AFTER_RUN] * 20)
+        for number in range(8):
+            parts = f"c0:100,{number:x}:10"
+            await rig.generate("/idea/1", f"id-{number}", X_Prompt_Prefix=parts)
+            await asyncio.gather(*rig.process.gateway.crashes._checks)
+        assert sum(len(rig.arrivals(f"id-{number}")) for number in range(8)) <= 3 + 1
+
+
+async def test_streams_that_have_begun_are_not_suspect_of_crashes() -> None:
+    async with PlatformRig(decodes=6) as rig:
+        rig.process.gateway.crashes._is_down = _Down(True)
+        for endpoint in rig.endpoints:
+            endpoint.faults.extend([Fault.BREAKS_MID_EVENT] * 20)
+        statuses = []
+        for number in range(8):
+            statuses.append((await rig.generate("/idea/1", f"id-{number}")).status)
+            await asyncio.gather(*rig.process.gateway.crashes._checks)
+        assert statuses == [200] * 8
+
+
 async def test_lost_answers_of_running_endpoints_refuse_no_request() -> None:
     async with PlatformRig(services=6) as rig:
         assert 503 not in await _send_repeatedly(rig, is_down=False)
