Let a wider block take over the time of the last trial; test evidence and blocks

A block that replaces a narrower one took the time at which that one was ended for its last trial, so its next trial came 40 s late. test_trials_become_rarer_and_a_wider_block_takes_them_over failed before: [10, 60, 350, 1600] in place of [10, 60, 310, 1560].

--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_part_blocks.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_part_blocks.py
@@ -74,10 +74,10 @@
         ended = self._blocks.get(block_id)
         kept = _Kept(block_id, ended.version + 1 if ended else 1, service, traits, 0, now)
         narrower = [each for each in active if traits < each.traits]
-        notices = [self._reduce(each, each.traits, now) for each in narrower]
         if narrower:
             kept.trials = max(each.trials for each in narrower)
-            kept.since = min(each.since for each in narrower)
+            kept.since = max(each.since for each in narrower)
+        notices = [self._reduce(each, each.traits, now) for each in narrower]
         self._put(kept)
         return [kept.notice(now), *notices]
 
