--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_crash_evidence.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_crash_evidence.py
@@ -133,11 +133,12 @@
         return None
 
     def _is_enough(self, times: list[float], separate: int, is_unproven: bool) -> bool:
-        if not is_unproven:
-            return separate >= MIN_CRASHES_ALONE
-        if separate >= MIN_CRASHES and self._event_at > min(times):
-            return True
-        return separate > 1 and len(times) >= MIN_CRASHES_ALONE
+        is_supported = self._event_at > min(times)
+        if is_unproven:
+            many = separate > 1 and len(times) >= MIN_CRASHES_ALONE
+            return many or (separate >= MIN_CRASHES and is_supported)
+        many = separate >= MIN_CRASHES and len(times) >= MIN_CRASHES_ALONE
+        return separate >= MIN_CRASHES_ALONE or (many and is_supported)
 
     def _expire(self, now: float) -> None:
         self._crashes = [c for c in self._crashes if now - c.at < EVIDENCE_TTL_S]
