Check for a restart of the engine again between the reservation and the first event

Callers got streams with events of two software versions: one that began at an engine was taken to have begun at another version, or went on at another version. An engine was checked for a restart only before its reservation. If it restarted under its name after it had granted that, with other software, the stream ran there, and its origin was the version of the reservation's record, also when the new record had reached the entry by then.

The record of the reservation is now compared with the listed one, and the sign of a restart is looked at, before the request is sent and again when the head of the answer has arrived. An answer comes from the process that accepted its connection, so a restart that matters has happened by then, and the connection of the reservation has ended. The stream moves to another engine, without a run or as one that broke before its first event. Without a sign no call is made. A check that was awaited while the new record arrived passed the old record too; it no longer does.

--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_gateway.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_gateway.py
@@ -149,6 +149,7 @@
             dialect,
             sender,
             self.slot_finder,
+            self.start_checks,
             self.balancer,
             self.limits,
             self.origins,
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_generation.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_generation.py
@@ -7,6 +7,7 @@
 
 from vanillashore_gateway._dialect import OutboundRequest
 from vanillashore_gateway._domain import Endpoint, Hold, PrefillHandle
+from vanillashore_gateway._engine_calls import EngineUnreachableError
 from vanillashore_gateway._errors import ErrorCode, RefusalError, refusal
 from vanillashore_gateway._events import EventSplitter, OversizedEventError
 from vanillashore_gateway._front import Responder
@@ -311,6 +312,9 @@
         must_be_fresh = not self._job.route.is_resumable
         sender, stream = self._tools.sender, self._stream
         stream.events_before = stream.splitter.events
+        if not await self._is_current(outbound.endpoint):
+            self._reason = "the engine has started again"
+            return _Outcome.NOT_SENT
         try:
             async with sender.send(outbound, self._share, timeout_s, must_be_fresh) as sent:
                 if sent.head.was_not_run:
@@ -318,6 +322,9 @@
                     self._reason = f"not run, status {sent.head.status}"
                     return _Outcome.NOT_RUN
                 stream.runs += 1
+                # The sign of a restart may have come after the request was sent.
+                if not await self._is_current(outbound.endpoint):
+                    raise LinkError(LinkFailure.GARBLED, "the engine has started again")
                 await self._relay_answer(sent, responder, timeout_s)
                 return _Outcome.DONE
         except TimeoutError:
@@ -330,6 +337,15 @@
                 self._job.record_disconnect(self._tools, outbound.endpoint, stream.run_events)
         return _Outcome.BROKEN
 
+    async def _is_current(self, endpoint: Endpoint) -> bool:
+        """Whether a resumable stream would get events of the version in the engine's record."""
+        if not self._job.route.is_resumable:
+            return True
+        try:
+            return await self._tools.start_checks.is_current(endpoint)
+        except EngineUnreachableError:
+            return False
+
     async def _relay_answer(self, sent: Sending, responder: Responder, timeout_s: float) -> None:
         """Relay a stream in complete events; the caller gets the head of the first run only."""
         head = sent.head
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_job.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_job.py
@@ -19,6 +19,7 @@
 from vanillashore_gateway._sending import Sender
 from vanillashore_gateway._shutdown import Shutdown
 from vanillashore_gateway._slot_finder import SlotFinder
+from vanillashore_gateway._start_checks import StartChecks
 from vanillashore_gateway._stream_origins import StreamOrigin, StreamOrigins
 from vanillashore_resilience import RetryBudget
 
@@ -54,6 +55,7 @@
     dialect: Dialect
     sender: Sender
     slot_finder: SlotFinder
+    start_checks: StartChecks
     balancer: Balancer
     limits: RequestLimits
     origins: StreamOrigins
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_start_checks.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_start_checks.py
@@ -38,14 +38,14 @@
         self._is_list_stale = is_list_stale
         self._clock = clock
         self._next_check_at: dict[str, float] = {}
-        self._running: dict[str, asyncio.Task[bool]] = {}
+        self._running: dict[str, asyncio.Task[None]] = {}
 
     async def is_current(self, endpoint: Endpoint) -> bool:
-        """Whether an engine's record is up to date, as far as can be known.
+        """Whether ``endpoint`` is the record of the engine's last start, as far as can be known.
 
         Raises EngineUnreachableError.
         """
-        if self._membership.is_outdated(endpoint):
+        if not self._is_newest(endpoint):
             return False
         if not self._membership.may_have_restarted(endpoint) and not self._is_due(endpoint):
             return True
@@ -54,7 +54,8 @@
             task = asyncio.get_running_loop().create_task(self._check(endpoint))
             self._running[endpoint.instance] = task
             task.add_done_callback(lambda _: self._running.pop(endpoint.instance, None))
-        return await asyncio.shield(task)
+        await asyncio.shield(task)
+        return self._is_newest(endpoint)
 
     def forget(self, instance: str) -> None:
         """Drop what is known of an engine that has left."""
@@ -66,7 +67,13 @@
             return False
         return len(self._membership.versions(endpoint.service, now - MAX_KEPT_S)) > 1
 
-    async def _check(self, endpoint: Endpoint) -> bool:
+    def _is_newest(self, endpoint: Endpoint) -> bool:
+        """Whether no later start of the engine is listed or was stated by the engine."""
+        listed = self._membership.get(endpoint.instance)
+        is_replaced = listed is not None and listed.start != endpoint.start
+        return not is_replaced and not self._membership.is_outdated(endpoint)
+
+    async def _check(self, endpoint: Endpoint) -> None:
         started_ms = await self._calls.started_ms(endpoint)
         self._next_check_at[endpoint.instance] = self._clock() + RECHECK_S
         # Without both times, a restart cannot be told from a lost connection.
@@ -75,4 +82,3 @@
         log.bind(
             endpoint=endpoint.instance, started_ms=started_ms, listed_ms=endpoint.started_ms
         ).info("checked whether an engine has started again")
-        return not self._membership.is_outdated(endpoint)
--- a/tests/gateway/test_stream_versions.py
+++ b/tests/gateway/test_stream_versions.py
@@ -282,3 +282,76 @@
         await asyncio.sleep(0.2)
         assert rig.arrivals("id-1") == []
         pending.cancel()
+
+
+def _restart_after_the_reservation(rig: PlatformRig, is_record_late: bool) -> None:
+    """Let the first engine start again with another version once it has granted a reservation.
+
+    Only then the second engine has room.
+    """
+    first, second = rig.decodes
+    second.engine.room = 0
+    gateway = rig.process.gateway
+    request_hold = gateway.calls.request_hold
+
+    async def restart_once(endpoint: Endpoint, *args: Any) -> Any:
+        hold = await request_hold(endpoint, *args)
+        if hold is not None and endpoint.instance == "d0" and first.version == "v1":
+            first.restart("v2")
+            second.engine.room = 1_000_000
+            if not is_record_late:
+                rig.store.put("servers/d0", first.entry())
+                await wait_until(lambda: gateway.membership.get("d0").software == "v2")
+        return hold
+
+    gateway.calls.request_hold = restart_once
+
+
+@pytest.mark.parametrize("is_record_late", [False, True])
+async def test_stream_does_not_begin_at_an_engine_that_restarts_after_its_reservation(
+    is_record_late: bool,
+) -> None:
+    async with PlatformRig(prefills=1, decodes=2, engine=ENGINE) as rig:
+        _restart_after_the_reservation(rig, is_record_late)
+        stream = await Stream.open(rig, "id-1", entry=0)
+        await stream.read(ENGINE.events)
+        lookup = await rig.process.gateway.origins.find("id-1")
+        assert lookup.origin.software == "v1"
+        assert [version for _, version in stream.events] == [b"v1"] * ENGINE.events
+        assert rig.arrivals("id-1") == ["d1"]
+
+
+@pytest.mark.parametrize("is_record_late", [False, True])
+async def test_stream_is_not_taken_up_at_an_engine_that_restarts_after_its_reservation(
+    is_record_late: bool,
+) -> None:
+    async with PlatformRig(prefills=1, decodes=2, engine=ENGINE) as rig:
+        first = await Stream.open(rig, "first-0", entry=0)
+        await first.read(3)
+        first.close()
+        _restart_after_the_reservation(rig, is_record_late)
+        second = await _take_up(rig, 0, first)
+        versions = [version for _, version in first.events + second.events]
+        assert versions == [b"v1"] * ENGINE.events
+
+
+async def test_restart_that_is_noticed_after_the_request_was_sent_does_not_mix_versions() -> None:
+    async with PlatformRig(prefills=1, decodes=2, engine=ENGINE) as rig:
+        first, second = rig.decodes
+        second.engine.room = 0
+        gateway = rig.process.gateway
+        acquire = gateway.pool.acquire_connection
+
+        async def restart_once(endpoint: Endpoint, must_be_fresh: bool = False) -> Any:
+            if endpoint.instance == "d0" and rig.prefills[0].arrivals and first.version == "v1":
+                first.restart("v2")
+                second.engine.room = 1_000_000
+                await wait_until(lambda: gateway.membership.may_have_restarted(endpoint))
+            return await acquire(endpoint, must_be_fresh)
+
+        gateway.pool.acquire_connection = restart_once
+        stream = await Stream.open(rig, "id-1", entry=0)
+        await stream.read(ENGINE.events)
+        lookup = await gateway.origins.find("id-1")
+        assert lookup.origin.software == "v1"
+        assert [version for _, version in stream.events] == [b"v1"] * ENGINE.events
