Ask each engine for its start in a new process, and until a restored list has settled

Entries that had just started, after a restore of the store, used an engine by a record of its earlier start: the engine had restarted under its name with another version, its new record was 1.6 s late, and these processes had no connection whose end would have told them.

Afterwards nobody is asked, as before.

Three tests of restarts now count the questions, as the first one is asked in any case.

--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_gateway.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_gateway.py
@@ -63,6 +63,7 @@
 
 EXPIRY_CHECK_DELAY_S = 2.0  # Slightly longer than Membership's grace period.
 STALE_LIST_S = 3.5  # A watch without changes returns sooner.
+SNAPSHOTS_TO_SETTLE = 2  # After a restore: the first is merged, the second replaces the list.
 STARTUP_RETRY_AFTER_S = 0.5  # Time for a new process to load its configuration.
 # Share of the fleet-wide retry limits that the entries use; the rest covers the new budgets of
 # entries that restart.
@@ -124,7 +125,7 @@
         self._entries: dict[str, tuple[str, int]] = {}
         self._has_snapshot = False
         self._has_store_contact = False
-        self._is_restored = False
+        self._snapshots_to_settle = 0
         self.restore_listeners: list[Callable[[], None]] = []
         self._synced_at = now()
         self._budgets = RetryBudgets(cfg.retry_ratio * BUDGET_SHARE, cfg.retry_slack * BUDGET_SHARE)
@@ -241,14 +242,14 @@
         endpoints = [c.endpoint for c in snapshot.items if isinstance(c, EndpointWritten)]
         entries = {c.name: c.address for c in snapshot.items if isinstance(c, EntryWritten)}
         known = dict(self._entries)
-        if self._is_restored and self._has_snapshot:
+        if self._snapshots_to_settle == SNAPSHOTS_TO_SETTLE and self._has_snapshot:
             self.membership.merge_restored(endpoints, now())
             self._expire_later()
             entries = known | entries
         else:
             for removed in self.membership.replace_all(endpoints, now()):
                 self._forget_endpoint(removed)
-        self._is_restored = False
+        self._snapshots_to_settle = max(0, self._snapshots_to_settle - 1)
         self._entries = entries
         self._has_snapshot = True
         self.duty.clear_holder()
@@ -300,7 +301,7 @@
 
     def record_restore(self) -> None:
         """Expect a snapshot that may be older than the state, and another some seconds later."""
-        self._is_restored = True
+        self._snapshots_to_settle = SNAPSHOTS_TO_SETTLE
         self.metrics.record_restore()
         for listener in self.restore_listeners:
             listener()
@@ -424,7 +425,8 @@
 
     def _is_list_stale(self) -> bool:
         """Whether changes of the list of endpoints may not have arrived."""
-        return not self._has_store_contact or now() - self._synced_at > STALE_LIST_S
+        is_settled = self._has_store_contact and self._snapshots_to_settle == 0
+        return not is_settled or now() - self._synced_at > STALE_LIST_S
 
     def _expire_later(self) -> None:
         asyncio.get_running_loop().call_later(EXPIRY_CHECK_DELAY_S, self._expire_endpoints)
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_membership.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_membership.py
@@ -15,13 +15,16 @@
 
     While the store was unavailable, records of live endpoints may have expired. Endpoints that are
     missing when it returns are kept for a grace time, and dropped if they are still missing then.
+
+    A record may be of an earlier start of its endpoint. It is unconfirmed if there is a sign of
+    that, or if it comes from a snapshot, which a restored store may have had before the restart.
     """
 
     def __init__(self) -> None:
         self._endpoints: dict[str, Endpoint] = {}
         self._missing_since: dict[str, float] = {}
         self._grace_until = 0.0
-        self._lost_connections: set[str] = set()
+        self._unconfirmed: set[str] = set()
         self._outdated: set[str] = set()
         self._ended: OrderedDict[EndpointStart, None] = OrderedDict()
         # The versions of endpoints that have left or changed theirs, and when they did.
@@ -36,7 +39,7 @@
         listed = {endpoint.instance: endpoint for endpoint in endpoints}
         missing = [name for name in self._endpoints if name not in listed]
         for endpoint in listed.values():
-            self.put(endpoint, now)
+            self._put_listed(endpoint, now)
         return [name for name in missing if self._mark_missing(name, now)]
 
     def merge_restored(self, endpoints: Iterable[Endpoint], now: float) -> None:
@@ -54,7 +57,7 @@
                 and not self.is_outdated(known)
             )
             if not is_older and endpoint.start not in self._ended:
-                self.put(endpoint, now)
+                self._put_listed(endpoint, now)
         self.record_store_return(now)
         for name in self._endpoints:
             if name not in listed:
@@ -70,7 +73,7 @@
         if known is not None and known.software != endpoint.software:
             self._left_versions[known.service, known.software] = now
         if known is not None and known.start != endpoint.start:
-            self._lost_connections.discard(endpoint.instance)
+            self._unconfirmed.discard(endpoint.instance)
             self._outdated.discard(endpoint.instance)
         self._missing_since.pop(endpoint.instance, None)
         self._endpoints[endpoint.instance] = endpoint
@@ -105,15 +108,15 @@
     def record_connection_lost(self, instance: str) -> None:
         """Record that an endpoint has ended a connection or does not accept one."""
         if instance in self._endpoints:
-            self._lost_connections.add(instance)
+            self._unconfirmed.add(instance)
 
     def may_have_restarted(self, endpoint: Endpoint) -> bool:
-        """Whether an endpoint has ended a connection and has not stated its start since."""
-        return endpoint.instance in self._lost_connections
+        """Whether an endpoint's record is unconfirmed, until it states its start."""
+        return endpoint.instance in self._unconfirmed
 
     def record_start(self, endpoint: Endpoint, started_ms: int) -> None:
         """Record the start that an endpoint itself has stated."""
-        self._lost_connections.discard(endpoint.instance)
+        self._unconfirmed.discard(endpoint.instance)
         listed = self._endpoints.get(endpoint.instance)
         if listed is not None and listed.started_ms != started_ms:
             self._outdated.add(endpoint.instance)
@@ -139,6 +142,12 @@
     def __len__(self) -> int:
         return len(self._endpoints)
 
+    def _put_listed(self, endpoint: Endpoint, now: float) -> None:
+        known = self._endpoints.get(endpoint.instance)
+        self.put(endpoint, now)
+        if known is None or known.start != endpoint.start:
+            self._unconfirmed.add(endpoint.instance)
+
     def _mark_missing(self, name: str, now: float) -> bool:
         if now < self._grace_until:
             self._missing_since.setdefault(name, now)
@@ -154,7 +163,7 @@
 
     def _drop(self, name: str, now: float) -> None:
         endpoint = self._endpoints.pop(name, None)
-        self._lost_connections.discard(name)
+        self._unconfirmed.discard(name)
         self._outdated.discard(name)
         if endpoint is not None:
             self._record_ended(endpoint.start)
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_start_checks.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_start_checks.py
@@ -2,8 +2,8 @@
 
 An engine may start again under its name with other software, and its record follows later, by long
 if this entry has lost contact with the store. Until then streams would be taken to have begun at
-the old version. The sign of a restart is a connection that the engine has ended; without contact
-with the store there may be none.
+the old version. The sign of a restart is a connection that the engine has ended; a new process
+has none yet, and without contact with the store it may have been missed.
 """
 
 import asyncio
@@ -22,8 +22,8 @@
 class StartChecks:
     """Asks engines for their start.
 
-    Each is asked once after it has ended a connection, and repeatedly while ``is_list_stale`` and
-    its service has several versions.
+    Each is asked once after its record was read from a snapshot or it has ended a connection, and
+    repeatedly while ``is_list_stale`` and its service has several versions.
     """
 
     def __init__(
--- a/tests/gateway/test_stream_versions.py
+++ b/tests/gateway/test_stream_versions.py
@@ -28,6 +28,7 @@
 EVENT = re.compile(rb"id: (\d+)\ndata: piece \d+ of (\S+)\n\n")
 SIZE = {"X_Token_Count": "1000,500", "X_Length_Hint": "50"}
 ENGINE = EngineOptions(events=30, pause_s=0.02)
+REPORT = ("GET", "/-/report")
 
 
 def _rig(entries: int = 3, **options: Any) -> PlatformRig:
@@ -247,7 +248,7 @@
         await rig.generate("/quote/1", "before")
         rig.decodes[0].restart("v3")
         pending = asyncio.ensure_future(rig.generate("/quote/1", "after"))
-        await wait_until(lambda: ("GET", "/-/report") in rig.decodes[0].calls)
+        await wait_until(lambda: rig.decodes[0].calls.count(REPORT) == 2)
         await asyncio.sleep(0.2)
         assert rig.arrivals("after") == []
         rig.store.put("servers/d0", rig.decodes[0].entry())
@@ -261,27 +262,94 @@
     async with _rig(entries=1) as rig:
         for engine in rig.decodes[1:]:
             engine.engine.room = 0
+        await rig.generate("/quote/1", "before")
+        rig.decodes[0].calls.clear()
         rig.decodes[0].faults.append(Fault.RESET_AFTER_RUN)
         await rig.generate("/idea/1", "broken")
         for number in range(3):
             answer = await rig.generate("/quote/1", f"id-{number}")
             assert (answer.status, answer.is_complete) == (200, True)
-        assert rig.decodes[0].calls.count(("GET", "/-/report")) == 1
+        assert rig.decodes[0].calls.count(REPORT) == 1
+
+
+async def test_new_entry_asks_each_engine_once_for_its_start() -> None:
+    async with _rig(entries=1) as rig:
+        for number in range(12):
+            answer = await rig.generate("/quote/1", f"id-{number}")
+            assert (answer.status, answer.is_complete) == (200, True)
+        reached = [engine for engine in rig.decodes if engine.runs]
+        assert [engine.calls.count(REPORT) for engine in reached] == [1] * len(reached)
+
+
+async def test_entry_that_starts_with_an_old_record_does_not_begin_a_stream_by_it() -> None:
+    async with PlatformRig(prefills=1, decodes=1) as rig:
+        copy = rig.store.copy()
+        rig.decodes[0].restart("v2")
+        rig.store.put("servers/d0", rig.decodes[0].entry())
+        rig.store.restore(copy)
+        process = await rig.start_entry("entry-2")
+        assert process.gateway.membership.get("d0").software == "v1"
+        pending = asyncio.ensure_future(rig.generate("/quote/1", "id-1", entry=1))
+        await wait_until(lambda: REPORT in rig.decodes[0].calls or rig.arrivals("id-1"))
+        await asyncio.sleep(0.2)
+        assert rig.arrivals("id-1") == []
+        rig.store.put("servers/d0", rig.decodes[0].entry())
+        answer = await pending
+        assert (answer.status, rig.arrivals("id-1")) == (200, ["d0"])
+        lookup = await process.gateway.origins.find("id-1")
+        assert lookup.origin.software == "v2"
+
+
+async def _check_that_an_unnoticed_restart_is_found(rig: PlatformRig) -> None:
+    """Check that a stream does not begin at the first engine after it has restarted."""
+    engine = rig.decodes[0]
+    asked = engine.calls.count(REPORT)
+    engine.version, engine.started_ms = "v3", 2
+    pending = asyncio.ensure_future(rig.generate("/quote/1", "after"))
+    await wait_until(lambda: engine.calls.count(REPORT) > asked or rig.arrivals("after"))
+    await asyncio.sleep(0.2)
+    assert rig.arrivals("after") == []
+    pending.cancel()
 
 
 async def test_engine_is_asked_for_its_start_while_the_list_is_stale() -> None:
     async with _rig(entries=1) as rig:
         for engine in rig.decodes[1:]:
             engine.engine.room = 0
+        await rig.generate("/quote/1", "before")
         rig.store.faults.status = 503
-        gateway = rig.process.gateway
-        await wait_until(gateway._is_list_stale)
-        rig.decodes[0].version, rig.decodes[0].started_ms = "v3", 2
-        pending = asyncio.ensure_future(rig.generate("/quote/1", "id-1"))
-        await wait_until(lambda: ("GET", "/-/report") in rig.decodes[0].calls)
-        await asyncio.sleep(0.2)
-        assert rig.arrivals("id-1") == []
-        pending.cancel()
+        await wait_until(rig.process.gateway._is_list_stale)
+        await _check_that_an_unnoticed_restart_is_found(rig)
+
+
+async def test_engine_is_asked_for_its_start_until_the_second_snapshot_after_a_restore() -> None:
+    async with _rig(entries=1) as rig:
+        for engine in rig.decodes[1:]:
+            engine.engine.room = 0
+        await rig.generate("/quote/1", "before")
+        rig.store.restore(rig.store.copy())
+        follower = rig.process._follower
+        await wait_until(lambda: follower._settles_at is not None and follower.revision is not None)
+        await _check_that_an_unnoticed_restart_is_found(rig)
+
+
+async def test_engines_are_not_asked_again_after_the_second_snapshot(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr("vanillashore_gateway._following.RESTORE_SETTLE_S", 0.1)
+    async with _rig(entries=1) as rig:
+        for engine in rig.decodes[1:]:
+            engine.engine.room = 0
+        await rig.generate("/quote/1", "before")
+        rig.store.restore(rig.store.copy())
+        follower = rig.process._follower
+        await wait_until(lambda: follower._settles_at is not None)
+        await wait_until(lambda: follower._settles_at is None and follower.revision is not None)
+        rig.decodes[0].calls.clear()
+        for number in range(3):
+            answer = await rig.generate("/quote/1", f"id-{number}")
+            assert (answer.status, answer.is_complete) == (200, True)
+        assert REPORT not in rig.decodes[0].calls
 
 
 def _restart_after_the_reservation(rig: PlatformRig, is_record_late: bool) -> None:
