--- a/packages/vanillashore-standins/src/vanillashore_standins/platform_endpoint.py
+++ b/packages/vanillashore-standins/src/vanillashore_standins/platform_endpoint.py
@@ -59,6 +59,12 @@
     ENDLESS_TRAILER = auto()
 
 
+# With these an endpoint is full, silent, or answers as a whole.
+UNBROKEN_FAULTS = frozenset(
+    {Fault.NONE, Fault.SHED, Fault.EXTRA_ANSWER, Fault.SILENT, Fault.STALLS}
+)
+
+
 @attrs.frozen
 class Arrival:
     """A request received at ``at`` on the loop's clock; ``ran`` if the endpoint worked on it.
@@ -76,6 +82,14 @@
     limit_per_s: float | None
 
 
+@attrs.frozen
+class Crash:
+    """A crash at ``at`` on the loop's clock; ``parts`` are the crash parts that caused it."""
+
+    at: float
+    parts: frozenset[str] = frozenset()
+
+
 @attrs.define
 class EngineOptions:
     """Stage, answers and capacity of an engine.
@@ -102,6 +116,7 @@
 
     A generation with one of ``crash_parts`` in its prompt, the last part apart, crashes the
     endpoint as the answer begins; the endpoint is back ``down_s`` later and calls ``on_restart``.
+    ``broken_requests`` are those that failed here, or ran when the endpoint ended.
     """
 
     def __init__(self, instance: str, service: str, engine: EngineOptions | None = None) -> None:
@@ -120,19 +135,26 @@
         self.crash_parts: set[str] = set()
         self.down_s = 0.3
         self.on_restart: Callable[[EndpointStandIn], None] = lambda _: None
-        self.crashed_at: list[float] = []
+        self.crashes: list[Crash] = []
         self.arrivals: list[Arrival] = []
         self.calls: list[tuple[str, str]] = []
         self.holds: dict[str, int] = {}
         self.dropped_holds: list[str] = []
         self.disconnected_requests: list[str] = []
+        self.broken_requests: set[str] = set()
         self.connections = 0
         self.address = ""
         self._writers: set[asyncio.StreamWriter] = set()
+        self._active: set[str] = set()
         self._ids = itertools.count(1)
         self._server: asyncio.Server | None = None
         self._return: asyncio.Task[None] | None = None
 
+    @property
+    def crashed_at(self) -> list[float]:
+        """When the endpoint crashed."""
+        return [crash.at for crash in self.crashes]
+
     @property
     def runs(self) -> list[Arrival]:
         """Requests that the endpoint started to work on, without prefills."""
@@ -174,15 +196,16 @@
         self.started_ms += 1
         self.limit_per_s = None
         self.holds.clear()
+        self.broken_requests |= self._active
         for writer in list(self._writers):
             _reset(writer)
 
-    def crash(self) -> None:
-        """Lose all connections and refuse new ones for ``down_s``."""
+    def crash(self, parts: frozenset[str] = frozenset()) -> None:
+        """Lose all connections and refuse new ones for ``down_s``; ``parts`` are the cause."""
         if self._return is not None and not self._return.done():
             return
         loop = asyncio.get_running_loop()
-        self.crashed_at.append(loop.time())
+        self.crashes.append(Crash(loop.time(), parts))
         self._server.close()
         self.restart(self.version)
         self._return = loop.create_task(self._come_back())
@@ -215,11 +238,14 @@
         if target.startswith("/-/"):
             return await self._handle_control(writer, method, target, body)
         fault = self.faults.popleft() if self.faults else Fault.NONE
+        request_id = headers.get("x-request-id", "")
+        if fault not in UNBROKEN_FAULTS:
+            self.broken_requests.add(request_id)
         if fault is Fault.RESET_UNREAD:
             _reset(writer)
             return False
         arrival = Arrival(
-            headers.get("x-request-id", ""),
+            request_id,
             method,
             target,
             headers,
@@ -229,6 +255,19 @@
             self.limit_per_s,
         )
         self.arrivals.append(arrival)
+        self._active.add(request_id)
+        try:
+            return await self._answer_or_leave(reader, writer, arrival, fault)
+        finally:
+            self._active.discard(request_id)
+
+    async def _answer_or_leave(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        arrival: Arrival,
+        fault: Fault,
+    ) -> bool:
         client_read = asyncio.ensure_future(reader.read(1))
         answer_task = asyncio.ensure_future(self._answer(writer, arrival, fault))
         await asyncio.wait([client_read, answer_task], return_when=asyncio.FIRST_COMPLETED)
@@ -336,10 +375,10 @@
         server_headers: dict[str, str],
     ) -> bool:
         writer.write(_head(200, server_headers | {"Content-Type": "text/event-stream"}, -1))
-        if self.crash_parts & prompt_parts(arrival.headers):
+        if parts := frozenset(self.crash_parts & prompt_parts(arrival.headers)):
             await writer.drain()
             await asyncio.sleep(CRASH_DELAY_S)
-            self.crash()
+            self.crash(parts)
             return False
         first = int(arrival.headers.get("last-event-id", 0)) + 1
         for number in range(first, self.engine.events + 1):
--- a/packages/vanillashore-standins/src/vanillashore_standins/platform_store.py
+++ b/packages/vanillashore-standins/src/vanillashore_standins/platform_store.py
@@ -150,7 +150,7 @@
         if self.era != era and request.transport is not None:
             request.transport.abort()
         response.headers["Store-Era"] = str(self.era)
-        if self.faults.loses_answers:
+        if self.faults.loses_answers and request.transport is not None:
             request.transport.abort()
         return response
 
