Let the soak stop entries in series, and crash engines on parts of prompts

Each request that a stopping entry cuts without an excuse is reported, and the outcomes are counted.

Both are off by default, so that the faults of earlier seeds stay the same.

An entry that ends by itself is now reported, where stopping it raised an error before. Callers no longer send on a connection that the entry has already closed.

--- a/packages/vanillashore-standins/src/vanillashore_standins/soak/__main__.py
+++ b/packages/vanillashore-standins/src/vanillashore_standins/soak/__main__.py
@@ -20,12 +20,24 @@
     parser.add_argument(
         "--mutant", default="", help="break this guarantee in the entries on purpose"
     )
+    parser.add_argument("--stops", action="store_true", help="stop entries during long streams")
+    parser.add_argument(
+        "--parts", action="store_true", help="let engines crash on parts of prompts"
+    )
     parser.add_argument("--logs", type=Path, help="folder in which to keep the entries' logs")
     args = parser.parse_args()
     broken = 0
     for seed in range(args.seed, args.seed + args.seeds):
         folder = args.logs / str(seed) if args.logs else None
-        plan = SoakPlan(seed, args.minutes * 60, args.entries, mutant=args.mutant, folder=folder)
+        plan = SoakPlan(
+            seed,
+            args.minutes * 60,
+            args.entries,
+            mutant=args.mutant,
+            stops=args.stops,
+            parts=args.parts,
+            folder=folder,
+        )
         report = asyncio.run(run_soak(plan))
         faults = sum(report.faults.values())
         verdict = "broken" if report.violations else "kept"
@@ -35,6 +47,8 @@
             flush=True,
         )
         print(f"  {dict(report.statuses)} {dict(report.faults)}", flush=True)
+        for figure in report.figures:
+            print(f"  {figure}", flush=True)
         for violation in report.violations[:10]:
             print(f"  {violation}", flush=True)
         broken += bool(report.violations)
--- a/packages/vanillashore-standins/src/vanillashore_standins/soak/_callers.py
+++ b/packages/vanillashore-standins/src/vanillashore_standins/soak/_callers.py
@@ -5,6 +5,7 @@
 import random
 import re
 from collections.abc import Callable
+from enum import StrEnum, auto
 
 import attrs
 
@@ -12,7 +13,9 @@
 from vanillashore_standins.platform_rig import HOST
 
 ANSWER_TIMEOUT_S = 6.0  # Longer than the deadline that callers send.
+PATIENCE_S = 12.0  # Longer than an entry takes to stop.
 DEADLINE_MS = 4_000
+TOKENS_IN = 1_000
 SEAL_HEADER = f"x-server-seal: {SEAL_PREFIX}"
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
@@ -22,13 +25,31 @@
 WasDisrupted = Callable[[Address, float, float], bool]
 
 
+class Ending(StrEnum):
+    """How an exchange ended: ``CUT`` by the entry, or ``LEFT`` by the caller."""
+
+    COMPLETE = auto()
+    CUT = auto()
+    LEFT = auto()
+    NO_LISTENER = auto()
+
+
+@attrs.frozen
+class Prompt:
+    """Parts of a prompt; a unique one has a path and a body that no other request has."""
+
+    parts: tuple[str, ...] = ()
+    is_unique: bool = False
+
+
 @attrs.frozen
 class RequestRecord:
     """A request and its outcome; status 0 means that the connection broke.
 
     ``limited_by`` is the endpoint that named a request limit in its answer, if any. ``resumes`` is
     the request that began the stream, if this one took it up again, and ``versions`` are those that
-    made the events of its answer.
+    made the events of its answer. ``code`` is that of the refusal, if it was refused, and
+    ``limit_s`` the time after which the entry may give up.
     """
 
     request_id: str
@@ -41,6 +62,9 @@
     limited_by: str = ""
     resumes: str = ""
     versions: frozenset[str] = frozenset()
+    ending: Ending = Ending.COMPLETE
+    code: str = ""
+    limit_s: float = DEADLINE_MS / 1_000
 
 
 @attrs.frozen
@@ -68,6 +92,7 @@
         return f"Resumes: {self.first_id}\r\nLast-Event-Id: {self.events}\r\n"
 
 
+CODE = re.compile(rb'"code": ?"(\w+)"')
 EVENT = re.compile(rb"id: (\d+)\ndata: piece \d+ of (\S+)\n\n")
 MAX_RETURNS = 2
 LEAVE_SHARE = 0.3  # Of resumable streams whose callers leave in the middle and come back.
@@ -80,6 +105,20 @@
 )
 
 
+@attrs.frozen
+class CallerOptions:
+    """What a caller sends, and how it uses connections.
+
+    A patient one waits for the end of each answer, and keeps a connection until the entry ends it.
+    """
+
+    deadline_ms: int = DEADLINE_MS
+    pause_s: float = 0.05
+    is_patient: bool = False
+    kinds: tuple[RequestKind, ...] = REQUEST_KINDS
+    prompt: Callable[[str], Prompt] | None = None
+
+
 class SoakCaller:
     """A caller that sends one request after the other."""
 
@@ -90,6 +129,7 @@
         addresses: Callable[[], list[tuple[str, int]]],
         key: Callable[[], str],
         events: int,
+        options: CallerOptions | None = None,
     ) -> None:
         self.records: list[RequestRecord] = []
         self.violations: list[str] = []
@@ -98,9 +138,11 @@
         self._addresses = addresses
         self._key = key
         self._events = events
+        self._options = options or CallerOptions()
         self._stream = _Stream()
         self._body = b""
         self._limited_by = ""
+        self._ending = Ending.NO_LISTENER
         self._entry = ("", 0)
         self._connection: tuple[asyncio.StreamReader, asyncio.StreamWriter] | None = None
 
@@ -110,14 +152,14 @@
         try:
             while True:
                 number += 1
-                kind = self._rng.choice(REQUEST_KINDS)
+                kind = self._rng.choice(self._options.kinds)
                 self._stream = _Stream()
                 await self._send_request(f"{self._name}-{number}", kind)
                 for again in range(MAX_RETURNS if kind.path == RESUMABLE_PATH else 0):
                     if not 0 < self._stream.events < self._events:
                         break
                     await self._send_request(f"{self._name}-{number}-{again}", kind)
-                await asyncio.sleep(self._rng.random() * 0.05)
+                await asyncio.sleep(self._rng.random() * self._options.pause_s)
         finally:
             self._close_connection()
 
@@ -127,11 +169,14 @@
         status = 0
         stream, resumes = self._stream, self._stream.first_id
         self._limited_by, self._body = "", b""
+        self._ending = Ending.NO_LISTENER
         try:
-            timeout_s = ANSWER_TIMEOUT_S if self._rng.random() > 0.05 else self._rng.random() * 0.2
-            async with asyncio.timeout(timeout_s):
+            async with asyncio.timeout(self._timeout_s()):
                 status = await self._exchange(request_id, kind, key)
-        except (OSError, TimeoutError, asyncio.IncompleteReadError, ValueError):
+        except TimeoutError:
+            self._ending = Ending.LEFT
+            self._close_connection()
+        except (OSError, asyncio.IncompleteReadError, ValueError):
             self._close_connection()
         versions = self._check_events(request_id, kind) if kind.is_stream else frozenset()
         if versions and not stream.first_id:
@@ -148,22 +193,48 @@
                 self._limited_by,
                 resumes,
                 versions,
+                self._ending,
+                self._refusal_code(status),
+                self._options.deadline_ms / 1_000,
             )
         )
 
+    def _timeout_s(self) -> float:
+        if self._options.is_patient:
+            return PATIENCE_S
+        return ANSWER_TIMEOUT_S if self._rng.random() > 0.05 else self._rng.random() * 0.2
+
+    def _refusal_code(self, status: int) -> str:
+        found = CODE.search(self._body) if status >= 400 else None
+        return found[1].decode() if found else ""
+
     async def _exchange(self, request_id: str, kind: RequestKind, key: str) -> int:
         headers = self._stream.resume_headers
-        if self._connection is None or headers or self._rng.random() < 0.1:
+        if (
+            self._connection is None
+            or headers
+            or (not self._options.is_patient and self._rng.random() < 0.1)
+            or self._connection[0].at_eof()
+        ):
             self._close_connection()
             self._entry = self._rng.choice(self._addresses())
             self._connection = await asyncio.open_connection(*self._entry)
         reader, writer = self._connection
         if kind.is_stream:
-            headers += "X-Token-Count: 1000,500\r\nX-Length-Hint: 50\r\n"
+            headers += f"X-Token-Count: {TOKENS_IN},500\r\nX-Length-Hint: 50\r\n"
+        prompt = self._options.prompt(request_id) if self._options.prompt else Prompt()
+        if kind.is_stream and prompt.parts:
+            tokens = TOKENS_IN // len(prompt.parts)
+            headers += f"X-Prompt-Prefix: {','.join(f'{p}:{tokens}' for p in prompt.parts)}\r\n"
+        path, body = kind.path, b"body"
+        if prompt.is_unique:
+            path, body = f"{path}-{request_id}", request_id.encode()
+        self._ending = Ending.CUT
         writer.write(
-            f"{kind.method} {kind.path} HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: {request_id}\r\n"
-            f"Authorization: Bearer {key}\r\nX-Deadline-Ms: {DEADLINE_MS}\r\n{headers}"
-            "Content-Length: 4\r\n\r\nbody".encode()
+            f"{kind.method} {path} HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: {request_id}\r\n"
+            f"Authorization: Bearer {key}\r\nX-Deadline-Ms: {self._options.deadline_ms}\r\n"
+            f"{headers}Content-Length: {len(body)}\r\n\r\n".encode()
+            + body
         )
         head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").lower()
         status = int(head.split(" ")[1])
@@ -179,9 +250,13 @@
             self._check_end(request_id)
         if not is_complete or "connection: close" in head:
             self._close_connection()
+        if is_complete:
+            self._ending = Ending.COMPLETE
         return status if is_complete else 0
 
     def _leaves(self, kind: RequestKind, status: int) -> bool:
+        if self._options.is_patient:
+            return False
         is_resumable = kind.path == RESUMABLE_PATH and status == 200
         return is_resumable and self._rng.random() < LEAVE_SHARE
 
@@ -201,6 +276,7 @@
                 self._body += await reader.readexactly(size)
                 await reader.readexactly(2)
                 if leaves_after is not None and len(self._body) > leaves_after:
+                    self._ending = Ending.LEFT
                     return False
             await reader.readexactly(2)
             return True
--- a/packages/vanillashore-standins/src/vanillashore_standins/soak/_entries.py
+++ b/packages/vanillashore-standins/src/vanillashore_standins/soak/_entries.py
@@ -1,13 +1,16 @@
-"""Entry processes of the soak, and the signals sent to them."""
+"""Entry processes of the soak, the signals sent to them, and when they were disrupted."""
 
 import asyncio
 import contextlib
 import os
 import signal
 import sys
+from collections.abc import Iterator
 from pathlib import Path
 from typing import Self
 
+import attrs
+
 from vanillashore_standins._ports import free_ports
 from vanillashore_standins._process_log import last_line
 from vanillashore_standins._waiting import wait_until
@@ -17,6 +20,7 @@
 LAUNCHER = ROOT / "deploy" / "entry.py"
 MUTANTS = Path(__file__).with_name("_mutants.py")
 GRACE_S = 8.0
+SETTLE_S = 3.0  # Time limits are not checked for this long after a disruption.
 
 
 class EntryProcess:
@@ -26,6 +30,7 @@
         self.name = name
         self.store_proxy = FaultProxy(store_address)
         self.address = ("127.0.0.1", 0)
+        self.unasked_exits: list[str] = []
         self._folder = folder
         self._log_path = folder / f"{name}.log"
         self._mutant = mutant
@@ -58,6 +63,7 @@
 
     async def __aexit__(self, *exc_info: object) -> None:
         """Kill the process by its id if it still runs."""
+        self._check_runs()
         if self._process.returncode is None:
             self.signal(signal.SIGCONT)
             self._process.kill()
@@ -85,14 +91,16 @@
 
     async def kill(self, pause_s: float) -> None:
         """Kill the process and start it again after a pause."""
-        self._process.kill()
+        self._check_runs()
+        self.signal(signal.SIGKILL)
         await self._process.wait()
         await asyncio.sleep(pause_s)
         await self.start()
 
     async def stop(self) -> int:
         """Stop the process with SIGTERM, start it again and return the exit code."""
-        self._process.terminate()
+        self._check_runs()
+        self.signal(signal.SIGTERM)
         code = await asyncio.wait_for(self._process.wait(), GRACE_S + 4.0)
         await self.start()
         return code
@@ -104,9 +112,15 @@
         self.signal(signal.SIGCONT)
 
     def signal(self, number: int) -> None:
-        """Send a signal to the process."""
-        with contextlib.suppress(ProcessLookupError):  # The process has ended by itself.
-            os.kill(self._process.pid, number)
+        """Send a signal to the process, unless it has ended by itself."""
+        if not self.has_ended:
+            with contextlib.suppress(ProcessLookupError):
+                os.kill(self._process.pid, number)
+
+    def _check_runs(self) -> None:
+        if self.has_ended:
+            code = self._process.returncode
+            self.unasked_exits.append(f"{self.name} ended unasked with code {code}")
 
 
 def _handles_sigterm(pid: int) -> bool:
@@ -116,3 +130,67 @@
         return False
     caught = next((line for line in status.splitlines() if line.startswith("SigCgt:")), "SigCgt: 0")
     return bool(int(caught.split()[1], 16) >> (signal.SIGTERM - 1) & 1)
+
+
+@attrs.define
+class TimeSpan:
+    """A time span; it is open until ``end`` is set."""
+
+    start: float
+    end: float = float("inf")
+
+
+class EntryPool:
+    """The entries, and those that no fault affects at the moment.
+
+    Example::
+
+        for entry in pool.take():
+            with pool.disruption_of(entry):
+                await entry.kill(0.5)
+            pool.give_back(entry)
+    """
+
+    def __init__(self) -> None:
+        self.entries: list[EntryProcess] = []
+        self.unaffected: list[EntryProcess] = []
+        self._disruptions: list[tuple[tuple[str, int], TimeSpan]] = []
+
+    def add(self, entry: EntryProcess) -> None:
+        """Add an entry that has started."""
+        self.entries.append(entry)
+        self.unaffected.append(entry)
+
+    def take(self, with_first: bool = False) -> list[EntryProcess]:
+        """Take all unaffected entries, the first one only on demand."""
+        taken = [e for e in self.unaffected if with_first or e is not self.entries[0]]
+        self.unaffected = [e for e in self.unaffected if e not in taken]
+        return taken
+
+    def give_back(self, entry: EntryProcess) -> None:
+        """Let other faults affect an entry again."""
+        if entry is self.entries[0]:
+            self.unaffected.insert(0, entry)
+        else:
+            self.unaffected.append(entry)
+
+    def addresses(self) -> list[tuple[str, int]]:
+        """Return the addresses of the unaffected entries, or of all if there are none."""
+        return [entry.address for entry in self.unaffected or self.entries]
+
+    @contextlib.contextmanager
+    def disruption_of(self, entry: EntryProcess) -> Iterator[None]:
+        """Record that an entry is disrupted."""
+        span = TimeSpan(asyncio.get_running_loop().time())
+        self._disruptions.append((entry.address, span))
+        try:
+            yield
+        finally:
+            span.end = asyncio.get_running_loop().time()
+
+    def was_disrupted(self, entry: tuple[str, int], since: float, until: float) -> bool:
+        """Whether an entry was disrupted, up to ``SETTLE_S`` before ``since``."""
+        return any(
+            address == entry and span.start < until and span.end > since - SETTLE_S
+            for address, span in self._disruptions
+        )
--- a/packages/vanillashore-standins/src/vanillashore_standins/soak/_mutants.py
+++ b/packages/vanillashore-standins/src/vanillashore_standins/soak/_mutants.py
@@ -20,9 +20,11 @@
     _http_client,
     _slot_finder,
 )
+from vanillashore_gateway._crashes import CrashMonitor
 from vanillashore_gateway._limit_requests import RequestLimits
 from vanillashore_gateway._membership import Membership
 from vanillashore_gateway._resumption import Resumption
+from vanillashore_gateway._shutdown import Shutdown
 
 
 def _resend_unclear_calls() -> None:
@@ -122,6 +124,16 @@
     HttpStore._check_era = lambda self, head: None
 
 
+def _accept_while_stopping() -> None:
+    """Begin generations until the end of a process that stops."""
+    Shutdown.check_generation = lambda self, *args, **kwargs: None
+
+
+def _ignore_crashes() -> None:
+    """Never refuse a request, whatever crashes endpoints."""
+    CrashMonitor.is_refused = lambda self, *args, **kwargs: False
+
+
 MUTANTS: dict[str, Callable[[], None]] = {
     "resend-unclear-calls": _resend_unclear_calls,
     "rerun-broken-streams": _rerun_broken_streams,
@@ -135,6 +147,8 @@
     "forget-origins": _forget_origins,
     "refuse-resumption": _refuse_resumption,
     "ignore-eras": _ignore_eras,
+    "accept-while-stopping": _accept_while_stopping,
+    "ignore-crashes": _ignore_crashes,
 }
 
 if __name__ == "__main__":
--- a/packages/vanillashore-standins/src/vanillashore_standins/soak/_run.py
+++ b/packages/vanillashore-standins/src/vanillashore_standins/soak/_run.py
@@ -1,6 +1,7 @@
 """One run of the soak: a fleet, callers, faults that may overlap, and the checks."""
 
 import asyncio
+import contextlib
 import random
 import tempfile
 from collections import Counter
@@ -15,16 +16,23 @@
 from vanillashore_standins.platform_endpoint import EndpointStandIn, EngineOptions, Fault
 from vanillashore_standins.platform_rig import KEY, MODELS, ORDERS, configuration
 from vanillashore_standins.platform_store import PlatformStoreStandIn
-from vanillashore_standins.soak._callers import NOT_RUN_STATUSES, REQUEST_KINDS, SoakCaller
-from vanillashore_standins.soak._entries import EntryProcess
+from vanillashore_standins.soak._callers import (
+    NOT_RUN_STATUSES,
+    REQUEST_KINDS,
+    Address,
+    CallerOptions,
+    SoakCaller,
+)
+from vanillashore_standins.soak._entries import SETTLE_S, EntryPool, EntryProcess, TimeSpan
 from vanillashore_standins.soak._limits import LimitFaults
+from vanillashore_standins.soak._parts import PartFaults, sound_prompt
 from vanillashore_standins.soak._proxy import ProxyMode
 from vanillashore_standins.soak._restores import RestoreFaults
+from vanillashore_standins.soak._stops import StopFaults
 from vanillashore_standins.soak._versions import VersionFaults
 
 EVENTS = 6
 CHANGE_LIMIT_S = 2.0  # The platform's time limit for applying a change in small deployments.
-SETTLE_S = 3.0  # Time limits are not checked for this long after a disruption.
 PHASE_S = 7.0  # Disruptive and calm phases alternate; time limits are checked in calm ones.
 RECOVERY_S = 20.0
 SECOND_KEY = "second-key"
@@ -36,7 +44,11 @@
 
 @attrs.frozen
 class SoakPlan:
-    """Size and length of a run; ``mutant`` names a guarantee that the entries break on purpose."""
+    """Size and length of a run; ``mutant`` names a guarantee that the entries break on purpose.
+
+    With ``stops``, entries stop in series while long streams run. With ``parts``, engines crash on
+    parts of prompts, or without a cause.
+    """
 
     seed: int
     seconds: float = 20.0
@@ -46,6 +58,8 @@
     decodes: int = 4
     callers: int = 12
     mutant: str = ""
+    stops: bool = False
+    parts: bool = False
     folder: Path | None = None
 
 
@@ -54,6 +68,7 @@
     """Requests sent, their statuses, the faults injected, and the guarantees that were broken.
 
     ``mixed_streams`` have events of two software versions; the platform tolerates two.
+    ``figures`` tell what became of requests sent to stopping entries, or beside crashes.
     """
 
     request_count: int
@@ -61,14 +76,7 @@
     faults: Counter[str]
     violations: tuple[str, ...]
     mixed_streams: tuple[str, ...]
-
-
-@attrs.define
-class _TimeSpan:
-    """A time span; it is open until ``end`` is set."""
-
-    start: float
-    end: float = float("inf")
+    figures: tuple[str, ...]
 
 
 class _Soak:
@@ -78,7 +86,7 @@
         self.store = PlatformStoreStandIn()
         self.faults: Counter[str] = Counter()
         self.violations: list[str] = []
-        self.entries: list[EntryProcess] = []
+        self.pool = EntryPool()
         self.endpoints = [
             *(EndpointStandIn(f"s{i}", ORDERS) for i in range(plan.services)),
             *(self._engine(f"p{i}", "prefill") for i in range(plan.prefills)),
@@ -92,10 +100,9 @@
         self._version = 1
         self._has_second_key = True
         self._is_recovering = False
-        self._disruptions: list[_TimeSpan] = []
-        self._key_withdrawals: list[_TimeSpan] = []
-        self._drains: list[tuple[str, _TimeSpan]] = []
-        self._entry_disruptions: list[tuple[tuple[str, int], _TimeSpan]] = []
+        self._disruptions: list[TimeSpan] = []
+        self._key_withdrawals: list[TimeSpan] = []
+        self._drains: list[tuple[str, TimeSpan]] = []
         kinds = [[e for e in self.endpoints if e.instance.startswith(letter)] for letter in "spd"]
         self._limits = LimitFaults(kinds, random.Random(f"{plan.seed}-limits"))
         self._versions = VersionFaults(
@@ -103,11 +110,18 @@
             lambda engine, state: self._put_endpoint(engine, state=state),
             random.Random(f"{plan.seed}-versions"),
         )
+        self._stops = StopFaults(
+            self.pool, kinds[2], random.Random(f"{plan.seed}-stops"), self._new_caller
+        )
+        self._parts = PartFaults(
+            kinds[1] + kinds[2],
+            random.Random(f"{plan.seed}-parts"),
+            lambda name, options: self._new_caller(name, self.pool.addresses, options),
+        )
+        for endpoint in self.endpoints:
+            endpoint.on_restart = self._put_endpoint_again
         self._callers = [
-            SoakCaller(
-                f"c{i}", random.Random(f"{plan.seed}-{i}"), self._entry_addresses, self._key, EVENTS
-            )
-            for i in range(plan.callers)
+            self._new_caller(f"c{i}", self.pool.addresses) for i in range(plan.callers)
         ]
 
     async def run(self) -> SoakReport:
@@ -120,38 +134,46 @@
             store = served.address.removeprefix("http://")
             for number in range(self.plan.entries):
                 entry = EntryProcess(f"entry-{number}", store, self._folder, self.plan.mutant)
-                self.entries.append(await stack.enter_async_context(entry))
+                self.pool.add(await stack.enter_async_context(entry))
             await self._wait_for_entries()
             callers = [asyncio.ensure_future(caller.run()) for caller in self._callers]
             background = [
                 asyncio.ensure_future(f.run())
                 for f in (self._limits, self._versions, self._restores)
             ]
-            await self._inject_faults()
+            if self.plan.parts:
+                background.append(asyncio.ensure_future(self._parts.run()))
+            end = _now() + self.plan.seconds
+            stops = asyncio.ensure_future(self._stops.run(end)) if self.plan.stops else None
+            await self._inject_faults(end)
+            if stops is not None:
+                await stops
             await _cancel(*background)
             await self._check_recovery()
             await _cancel(*callers)
             await asyncio.sleep(0.5)
         self._check_guarantees()
-        records = [r for caller in self._callers for r in caller.records]
+        records = [r for caller in self._all_callers() for r in caller.records]
         statuses = Counter(r.status for r in records)
         self.faults["name_limit"] = self._limits.count
         self.faults["change_version"] = self._versions.count
         self.faults["restore_store"] = self._restores.count
+        self.faults["stop"] = self._stops.count
+        self.faults["crash"] = self._parts.count
         violations = tuple(sorted(set(self.violations)))
         mixed = tuple(self._versions.mixed_streams)
-        return SoakReport(len(records), statuses, self.faults, violations, mixed)
+        figures = (f"sent to stopping entries: {dict(self._stops.outcomes)}", *self._parts.figures)
+        return SoakReport(len(records), statuses, self.faults, violations, mixed, figures)
 
     async def _wait_for_entries(self) -> None:
         try:
             await wait_until(self._are_all_registered, 60.0)
         except TimeoutError:
-            ended = {e.name: e.last_line for e in self.entries if e.has_ended}
+            ended = {e.name: e.last_line for e in self.pool.entries if e.has_ended}
             raise RuntimeError(f"not all entries have started; ended: {ended}") from None
 
-    async def _inject_faults(self) -> None:
+    async def _inject_faults(self, end: float) -> None:
         loop = asyncio.get_running_loop()
-        end = loop.time() + self.plan.seconds
         disruptive = [
             self._kill_entry,
             self._freeze_entry,
@@ -173,7 +195,7 @@
         await asyncio.gather(*running)
 
     async def _disrupt(self, fault: Callable[[], Awaitable[None]]) -> None:
-        span = _TimeSpan(_now())
+        span = TimeSpan(_now())
         self._disruptions.append(span)
         await fault()
         span.end = _now()
@@ -185,35 +207,25 @@
         await self._with_unaffected_entry(lambda entry: entry.freeze(0.2 + self.rng.random() * 2))
 
     async def _stop_entry(self) -> None:
-        async def stop(entry: EntryProcess) -> None:
-            code = await entry.stop()
-            if code:
-                self.violations.append(f"{entry.name} ended with code {code} after SIGTERM")
-
-        await self._with_unaffected_entry(stop)
+        await self._with_unaffected_entry(self._stops.stop, is_disrupted=False)
 
-    async def _with_unaffected_entry(self, work: Callable[[EntryProcess], Awaitable[None]]) -> None:
+    async def _with_unaffected_entry(
+        self, work: Callable[[EntryProcess], Awaitable[None]], is_disrupted: bool = True
+    ) -> None:
         """Apply a fault to an entry that has no other fault; the first entry is never affected."""
-        if len(self.entries) < 2:
+        if len(self.pool.unaffected) < 2:
             return
-        entry = self.entries.pop(self.rng.randrange(1, len(self.entries)))
-        span = self._begin_entry_disruption(entry)
+        entry = self.pool.unaffected.pop(self.rng.randrange(1, len(self.pool.unaffected)))
         try:
-            await work(entry)
+            with self.pool.disruption_of(entry) if is_disrupted else contextlib.nullcontext():
+                await work(entry)
         finally:
-            span.end = _now()
-            self.entries.append(entry)
-
-    def _begin_entry_disruption(self, entry: EntryProcess) -> _TimeSpan:
-        span = _TimeSpan(_now())
-        self._entry_disruptions.append((entry.address, span))
-        return span
-
-    def _was_disrupted(self, entry: tuple[str, int], since: float, until: float) -> bool:
-        """Whether an entry was disrupted, up to ``SETTLE_S`` before ``since``."""
-        return any(
-            address == entry and span.start < until and span.end > since - SETTLE_S
-            for address, span in self._entry_disruptions
+            self.pool.give_back(entry)
+
+    def _was_disrupted(self, entry: Address, since: float, until: float) -> bool:
+        """Whether an entry was disrupted or stopped, up to ``SETTLE_S`` before ``since``."""
+        return self.pool.was_disrupted(entry, since, until) or self._stops.was_stopped(
+            entry, since - SETTLE_S, until
         )
 
     async def _disturb_store(self) -> None:
@@ -225,13 +237,13 @@
         faults.status, faults.is_silent, faults.loses_answers = 0, False, False
 
     async def _disturb_path(self) -> None:
-        entry = self.rng.choice(self.entries)
-        span = self._begin_entry_disruption(entry)
-        entry.store_proxy.mode = self.rng.choice([m for m in ProxyMode if m is not ProxyMode.PASS])
-        await asyncio.sleep(self.rng.random() * 3)
-        entry.store_proxy.mode = ProxyMode.PASS
-        entry.store_proxy.reset()
-        span.end = _now()
+        entry = self.rng.choice(self.pool.unaffected or self.pool.entries)
+        with self.pool.disruption_of(entry):
+            modes = [mode for mode in ProxyMode if mode is not ProxyMode.PASS]
+            entry.store_proxy.mode = self.rng.choice(modes)
+            await asyncio.sleep(self.rng.random() * 3)
+            entry.store_proxy.mode = ProxyMode.PASS
+            entry.store_proxy.reset()
 
     async def _drop_history(self) -> None:
         self.store.drop_history()
@@ -248,7 +260,7 @@
         if self._has_second_key:
             self._key_withdrawals[-1].end = _now()
         else:
-            self._key_withdrawals.append(_TimeSpan(_now()))
+            self._key_withdrawals.append(TimeSpan(_now()))
 
     async def _leave(self) -> None:
         services = [e for e in self.endpoints if e.service == ORDERS]
@@ -257,7 +269,7 @@
             return
         endpoint = self.rng.choice([e for e in services if e.instance not in leaving])
         self._put_endpoint(endpoint, state="draining")
-        span = _TimeSpan(_now())
+        span = TimeSpan(_now())
         self._drains.append((endpoint.instance, span))
         await asyncio.sleep(CHANGE_LIMIT_S + SETTLE_S)
         span.end = _now()
@@ -312,10 +324,19 @@
         """Check the guarantees that hold under all faults."""
         self._check_time_limits()
         runs = Counter(a.request_id for e in self.endpoints for a in e.runs)
-        records = {r.request_id: r for caller in self._callers for r in caller.records}
-        for faults in (self._limits, self._versions):
-            self.violations += faults.violations(records.values(), self._was_disrupted)
-        for caller in self._callers:
+        callers = self._all_callers()
+        records = {r.request_id: r for caller in callers for r in caller.records}
+        crashing = {r.request_id for caller in self._parts.callers for r in caller.records}
+        sound = [r for r in records.values() if r.request_id not in crashing]
+        self.violations += self._limits.violations(records.values(), self._was_disrupted)
+        for faults in (self._versions, self._parts):
+            self.violations += faults.violations(sound, self._was_disrupted)
+        self.violations += self._stops.violations(
+            records.values(), self.pool.was_disrupted, self.endpoints
+        )
+        for entry in self.pool.entries:
+            self.violations += entry.unasked_exits
+        for caller in callers:
             self.violations += caller.violations
         for request_id, count in runs.items():
             record = records.get(request_id)
@@ -334,12 +355,32 @@
                     )
 
     def _engine(self, name: str, stage: str) -> EndpointStandIn:
-        return EndpointStandIn(name, MODELS, EngineOptions(stage, EVENTS, pause_s=0.01))
+        return EndpointStandIn(
+            name, MODELS, EngineOptions(stage, EVENTS, pause_s=0.1 if self.plan.stops else 0.01)
+        )
+
+    def _new_caller(
+        self,
+        name: str,
+        addresses: Callable[[], list[Address]],
+        options: CallerOptions | None = None,
+    ) -> SoakCaller:
+        options = options or CallerOptions()
+        if self.plan.parts and options.prompt is None:
+            options = attrs.evolve(options, prompt=sound_prompt)
+        rng = random.Random(f"{self.plan.seed}-{name.removeprefix('c')}")
+        return SoakCaller(name, rng, addresses, self._key, EVENTS, options)
+
+    def _all_callers(self) -> list[SoakCaller]:
+        return self._callers + self._stops.callers + self._parts.callers
 
     def _put_endpoint(self, endpoint: EndpointStandIn, **changes: str) -> None:
         entry = self._published[endpoint.instance] = endpoint.entry(**changes)
         self.store.put(f"servers/{endpoint.instance}", entry)
 
+    def _put_endpoint_again(self, endpoint: EndpointStandIn) -> None:
+        self._put_endpoint(endpoint, state=self._published[endpoint.instance]["state"])
+
     def _write_again(self) -> None:
         """Write what the operator and the endpoints had written, in its newest state."""
         self.store.put("op/config", self._config())
@@ -352,12 +393,8 @@
         return configuration(self._version, tenants=[tenant])
 
     def _are_all_registered(self) -> bool:
-        return sum(k.startswith("vanillashore/entries/") for k in self.store.items) == len(
-            self.entries
-        )
-
-    def _entry_addresses(self) -> list[tuple[str, int]]:
-        return [entry.address for entry in self.entries]
+        count = sum(key.startswith("vanillashore/entries/") for key in self.store.items)
+        return count == len(self.pool.entries)
 
     def _key(self) -> str:
         is_second = self.rng.random() < 0.2 and not self._is_recovering
