Leave sound requests out of the soak's comparison while all decode engines name limits

A stand-in that crashed just after one of its connections had closed raised an error, and never came back.

--- a/packages/vanillashore-standins/src/vanillashore_standins/platform_endpoint.py
+++ b/packages/vanillashore-standins/src/vanillashore_standins/platform_endpoint.py
@@ -435,7 +435,8 @@
 def _reset(writer: asyncio.StreamWriter) -> None:
     """Close the connection with RST instead of FIN."""
     sock = writer.get_extra_info("socket")
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    with contextlib.suppress(OSError):  # The connection is closed already.
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
     writer.transport.abort()
 
 
--- a/packages/vanillashore-standins/src/vanillashore_standins/soak/_limits.py
+++ b/packages/vanillashore-standins/src/vanillashore_standins/soak/_limits.py
@@ -57,6 +57,11 @@
                 for limit in self._limits[-len(named) :]:
                     limit.end = _now()
 
+    def were_named(self, endpoints: Iterable[EndpointStandIn], at: float) -> bool:
+        """Whether all of some endpoints named limits at a time."""
+        named = {limit.endpoint.instance for limit in self._limits if limit.start <= at < limit.end}
+        return all(endpoint.instance in named for endpoint in endpoints)
+
     def violations(
         self, records: Iterable[RequestRecord], was_disrupted: WasDisrupted
     ) -> list[str]:
