--- a/Makefile
+++ b/Makefile
@@ -4,6 +4,7 @@
 QUICK ?= 0
 KEEP ?= 0
 MINUTES ?= 2
+PLAY ?=
 JOBS ?= 5
 VENV := .venv
 BIN := $(VENV)/bin
@@ -39,7 +40,7 @@
 	bash .ci/run
 
 soak: venv
-	$(BIN)/python -m vanillashore_standins.soak --seed $(SEED) --minutes $(MINUTES)
+	$(BIN)/python -m vanillashore_standins.soak --seed $(SEED) --minutes $(MINUTES) $(PLAY)
 
 bench-%: venv
 	$(BIN)/python benches/$*.py --seed $(SEED) $(if $(filter 1,$(QUICK)),--quick)
