Ask engines that were out of sight for their start while there are several versions

An engine restarted under its name with other software, and two entries used it by its old record until the new one came, up to 1.4 s later. They had last used it 2.4 and 4.4 s before the restart, and idle connections are closed after 2 s: there was no connection whose end could have told them.

The pool now reports when the last connection to an endpoint has closed. If the engine's service has several versions, it is asked for its start before the next reservation for a resumable stream, at most twice a second. As long as a connection is open, and while there is one version, nothing is asked. The price, during a release at a low rate: up to one question for each such stream, priced like a health check, and one round trip before its reservation.

test_restart_while_no_connection_was_open_is_found_if_there_are_several_versions[2] failed before.

--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_gateway.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_gateway.py
@@ -107,7 +107,9 @@
         self.cfg = cfg
         self.front = ListenerState(self.handle, now)
         self.membership = Membership()
-        self.pool = ConnectionPool(self.membership.record_connection_lost)
+        self.pool = ConnectionPool(
+            self.membership.record_connection_lost, self.membership.record_unobserved
+        )
         self.balancer = Balancer(cfg.data_centre, rng)
         self.calls = EngineCalls(dialect, self.pool)
         self.duty = DutyState()
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_http_client.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_http_client.py
@@ -84,6 +84,7 @@
         self._may_reuse = True
         self._is_paused = False
         self.on_lost: Callable[[], None] | None = None
+        self.on_closed: Callable[[], None] | None = None
         self.idle_limit_s = DEFAULT_IDLE_LIMIT_S
         self.idle_since = 0.0
         self.idle_until = 0.0
@@ -166,10 +167,12 @@
         _set_socket_options(transport.get_extra_info("socket"))
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """Fail the current answer, and call ``on_lost`` if the peer ended a reusable connection."""
+        """Fail the current answer; call ``on_lost`` if the peer ended a reusable connection."""
         self._is_open = False
         if self._may_reuse and self.on_lost is not None:
             self.on_lost()
+        if self.on_closed is not None:
+            self.on_closed()
         self._fail(LinkError(LinkFailure.BROKEN, f"the connection was lost: {exc or 'closed'}"))
 
     def eof_received(self) -> bool:
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_membership.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_membership.py
@@ -17,7 +17,8 @@
     missing when it returns are kept for a grace time, and dropped if they are still missing then.
 
     A record may be of an earlier start of its endpoint. It is unconfirmed if there is a sign of
-    that, or if it comes from a snapshot, which a restored store may have had before the restart.
+    that, or if it comes from a snapshot, which a restored store may have had before the restart. An
+    endpoint is unobserved if there was no connection to it, so that a sign may have been missed.
     """
 
     def __init__(self) -> None:
@@ -25,6 +26,7 @@
         self._missing_since: dict[str, float] = {}
         self._grace_until = 0.0
         self._unconfirmed: set[str] = set()
+        self._unobserved: set[str] = set()
         self._outdated: set[str] = set()
         self._ended: OrderedDict[EndpointStart, None] = OrderedDict()
         # The versions of endpoints that have left or changed theirs, and when they did.
@@ -75,6 +77,8 @@
         if known is not None and known.start != endpoint.start:
             self._unconfirmed.discard(endpoint.instance)
             self._outdated.discard(endpoint.instance)
+        if known is None or known.start != endpoint.start:
+            self._unobserved.add(endpoint.instance)
         self._missing_since.pop(endpoint.instance, None)
         self._endpoints[endpoint.instance] = endpoint
 
@@ -110,6 +114,15 @@
         if instance in self._endpoints:
             self._unconfirmed.add(instance)
 
+    def record_unobserved(self, instance: str) -> None:
+        """Record that there is no connection to an endpoint."""
+        if instance in self._endpoints:
+            self._unobserved.add(instance)
+
+    def was_unobserved(self, endpoint: Endpoint) -> bool:
+        """Whether there was no connection to an endpoint for a while since it stated its start."""
+        return endpoint.instance in self._unobserved
+
     def may_have_restarted(self, endpoint: Endpoint) -> bool:
         """Whether an endpoint's record is unconfirmed, until it states its start."""
         return endpoint.instance in self._unconfirmed
@@ -117,6 +130,7 @@
     def record_start(self, endpoint: Endpoint, started_ms: int) -> None:
         """Record the start that an endpoint itself has stated."""
         self._unconfirmed.discard(endpoint.instance)
+        self._unobserved.discard(endpoint.instance)
         listed = self._endpoints.get(endpoint.instance)
         if listed is not None and listed.started_ms != started_ms:
             self._outdated.add(endpoint.instance)
@@ -164,6 +178,7 @@
     def _drop(self, name: str, now: float) -> None:
         endpoint = self._endpoints.pop(name, None)
         self._unconfirmed.discard(name)
+        self._unobserved.discard(name)
         self._outdated.discard(name)
         if endpoint is not None:
             self._record_ended(endpoint.start)
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_pool.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_pool.py
@@ -1,7 +1,7 @@
 """Pool of idle connections to endpoints."""
 
 import asyncio
-from collections import defaultdict
+from collections import Counter, defaultdict
 from collections.abc import Callable
 from functools import partial
 
@@ -18,11 +18,15 @@
     """Keeps reusable connections, each for a part of its endpoint's own idle time-out.
 
     ``record_lost`` is called with the instance of an endpoint that has ended a connection by
-    itself, or does not accept one.
+    itself, or does not accept one; ``record_unobserved`` when no connection to it is left.
     """
 
-    def __init__(self, record_lost: Callable[[str], None]) -> None:
+    def __init__(
+        self, record_lost: Callable[[str], None], record_unobserved: Callable[[str], None]
+    ) -> None:
         self._record_lost = record_lost
+        self._record_unobserved = record_unobserved
+        self._open: Counter[str] = Counter()
         self._idle: dict[str, list[HttpConnection]] = defaultdict(list)
         self.opened = 0
 
@@ -48,6 +52,9 @@
             self._record_lost(endpoint.instance)
             raise
         conn.on_lost = partial(self._record_lost, endpoint.instance)
+        if conn.is_open:  # The endpoint may have reset it already.
+            conn.on_closed = partial(self._record_closed, endpoint.instance)
+            self._open[endpoint.instance] += 1
         return conn
 
     def release_connection(self, endpoint: Endpoint, conn: HttpConnection) -> None:
@@ -67,6 +74,12 @@
         for conn in self._idle.pop(instance, []):
             conn.abort()
 
+    def _record_closed(self, instance: str) -> None:
+        self._open[instance] -= 1
+        if not self._open[instance]:
+            del self._open[instance]
+            self._record_unobserved(instance)
+
     def _drop_if_idle(self, instance: str, conn: HttpConnection) -> None:
         idle = self._idle.get(instance, [])
         if conn in idle and asyncio.get_running_loop().time() >= conn.idle_until:
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_start_checks.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_start_checks.py
@@ -16,14 +16,15 @@
 from vanillashore_gateway._membership import Membership
 from vanillashore_gateway._stream_origins import MAX_KEPT_S
 
-RECHECK_S = 0.5  # Between two questions to an engine while the list is out of date.
+RECHECK_S = 0.5  # Between two questions to an engine that has given no sign of a restart.
 
 
 class StartChecks:
     """Asks engines for their start.
 
-    Each is asked once after its record was read from a snapshot or it has ended a connection, and
-    repeatedly while ``is_list_stale`` and its service has several versions.
+    Each is asked once after its record was read from a snapshot or it has ended a connection. While
+    its service has several versions, it is also asked when it is used again after a time without a
+    connection, and repeatedly while ``is_list_stale``.
     """
 
     def __init__(
@@ -63,7 +64,8 @@
 
     def _is_due(self, endpoint: Endpoint) -> bool:
         now = self._clock()
-        if not self._is_list_stale() or now < self._next_check_at.get(endpoint.instance, 0.0):
+        is_uncertain = self._is_list_stale() or self._membership.was_unobserved(endpoint)
+        if not is_uncertain or now < self._next_check_at.get(endpoint.instance, 0.0):
             return False
         return len(self._membership.versions(endpoint.service, now - MAX_KEPT_S)) > 1
 
--- a/packages/vanillashore-standins/src/vanillashore_standins/platform_endpoint.py
+++ b/packages/vanillashore-standins/src/vanillashore_standins/platform_endpoint.py
@@ -160,6 +160,11 @@
         """Requests that the endpoint started to work on, without prefills."""
         return [arrival for arrival in self.arrivals if arrival.ran]
 
+    @property
+    def open_connections(self) -> int:
+        """Number of connections that are open now."""
+        return len(self._writers)
+
     def entry(self, **changes: Any) -> dict[str, Any]:
         """Return the endpoint's entry in the platform's list."""
         entry: dict[str, Any] = {
--- a/tests/gateway/test_stream_versions.py
+++ b/tests/gateway/test_stream_versions.py
@@ -9,8 +9,9 @@
 import pytest
 
 from vanillashore_gateway import Endpoint, EndpointRole, LinkError, LinkFailure
+from vanillashore_gateway._start_checks import RECHECK_S
 from vanillashore_standins import wait_until
-from vanillashore_standins.platform_endpoint import EngineOptions, Fault
+from vanillashore_standins.platform_endpoint import EndpointStandIn, EngineOptions, Fault
 from vanillashore_standins.platform_rig import PlatformRig, fail_first
 
 
@@ -39,6 +40,12 @@
     return rig
 
 
+@pytest.fixture
+def keep_connections(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Let entries keep idle connections, so that each restart gives a sign."""
+    monkeypatch.setattr("vanillashore_gateway._http_client.DEFAULT_IDLE_LIMIT_S", 60.0)
+
+
 @attrs.define
 class Stream:
     """A caller's connection for one stream, and the events that it has received."""
@@ -272,6 +279,7 @@
         assert rig.decodes[0].calls.count(REPORT) == 1
 
 
+@pytest.mark.usefixtures("keep_connections")
 async def test_new_entry_asks_each_engine_once_for_its_start() -> None:
     async with _rig(entries=1) as rig:
         for number in range(12):
@@ -312,6 +320,18 @@
     pending.cancel()
 
 
+async def _restore(rig: PlatformRig) -> Any:
+    """Restore the store after a stream at the first engine; return the follower of the list."""
+    for engine in rig.decodes[1:]:
+        engine.engine.room = 0
+    await rig.generate("/quote/1", "before")
+    rig.store.restore(rig.store.copy())
+    follower = rig.process._follower
+    await wait_until(lambda: follower._settles_at is not None)
+    return follower
+
+
+@pytest.mark.usefixtures("keep_connections")
 async def test_engine_is_asked_for_its_start_while_the_list_is_stale() -> None:
     async with _rig(entries=1) as rig:
         for engine in rig.decodes[1:]:
@@ -322,28 +342,21 @@
         await _check_that_an_unnoticed_restart_is_found(rig)
 
 
+@pytest.mark.usefixtures("keep_connections")
 async def test_engine_is_asked_for_its_start_until_the_second_snapshot_after_a_restore() -> None:
     async with _rig(entries=1) as rig:
-        for engine in rig.decodes[1:]:
-            engine.engine.room = 0
-        await rig.generate("/quote/1", "before")
-        rig.store.restore(rig.store.copy())
-        follower = rig.process._follower
-        await wait_until(lambda: follower._settles_at is not None and follower.revision is not None)
+        follower = await _restore(rig)
+        await wait_until(lambda: follower.revision is not None)
         await _check_that_an_unnoticed_restart_is_found(rig)
 
 
+@pytest.mark.usefixtures("keep_connections")
 async def test_engines_are_not_asked_again_after_the_second_snapshot(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     monkeypatch.setattr("vanillashore_gateway._following.RESTORE_SETTLE_S", 0.1)
     async with _rig(entries=1) as rig:
-        for engine in rig.decodes[1:]:
-            engine.engine.room = 0
-        await rig.generate("/quote/1", "before")
-        rig.store.restore(rig.store.copy())
-        follower = rig.process._follower
-        await wait_until(lambda: follower._settles_at is not None)
+        follower = await _restore(rig)
         await wait_until(lambda: follower._settles_at is None and follower.revision is not None)
         rig.decodes[0].calls.clear()
         for number in range(3):
@@ -423,3 +436,42 @@
         lookup = await gateway.origins.find("id-1")
         assert lookup.origin.software == "v1"
         assert [version for _, version in stream.events] == [b"v1"] * ENGINE.events
+
+
+async def _leave_without_a_connection(rig: PlatformRig, engine: EndpointStandIn) -> None:
+    """Use an engine, and then let the entry close its connections as idle ones."""
+    answer = await rig.generate("/quote/1", f"before-{engine.version}")
+    assert answer.status == 200
+    await wait_until(lambda: engine.open_connections == 0)
+
+
+@pytest.mark.parametrize("versions", [1, 2])
+async def test_restart_while_no_connection_was_open_is_found_if_there_are_several_versions(
+    monkeypatch: pytest.MonkeyPatch, versions: int
+) -> None:
+    monkeypatch.setattr("vanillashore_gateway._http_client.DEFAULT_IDLE_LIMIT_S", 0.1)
+    async with PlatformRig(prefills=1, decodes=2, engine=ENGINE) as rig:
+        first, second = rig.decodes
+        second.engine.room = 0
+        gateway = rig.process.gateway
+        if versions == 2:
+            second.version = "v2"
+            rig.store.put("servers/d1", second.entry())
+            await wait_until(lambda: gateway.membership.get("d1").software == "v2")
+        await _leave_without_a_connection(rig, first)
+        await asyncio.sleep(RECHECK_S)
+        first.calls.clear()
+        if versions == 1:
+            answer = await rig.generate("/quote/1", "after")
+            assert (answer.status, REPORT in first.calls) == (200, False)
+            return
+        first.restart("v3")
+        pending = asyncio.ensure_future(rig.generate("/quote/1", "after"))
+        await wait_until(lambda: REPORT in first.calls or rig.arrivals("after"))
+        await asyncio.sleep(0.2)
+        assert rig.arrivals("after") == []
+        rig.store.put("servers/d0", first.entry())
+        answer = await pending
+        assert (answer.status, rig.arrivals("after")) == (200, ["d0"])
+        lookup = await gateway.origins.find("after")
+        assert lookup.origin.software == "v3"
