--- a/packages/vanillashore-standins/src/vanillashore_standins/soak/_parts.py
+++ b/packages/vanillashore-standins/src/vanillashore_standins/soak/_parts.py
@@ -23,7 +23,7 @@
 MAX_REQUESTS = 3  # That still reach endpoints then.
 RECOVERY_S = 6.0  # From then on sound requests are served as before.
 MIN_REQUESTS = 20  # Fewer show nothing.
-FIRST_PART = "first"
+FIRST_PART = "f1"  # Ids of parts are hexadecimal.
 MIDDLE_PARTS = 4
 PART_CALLERS = 4
 PART_PAUSE_S = 1.6
@@ -32,11 +32,15 @@
 
 def sound_prompt(request_id: str) -> Prompt:
     """Return a prompt with a common part, one that some others have, and one of its own."""
-    return Prompt((FIRST_PART, _middle_part(request_id), f"own-{request_id}"))
+    return Prompt((FIRST_PART, _middle_part(request_id), _own_part(request_id)))
 
 
 def _middle_part(request_id: str) -> str:
-    return f"middle-{zlib.crc32(request_id.encode()) % MIDDLE_PARTS}"
+    return f"a{zlib.crc32(request_id.encode()) % MIDDLE_PARTS}"
+
+
+def _own_part(request_id: str) -> str:
+    return request_id.encode().hex()
 
 
 @attrs.define
@@ -52,7 +56,7 @@
         middle = [self.name, _middle_part(request_id)]
         if zlib.crc32(request_id.encode()) & 16:
             middle.reverse()
-        return Prompt((FIRST_PART, *middle, f"own-{request_id}"), is_unique=True)
+        return Prompt((FIRST_PART, *middle, _own_part(request_id)), is_unique=True)
 
 
 class PartFaults:
@@ -88,7 +92,7 @@
             is_part_next = not is_part_next
 
     async def _play_part(self) -> None:
-        part = _CrashPart(f"part-{len(self._parts)}", _now())
+        part = _CrashPart(f"bad{len(self._parts)}", _now())
         self._parts.append(part)
         options = CallerOptions(
             pause_s=PART_PAUSE_S,
--- a/tests/soak/test_parts.py
+++ b/tests/soak/test_parts.py
@@ -125,6 +125,6 @@
     faults, _ = play(crashes=5)
     for caller in faults.callers:
         for sent in caller.records:
-            assert "part-0" in caller.prompt(sent.request_id).parts[1:-1]
+            assert "bad0" in caller.prompt(sent.request_id).parts[1:-1]
             assert caller.prompt(sent.request_id).is_unique
-    assert "part-0" not in sound_prompt("a").parts
+    assert "bad0" not in sound_prompt("a").parts
