--- a/tests/gateway/test_crash_parts.py
+++ b/tests/gateway/test_crash_parts.py
@@ -9,6 +9,10 @@
 import pytest
 from loguru import logger as log
 
+from vanillashore_gateway import now
+from vanillashore_gateway._crash_evidence import traits_of
+from vanillashore_gateway._part_blocks import FIRST_TRIAL_S
+from vanillashore_standins import wait_until
 from vanillashore_standins.platform_endpoint import EndpointStandIn, EngineOptions
 from vanillashore_standins.platform_rig import PlatformRig
 
@@ -176,3 +180,45 @@
     assert crashes["bad"]["events"] == 0
     assert crashes["bad"]["parts"] == ("c0", BAD, "2")
     assert crashes["sound"]["events"] > 0
+
+
+def _block(rig: PlatformRig, age_s: float = 0.0) -> None:
+    parts = rig.process.gateway.parts
+    traits = traits_of("models", "", (BAD, "own"))[1:]
+    parts._announce(parts._blocks.block("models", frozenset(traits), now() - age_s))
+
+
+async def test_waiting_request_is_refused_as_not_run_when_its_part_is_blocked() -> None:
+    async with PlatformRig(decodes=1, prefills=1) as rig:
+        rig.decodes[0].engine.room = 0
+        headers = {"X_Prompt_Prefix": f"c0:9,{BAD}:9,2:9"}
+        waiting = asyncio.ensure_future(rig.generate("/idea/1", "waiting", **headers))
+        await wait_until(lambda: rig.process.gateway.slot_finder.waiting("models") == 1)
+        _block(rig)
+        rig.decodes[0].engine.room = 1_000_000
+        for answer in (await waiting, await rig.generate("/idea/2", "new", **headers)):
+            assert answer.status == 503
+            assert b"crashes_endpoints" in answer.body
+        assert not rig.prefills[0].arrivals
+        assert not rig.decodes[0].arrivals
+        assert (await rig.generate("/idea/3", "other", X_Prompt_Prefix="c0:9,2:9")).status == 200
+
+
+async def test_request_on_trial_that_brings_an_event_ends_the_block() -> None:
+    async with PlatformRig(decodes=1) as rig:
+        _block(rig, age_s=FIRST_TRIAL_S + 1.0)
+        for number in range(2):
+            headers = {"X_Prompt_Prefix": f"c0:9,{BAD}:9,{number}:9"}
+            assert (await rig.generate(f"/idea/{number}", f"id-{number}", **headers)).status == 200
+
+
+async def test_one_request_at_a_time_is_on_trial() -> None:
+    async with PlatformRig(decodes=3) as rig:
+        for engine in rig.decodes:
+            engine.crash_parts = {BAD}
+        _block(rig, age_s=FIRST_TRIAL_S + 1.0)
+        headers = {"X_Prompt_Prefix": f"c0:9,{BAD}:9,2:9"}
+        await asyncio.gather(
+            *(rig.generate(f"/quote/{number}", f"id-{number}", **headers) for number in range(6))
+        )
+        assert sum(len(engine.arrivals) for engine in rig.decodes) == 1
