--- a/packages/vanillashore-standins/src/vanillashore_standins/soak/_callers.py
+++ b/packages/vanillashore-standins/src/vanillashore_standins/soak/_callers.py
@@ -109,7 +109,8 @@
 class CallerOptions:
     """What a caller sends, and how it uses connections.
 
-    A patient one waits for the end of each answer, and keeps a connection until the entry ends it.
+    A patient one waits for the end of each answer and for the time that a refusal names, and keeps
+    a connection until the entry ends it.
     """
 
     deadline_ms: int = DEADLINE_MS
@@ -143,6 +144,7 @@
         self._body = b""
         self._limited_by = ""
         self._ending = Ending.NO_LISTENER
+        self._retry_after_s = 0.0
         self._entry = ("", 0)
         self._connection: tuple[asyncio.StreamReader, asyncio.StreamWriter] | None = None
 
@@ -159,7 +161,10 @@
                     if not 0 < self._stream.events < self._events:
                         break
                     await self._send_request(f"{self._name}-{number}-{again}", kind)
-                await asyncio.sleep(self._rng.random() * self._options.pause_s)
+                pause_s = self._rng.random() * self._options.pause_s
+                if self._options.is_patient:
+                    pause_s = max(pause_s, self._retry_after_s)
+                await asyncio.sleep(pause_s)
         finally:
             self._close_connection()
 
@@ -168,7 +173,7 @@
         key, sent_at = self._key(), loop.time()
         status = 0
         stream, resumes = self._stream, self._stream.first_id
-        self._limited_by, self._body = "", b""
+        self._limited_by, self._body, self._retry_after_s = "", b"", 0.0
         self._ending = Ending.NO_LISTENER
         try:
             async with asyncio.timeout(self._timeout_s()):
@@ -242,6 +247,8 @@
             self._add_violation(request_id, "got the response of another request")
         if "server-limit: " in head and SEAL_HEADER in head:
             self._limited_by = head.split(SEAL_HEADER)[1].split("\r\n")[0]
+        if "retry-after: " in head:
+            self._retry_after_s = float(head.split("retry-after: ")[1].split("\r\n")[0])
         leaves_after = self._rng.randrange(1, 300) if self._leaves(kind, status) else None
         is_complete = await self._read_body(reader, head, leaves_after)
         if status == 200 and not kind.is_stream:
--- a/packages/vanillashore-standins/src/vanillashore_standins/soak/_run.py
+++ b/packages/vanillashore-standins/src/vanillashore_standins/soak/_run.py
@@ -163,7 +163,10 @@
         self.faults["crash"] = self._parts.count
         violations = tuple(sorted(set(self.violations)))
         mixed = tuple(self._versions.mixed_streams)
-        figures = (f"sent to stopping entries: {dict(self._stops.outcomes)}", *self._parts.figures)
+        figures = (
+            f"sent to stopping entries: {dict(self._stops.outcomes())}",
+            *self._parts.figures,
+        )
         return SoakReport(len(records), statuses, self.faults, violations, mixed, figures)
 
     async def _wait_for_entries(self) -> None:
--- a/packages/vanillashore-standins/src/vanillashore_standins/soak/_stops.py
+++ b/packages/vanillashore-standins/src/vanillashore_standins/soak/_stops.py
@@ -64,7 +64,6 @@
         self._rng = rng
         self._stops: list[_Stop] = []
         self.exits: list[str] = []
-        self.outcomes: Counter[str] = Counter()
         self.callers = [
             new_caller(f"k{i}", self._addresses, STREAM_OPTIONS) for i in range(STREAM_CALLERS)
         ]
@@ -136,6 +135,17 @@
         """Whether an entry was stopping at some time."""
         return any(s.entry == entry and s.start < until and s.end > since for s in self._stops)
 
+    def outcomes(self) -> Counter[str]:
+        """Count what became of the callers' requests to stopping entries."""
+        records = [record for caller in self.callers for record in caller.records]
+        return Counter(
+            _outcome(record)
+            for record in records
+            if any(
+                s.entry == record.entry and s.start <= record.sent_at < s.end for s in self._stops
+            )
+        )
+
     def _addresses(self) -> list[Address]:
         now = _now()
         out = {s.entry for s in self._stops if s.start + IN_ROTATION_S < now < s.end}
@@ -159,8 +169,6 @@
             stop = self._stop_around(record)
             if stop is None:
                 continue
-            if record.sent_at >= stop.start:
-                self.outcomes[_outcome(record)] += 1
             if (
                 record.ending is Ending.CUT
                 and record.request_id not in broken
--- a/tests/soak/test_stops.py
+++ b/tests/soak/test_stops.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 
+import attrs
 import pytest
 
 from vanillashore_standins.platform_endpoint import Arrival, EndpointStandIn
@@ -23,9 +24,14 @@
         return 0
 
 
+@attrs.define
+class StubCaller:
+    records: list[RequestRecord] = attrs.field(factory=list)
+
+
 def stop_an_entry() -> StopFaults:
     """Return faults of which one has stopped an entry, from 0 to ``GRACE_S``."""
-    faults = StopFaults(EntryPool(), [], random.Random(1), lambda *_: None)
+    faults = StopFaults(EntryPool(), [], random.Random(1), lambda *_: StubCaller())
     run_in_virtual_time(faults.stop(StubEntry()))
     return faults
 
@@ -81,12 +87,11 @@
 
 def test_outcomes_are_counted() -> None:
     faults = stop_an_entry()
-    records = [
+    faults.callers[0].records += [
         request(1.0, 2.0, Ending.COMPLETE, 200),
         request(1.0, 2.0, Ending.COMPLETE, 503),
         request(1.0, 2.0, Ending.COMPLETE, 502),
         request(7.5, 7.5, Ending.NO_LISTENER),
         request(9.0, 9.5, Ending.COMPLETE, 200),
     ]
-    faults.violations(records, never, [])
-    assert faults.outcomes == {"whole": 1, "refused": 1, "failed": 1, "no_listener": 1}
+    assert faults.outcomes() == {"whole": 1, "refused": 1, "failed": 1, "no_listener": 1}
