--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_generation.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_generation.py
@@ -24,7 +24,7 @@
 # of the target latency, or if it pauses for longer than `STALL_GAPS` times the gap target.
 FIRST_EVENT_SHARE = 1.2
 STALL_GAPS = 2.0
-MIN_STALL_S = 0.4  # Streams of a busy endpoint pause for a few hundred ms.
+MIN_STALL_S = 1.5  # A sound endpoint may be silent for a second; callers wait for two at least.
 HANDLE_MARGIN_S = 0.1  # A handle this close to its expiry is not worth a transfer.
 HOLD_MARGIN_S = 0.2  # A hold this close to its expiry may expire in transit.
 PREFILL_TOKENS = 16_384  # Prompt tokens that count as a full engine: half a second of work.
--- a/tests/gateway/test_generation.py
+++ b/tests/gateway/test_generation.py
@@ -131,6 +131,15 @@
         assert 1 <= len(ordered) <= 2
 
 
+async def test_stream_stays_at_a_sound_engine_that_is_silent_for_a_second() -> None:
+    options = EngineOptions(stall_s=1.0)
+    async with PlatformRig(prefills=1, decodes=2, engine=options) as rig:
+        fail_first(rig.decodes, Fault.STALLS)
+        answer = await rig.generate("/quote/1", "id-1")
+        assert (answer.status, answer.is_complete) == (200, True)
+        assert len(rig.arrivals("id-1")) == 1
+
+
 async def test_stalled_stream_stays_at_its_engine_if_no_other_has_room() -> None:
     options = EngineOptions(stall_s=1.5)
     async with PlatformRig(prefills=1, decodes=2, engine=options) as rig:
