--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -21,3 +21,15 @@
     report = await run_soak(SoakPlan(seed, seconds=15.0))
     assert report.violations == ()
     assert report.statuses[200] > 0
+
+
+@pytest.mark.parametrize(
+    ("seed", "stops", "parts"),
+    [(20101, True, False), (40201, False, True), (40101, True, True)],
+)
+async def test_guarantees_hold_while_entries_stop_and_prompts_crash_engines(
+    seed: int, stops: bool, parts: bool
+) -> None:
+    report = await run_soak(SoakPlan(seed, seconds=24.0, stops=stops, parts=parts))
+    assert report.violations == ()
+    assert report.statuses[200] > 0
