Count callers that leave by themselves as served in the soak's check of recovery

Traced: in the last 18 s the three entries answered 659 requests and refused none; 48 callers left their streams in the middle, as the soak lets three in ten of the resumable ones do, and each such record has status 0. The check wants the last three records of all twelve callers to be 200 at one moment. Streams that a caller leaves are left out of it now; what an entry cuts still counts.

--- a/packages/vanillashore-standins/src/vanillashore_standins/soak/_run.py
+++ b/packages/vanillashore-standins/src/vanillashore_standins/soak/_run.py
@@ -21,6 +21,7 @@
     REQUEST_KINDS,
     Address,
     CallerOptions,
+    Ending,
     SoakCaller,
 )
 from vanillashore_standins.soak._entries import SETTLE_S, EntryPool, EntryProcess, TimeSpan
@@ -313,7 +314,9 @@
         before = sum(len(caller.records) for caller in self._callers)
 
         def is_served() -> bool:
-            recent = [r for c in self._callers for r in c.records[-3:]]
+            # Callers that leave a stream by themselves have been served.
+            stayed = [[r for r in c.records if r.ending is not Ending.LEFT] for c in self._callers]
+            recent = [r for records in stayed for r in records[-3:]]
             count = sum(len(caller.records) for caller in self._callers)
             return count > before + 50 and all(r.status == 200 for r in recent)
 
