Let one place state that a refused request may have run

`Job.check_crashes` looks at `may_have_run` itself, which a refusal is corrected by anyway; calls and generations no longer pass it on or translate the refusal.

--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_calls.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_calls.py
@@ -92,12 +92,7 @@
         time_left_s = job.give_up_at - tools.clock()
         if time_left_s < MIN_TIME_LEFT_S:
             raise self._refuse(ErrorCode.TOO_LATE, "no time is left for the request")
-        try:
-            job.check_crashes(tools, has_run=job.sends > 0)
-        except RefusalError as exc:
-            if job.sends:
-                raise refusal(ErrorCode.ENDPOINT_FAILED, exc.refused.text) from exc
-            raise
+        job.check_crashes(tools)
         outbound = OutboundRequest(job.req, endpoint, job.workspace, time_left_s)
         had_run, job.may_have_run = job.may_have_run, True
         result = await self._send(outbound)
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_generation.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_generation.py
@@ -98,11 +98,11 @@
             endpoint = hold.endpoint
             is_used = False
             try:
-                self._check_crashes()
+                self._job.check_crashes(self._tools)
                 if attempt == 1:
                     self._job.check_shutdown(self._tools.shutdown)
                     handle = await self._prefill(endpoint)
-                    self._check_crashes()
+                    self._job.check_crashes(self._tools)
                 usable = handle if self._is_usable(handle, endpoint) else None
                 current = hold if self._tools.clock() < self._hold_usable_until(hold) else None
                 is_used = current is not None
@@ -124,9 +124,6 @@
                 break
         raise self._final_refusal(outcome)
 
-    def _check_crashes(self) -> None:
-        self._job.check_crashes(self._tools, has_run=self._stream.runs > 0)
-
     async def _acquire_hold(self) -> Hold:
         job = self._job
         hold, self._next_hold = self._next_hold, None
@@ -234,7 +231,7 @@
         timeout_s = min(left_s, send.timeout_s)
         handle: PrefillHandle | None = None
         try:
-            self._check_crashes()
+            self._job.check_crashes(self._tools)
             async with asyncio.timeout(timeout_s):
                 async with tools.sender.send(outbound, share, timeout_s) as sent:
                     body = await sent.read_to_end()
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_job.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_job.py
@@ -165,16 +165,16 @@
             limit_s=round(self.give_up_at - now, 3),
         )
 
-    def check_crashes(self, tools: Tools, has_run: bool = False) -> None:
+    def check_crashes(self, tools: Tools) -> None:
         """Raise RefusalError if the request is refused because it crashes endpoints.
 
         To be called before each time that an endpoint gets the request.
         """
         if tools.crashes.is_refused(self.fingerprint):
             raise crash_refusal()
-        if not tools.parts.refuses(self.traits) or (self.on_trial and not has_run):
+        if not tools.parts.refuses(self.traits) or (self.on_trial and not self.may_have_run):
             return
-        if has_run or not tools.parts.is_trial_due(self.service.name, self.traits):
+        if self.may_have_run or not tools.parts.is_trial_due(self.service.name, self.traits):
             raise crash_refusal()
         tools.parts.begin_trial(self.traits, self.req.log_id)
         self.on_trial = True
