Let a loss of power refuse no requests that are alike but for their last part

The fingerprint takes in the whole prompt again. A request that comes again with a new last part is found by its traits instead, where crashes in quick succession count once, and events and trials end a block; its test now has sound requests between, as the rule does, and asks for no more runs than before.

--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_crashes.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_crashes.py
@@ -31,14 +31,11 @@
 
 
 def fingerprint_of(
-    workspace: str, target: bytes, body: bytes, shared_parts: tuple[str, ...] = ()
+    workspace: str, target: bytes, body: bytes, prompt_parts: tuple[str, ...] = ()
 ) -> str:
-    """Return a digest that is the same each time that a caller sends a request.
-
-    Of the parts of its prompt, the last one may be new each time.
-    """
+    """Return a digest that is the same each time that a caller sends a request."""
     digest = xxhash.xxh3_128(workspace.encode())
-    for part in (target, body, *(part.encode() for part in shared_parts)):
+    for part in (target, body, *(part.encode() for part in prompt_parts)):
         digest.update(len(part).to_bytes(8, "big"))
         digest.update(part)
     return digest.hexdigest()
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_gateway.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_gateway.py
@@ -316,16 +316,16 @@
         route = table.route(req.host, req.path)
         workspace = table.workspace(req, route)
         name = workspace.name if workspace is not None else ""
-        fingerprint = fingerprint_of(name, req.target, req.body, req.prompt_parts[:-1])
+        fingerprint = fingerprint_of(name, req.target, req.body, req.prompt_parts)
         # Before the workspace's rate is charged; `Job.check_crashes` follows at each endpoint.
-        if self._crashes_endpoints(req, route, fingerprint):
+        if self._crashes_endpoints(req, route, name, fingerprint):
             raise crash_refusal()
         self.shutdown.check_arrival(received, give_up_at(req, route))
         if workspace is not None:
             await self._acquire_quota(req, workspace, route.target_s * QUOTA_WAIT_SHARE)
         origin = await self._resumption.origin_of(req, route)
         service = table.service(origin.service if origin else pick_service(route, self._rng))
-        traits = _traits(req, route, service.name, fingerprint)
+        traits = _traits(req, route, service.name, name)
         version = table.config.version
         job = Job(req, route, service, name, version, fingerprint, traits, received, origin)
         job.check_shutdown(self.shutdown, self._expected_wait_s(job))
@@ -340,12 +340,14 @@
         )
         return job
 
-    def _crashes_endpoints(self, req: CallerRequest, route: Route, fingerprint: str) -> bool:
+    def _crashes_endpoints(
+        self, req: CallerRequest, route: Route, workspace: str, fingerprint: str
+    ) -> bool:
         """Whether a request is refused at each service of its route, and no trial is due."""
         if self.crashes.is_refused(fingerprint):
             return True
         for target in route.targets:
-            traits = _traits(req, route, target.service, fingerprint)
+            traits = _traits(req, route, target.service, workspace)
             if not self.parts.refuses(traits) or self.parts.is_trial_due(target.service, traits):
                 return False
         return True
@@ -460,5 +462,9 @@
             ).info("endpoint added or changed")
 
 
-def _traits(req: CallerRequest, route: Route, service: str, fingerprint: str) -> tuple[str, ...]:
-    return traits_of(service, fingerprint, req.prompt_parts) if route.is_generation else ()
+def _traits(req: CallerRequest, route: Route, service: str, workspace: str) -> tuple[str, ...]:
+    if not route.is_generation:
+        return ()
+    # The last part may be new each time that a caller sends the same request.
+    fingerprint = fingerprint_of(workspace, req.target, req.body, req.prompt_parts[:-1])
+    return traits_of(service, fingerprint, req.prompt_parts)
--- a/tests/gateway/test_crash_parts.py
+++ b/tests/gateway/test_crash_parts.py
@@ -9,11 +9,11 @@
 import pytest
 from loguru import logger as log
 
-from vanillashore_gateway import now
-from vanillashore_gateway._crash_evidence import traits_of
+from vanillashore_gateway import Endpoint, now
+from vanillashore_gateway._crash_evidence import SEPARATE_S, traits_of
 from vanillashore_gateway._part_blocks import FIRST_TRIAL_S
 from vanillashore_standins import wait_until
-from vanillashore_standins.platform_endpoint import EndpointStandIn, EngineOptions
+from vanillashore_standins.platform_endpoint import EndpointStandIn, EngineOptions, Fault
 from vanillashore_standins.platform_rig import PlatformRig
 
 BAD = "bad0"  # The part that crashes engines.
@@ -222,3 +222,42 @@
             *(rig.generate(f"/quote/{number}", f"id-{number}", **headers) for number in range(6))
         )
         assert sum(len(engine.arrivals) for engine in rig.decodes) == 1
+
+
+async def test_request_that_comes_again_with_a_new_last_part_of_its_prompt_is_refused() -> None:
+    async with PlatformRig(decodes=6) as rig:
+        rig.process.gateway.crashes._is_down = _is_down
+        for number in range(6):
+            for engine in rig.decodes:
+                engine.faults.append(Fault.RESET_AFTER_RUN)
+            headers = {"X_Prompt_Prefix": f"c0:100,{number:x}:10"}
+            await rig.ask("POST", "/idea/1", f"bad-{number}", b"bad", **headers)
+            await asyncio.gather(*rig.process.gateway.crashes._checks)
+            for engine in rig.decodes:
+                engine.faults.clear()
+            headers = {"X_Prompt_Prefix": f"c0:100,{number + 16:x}:10"}
+            answer = await rig.ask("POST", "/idea/1", f"sound-{number}", b"x", **headers)
+            assert answer.status == 200
+            await asyncio.sleep(SEPARATE_S)
+        assert sum(len(rig.arrivals(f"bad-{number}")) for number in range(6)) <= 3 + 1
+
+
+async def test_loss_of_power_refuses_no_request_that_only_ran_then() -> None:
+    async with PlatformRig(decodes=6) as rig:
+        rig.process.gateway.crashes._is_down = _is_down
+        for engine in rig.decodes:
+            engine.faults.append(Fault.RESET_AFTER_RUN)
+        headers = [{"X_Prompt_Prefix": f"c0:9,a0:9,{number:x}:9"} for number in range(18)]
+        lost = [rig.ask("POST", "/idea/1", f"id-{n}", b"", **headers[n]) for n in range(6)]
+        await asyncio.gather(*lost)
+        await asyncio.gather(*rig.process.gateway.crashes._checks)
+        for engine in rig.decodes:
+            engine.faults.clear()
+        later = [
+            await rig.ask("POST", "/idea/1", f"id-{n}", b"", **headers[n]) for n in range(6, 18)
+        ]
+        assert [answer.status for answer in later] == [200] * 12
+
+
+async def _is_down(endpoint: Endpoint) -> bool:
+    return True
