Tell several causes of crashes apart, and bursts from a loss of power

Five crashes now suffice for a trait that nothing has cleared although others have begun since; the evidence is looked at again 1 and 2.5 s after a crash. - A block was never tried where the home got no such request.

--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_crash_evidence.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_crash_evidence.py
@@ -8,20 +8,19 @@
 set of all traits that the candidates with one trait have in common and that nothing has cleared.
 """
 
-from collections import Counter
 from collections.abc import Iterable
 
 import attrs
 import xxhash
 
-MAX_PARTS = 32
+MAX_PARTS = 47
 MIN_CRASHES = 3  # While requests without the trait begin.
 MIN_CRASHES_ALONE = 5  # Without: what has failed may be the service as a whole.
 SEPARATE_S = 0.3  # A loss of power ends all endpoints of a data centre within this time.
 SAME_CRASH_S = 1.0  # All reports of one crash arrive in this time.
-EVIDENCE_TTL_S = 120.0
+EVIDENCE_TTL_S = 900.0
 MAX_CRASHES = 32
-MAX_CANDIDATES = 16  # Of one crash; most have one.
+MAX_CANDIDATES = 64  # Of one crash; most have one.
 
 
 def traits_of(service: str, fingerprint: str, prompt_parts: tuple[str, ...]) -> tuple[str, ...]:
@@ -118,24 +117,43 @@
                     shared[trait] = shared.get(trait, candidate) & candidate
             for trait in set().union(*crash.candidates):
                 times.setdefault(trait, []).append(crash.at)
-        counts = Counter({trait: _separate(each) for trait, each in times.items()})
         # A trait of many sound requests is in as many crashes as the cause, or in more.
-        unproven = {trait for trait in counts if not shared[trait] <= self._proven}
-        for group in (unproven, counts.keys() - unproven):
+        unproven = {trait for trait in times if not shared[trait] <= self._proven}
+        for group in (unproven, times.keys() - unproven):
+            if group is not unproven:
+                times = self._unexplained(crashes, times)
+            counts = {trait: _separate(times[trait]) for trait in group if trait in times}
             enough = {
-                trait: counts[trait]
-                for trait in group
-                if self._is_enough(times[trait], counts[trait], trait in unproven)
+                trait: count
+                for trait, count in counts.items()
+                if self._is_enough(times[trait], count, trait in unproven)
             }
             if enough:
                 best = max(_nearly_most(enough), key=lambda t: (len(shared[t]), enough[t], t))
                 return frozenset(shared[best])
         return None
 
+    def _unexplained(
+        self, crashes: list[_Crash], times: dict[str, list[float]]
+    ) -> dict[str, list[float]]:
+        """Return when each trait was in a crash without a recurring trait that is unproven.
+
+        Several causes at once leave each of them too few crashes, and their common parts many.
+        """
+        recurring = {t for t, each in times.items() if len(each) > 1 and t not in self._proven}
+        left: dict[str, list[float]] = {}
+        for crash in crashes:
+            if not any(candidate & recurring for candidate in crash.candidates):
+                for trait in set().union(*crash.candidates):
+                    left.setdefault(trait, []).append(crash.at)
+        return left
+
     def _is_enough(self, times: list[float], separate: int, is_unproven: bool) -> bool:
         is_supported = self._event_at > min(times)
         if is_unproven:
-            many = separate > 1 and len(times) >= MIN_CRASHES_ALONE
+            # After a loss of power the common parts are cleared by what begins next.
+            is_over = separate > 1 or self._event_at > max(times)
+            many = len(times) >= MIN_CRASHES_ALONE and is_over
             return many or (separate >= MIN_CRASHES and is_supported)
         many = separate >= MIN_CRASHES and len(times) >= MIN_CRASHES_ALONE
         return separate >= MIN_CRASHES_ALONE or (many and is_supported)
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_crashing_parts.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_crashing_parts.py
@@ -11,7 +11,7 @@
 
 from loguru import logger as log
 
-from vanillashore_gateway._crash_evidence import CrashEvidence
+from vanillashore_gateway._crash_evidence import EVIDENCE_TTL_S, CrashEvidence
 from vanillashore_gateway._home_ranking import Address, rank_homes
 from vanillashore_gateway._part_blocks import PartBlocks
 from vanillashore_gateway._part_messages import (
@@ -28,10 +28,12 @@
 HOMES_NOTIFIED = 2  # The home and its substitute.
 HOMES_GREETING = 3  # One more, as the entry that is greeted may be one of the two.
 COLLECT_S = 0.1  # All entries notice a crash in about this time.
+REVIEWS_S = (1.0, 2.5)  # After a crash, when what others bring may have cleared its candidates.
 REFRESH_S = 2.0  # Between announcements of each block, as datagrams may be lost.
 QUERY_S = 10.0  # For this long after its start, an entry asks those that it learns of.
 PROVEN_S = 60.0
-SUSPECT_TTL_S = 120.0  # As long as a crash is kept.
+TRIAL_RANK_S = 2.0  # A trial is known everywhere long before the next entry's turn.
+SUSPECT_TTL_S = EVIDENCE_TTL_S
 MAX_MARKED = 10_000  # Traits, of some hundred bytes each.
 MAX_SERVICES = 100
 
@@ -66,9 +68,14 @@
         return self._blocks.refuses(traits)
 
     def is_trial_due(self, service: str, traits: Iterable[str]) -> bool:
-        """Whether this entry may let a request through that is refused."""
-        is_home = self._homes(service)[:1] in ([], [self._node])
-        return is_home and self._blocks.is_trial_due(traits, self._clock())
+        """Whether this entry may let a request through that is refused.
+
+        The home may first, and each other entry a while after the one before it, as the home may
+        get no such request.
+        """
+        homes = self._homes(service)
+        rank = homes.index(self._node) if self._node in homes else len(homes)
+        return self._blocks.is_trial_due(traits, self._clock() - rank * TRIAL_RANK_S)
 
     def begin_trial(self, traits: Iterable[str], request_id: str) -> None:
         """Let a request through that is refused, to see whether it still crashes an endpoint."""
@@ -150,14 +157,20 @@
     def _settle(self, service: str, since: float) -> None:
         """Ask for what clears the candidates of new crashes, and announce what is found."""
         self._settling.discard(service)
-        now = self._clock()
         evidence = self._evidence_of(service)
         suspects = sorted(evidence.suspects(since))
         for start in range(0, len(suspects), MAX_TRAITS):
             message = PartSuspects(tuple(suspects[start : start + MAX_TRAITS]))
             self._handle(message)
             self._send(message, self._entries)
-        for finding in evidence.findings(now):
+        self._review(service)
+        for delay_s in REVIEWS_S:
+            asyncio.get_running_loop().call_later(delay_s, self._review, service)
+
+    def _review(self, service: str) -> None:
+        """Announce what is found."""
+        now = self._clock()
+        for finding in self._evidence_of(service).findings(now):
             notices = self._blocks.block(service, finding.traits, now)
             bound = log.bind(service=service, traits=sorted(finding.traits))
             bound.bind(endpoints=finding.instances).info("found what crashed endpoints")
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_part_messages.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_part_messages.py
@@ -5,6 +5,7 @@
 import attrs
 import orjson
 
+MAX_TRIALS = 16  # Further ones would be years apart.
 MAX_TRAITS = 48  # In one datagram, which then has less than 1,400 bytes.
 
 
@@ -98,7 +99,7 @@
             int(trials),
             float(age_s) | int(age_s),
             *_,
-        ]:
+        ] if 0 <= trials <= MAX_TRIALS and age_s >= 0:
             return Block(block_id, version, service, _traits(traits), trials, float(age_s))
         case ["part query", *_]:
             return BlockQuery()
