--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_part_blocks.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_part_blocks.py
@@ -9,7 +9,7 @@
 
 FIRST_TRIAL_S = 20.0
 TRIAL_FACTOR = 10.0  # Trials at 20, 220 and 2,220 s: two in the first half hour.
-BLOCK_TTL_S = 3_600.0  # Since the last trial; longer than to the fourth one.
+BLOCK_TTL_S = 3_600.0  # Since the last trial; longer than from the second to the third one.
 ENDED_TTL_S = 60.0  # Until no entry can still announce an earlier version.
 MAX_BLOCKS = 100
 
