Send nothing more to an endpoint that says it is leaving

Cause: Server-Leaving was read nowhere. An entry kept sending to an endpoint that leaves until the list said so, which it does not in an outage of the store.

Each answer (requests, prefills, rejections, reservations, reports, orders) is now recorded in one place, and each send is checked there right before its first byte. The statement holds for the endpoint's start. A request that finds no endpoint listed is refused at once, also if some turned it away before.

--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_calls.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_calls.py
@@ -13,6 +13,7 @@
 from vanillashore_gateway._http_messages import end_to_end
 from vanillashore_gateway._job import Job, Tools
 from vanillashore_gateway._sending import Sending
+from vanillashore_gateway._statements import WithheldError
 
 # An idempotent request is resent after this share of the target latency.
 RESEND_AFTER_SHARE = 0.6
@@ -38,7 +39,11 @@
 
 @attrs.frozen
 class _Result:
-    """Result of one send attempt; a long answer ``is_relayed`` to the caller already."""
+    """Result of one send attempt.
+
+    A long answer ``is_relayed`` to the caller already. A request that was not sent ``is_withheld``
+    if the endpoint was not to get it.
+    """
 
     outcome: _Outcome
     head: AnswerHead | None = None
@@ -46,6 +51,7 @@
     reason: str = ""
     is_broken: bool = False
     is_relayed: bool = False
+    is_withheld: bool = False
 
 
 class CallForwarder:
@@ -103,7 +109,8 @@
         is_healthy = result.outcome in (_Outcome.ANSWERED, _Outcome.NOT_RUN) and not _is_failure(
             result
         )
-        tools.balancer.record_result(endpoint, is_healthy, tools.clock())
+        if not result.is_withheld:
+            tools.balancer.record_result(endpoint, is_healthy, tools.clock())
         if result.is_broken:
             job.record_disconnect(tools, endpoint)
         elif result.outcome is _Outcome.ANSWERED:
@@ -130,7 +137,7 @@
             if self._error_answer is not None:
                 return None
             endpoints = tools.membership.usable(job.service.name, EndpointRole.SERVICE)
-            if not endpoints and not job.tried:
+            if not endpoints:
                 raise self._refuse_no_endpoint(ErrorCode.NO_ENDPOINT)
             patience_s = job.req.arrived + job.route.target_s * MAX_QUEUE_SHARE - tools.clock()
             if patience_s <= 0:
@@ -174,7 +181,8 @@
             return _Result(_Outcome.UNCLEAR, reason="timed out")
         except LinkError as exc:
             if exc.failure is LinkFailure.NOT_SENT:
-                return _Result(_Outcome.NOT_SENT, reason=str(exc))
+                is_withheld = isinstance(exc, WithheldError)
+                return _Result(_Outcome.NOT_SENT, reason=str(exc), is_withheld=is_withheld)
             is_broken = exc.failure is LinkFailure.BROKEN
             return _Result(_Outcome.UNCLEAR, reason=str(exc), is_broken=is_broken)
 
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_domain.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_domain.py
@@ -213,7 +213,7 @@
     ``is_sealed`` is true if the answer carries the seal with which an endpoint's application marks
     its answers. ``was_not_run`` is the endpoint's statement that it did not and will not run the
     request. ``limit_per_s`` is the number of requests per second that the endpoint accepts from all
-    entries together; ``None`` is no limit.
+    entries together; ``None`` is no limit. ``is_leaving`` states that the endpoint is to stop soon.
     """
 
     status: int
@@ -223,6 +223,7 @@
     was_not_run: bool
     load: Load | None = None
     limit_per_s: float | None = None
+    is_leaving: bool = False
 
 
 @attrs.frozen
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_engine_calls.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_engine_calls.py
@@ -9,6 +9,7 @@
 from vanillashore_gateway._domain import Endpoint, Hold, OrderAnswer, RoleOrder
 from vanillashore_gateway._http_client import LinkError
 from vanillashore_gateway._pool import ConnectionPool
+from vanillashore_gateway._statements import EndpointStatements, WithheldError
 
 CALL_TIMEOUT_S = 0.3  # Engines answer such a call without a slot, within some milliseconds.
 MAX_ANSWER_BYTES = 262_144  # A report names each run of its engine.
@@ -16,7 +17,11 @@
 
 
 class EngineUnreachableError(Exception):
-    """Raised when an engine does not answer a call."""
+    """Raised when an engine does not answer a call; ``is_withheld`` if it was not to get one."""
+
+    def __init__(self, text: str, is_withheld: bool = False) -> None:
+        super().__init__(text)
+        self.is_withheld = is_withheld
 
 
 @attrs.frozen
@@ -28,9 +33,12 @@
 class EngineCalls:
     """Makes calls over the pool's connections."""
 
-    def __init__(self, dialect: Dialect, pool: ConnectionPool) -> None:
+    def __init__(
+        self, dialect: Dialect, pool: ConnectionPool, statements: EndpointStatements
+    ) -> None:
         self._dialect = dialect
         self._pool = pool
+        self._statements = statements
 
     async def request_hold(
         self, endpoint: Endpoint, tokens: int, ttl_s: float, now: float
@@ -85,9 +93,12 @@
         conn = None
         try:
             async with asyncio.timeout(timeout_s):
+                self._statements.check(endpoint)
                 conn = await self._pool.acquire_connection(endpoint)
+                self._statements.check(endpoint)
                 conn.send(data, self._dialect.answers_call)
                 head = await conn.head()
+                self._statements.record_call(endpoint, self._dialect.decode_answer(head))
                 body = await conn.read_to_end(MAX_ANSWER_BYTES)
             self._pool.release_connection(endpoint, conn)
             conn = None
@@ -95,7 +106,7 @@
         except TimeoutError as exc:
             raise EngineUnreachableError(f"no answer within {timeout_s:g} s") from exc
         except LinkError as exc:
-            raise EngineUnreachableError(str(exc)) from exc
+            raise EngineUnreachableError(str(exc), isinstance(exc, WithheldError)) from exc
         finally:
             if conn is not None:
                 conn.abort()
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_gateway.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_gateway.py
@@ -59,6 +59,7 @@
 from vanillashore_gateway._shutdown import Shutdown
 from vanillashore_gateway._slot_finder import SlotFinder
 from vanillashore_gateway._start_checks import StartChecks
+from vanillashore_gateway._statements import EndpointStatements
 from vanillashore_gateway._stream_origins import StreamOrigins
 
 EXPIRY_CHECK_DELAY_S = 2.0  # Slightly longer than Membership's grace period.
@@ -111,7 +112,9 @@
             self.membership.record_connection_lost, self.membership.record_unobserved
         )
         self.balancer = Balancer(cfg.data_centre, rng)
-        self.calls = EngineCalls(dialect, self.pool)
+        self.limits = RequestLimits(cfg.node, now)
+        statements = EndpointStatements(self.membership, self.limits)
+        self.calls = EngineCalls(dialect, self.pool, statements)
         self.duty = DutyState()
         self.rotation = Rotation(cfg.node, now)
         self.shutdown = Shutdown(self.rotation, now, rng)
@@ -131,8 +134,7 @@
         self.restore_listeners: list[Callable[[], None]] = []
         self._synced_at = now()
         self._budgets = RetryBudgets(cfg.retry_ratio * BUDGET_SHARE, cfg.retry_slack * BUDGET_SHARE)
-        self.limits = RequestLimits(cfg.node, now)
-        sender = Sender(dialect, self.pool, self.balancer, self.limits, now)
+        sender = Sender(dialect, self.pool, self.balancer, statements, now)
         self.prefill_estimator = PrefillEstimator(rng)
         self.prefills = PrefillScheduler(
             cfg.node, self.prefill_estimator, self._prefill_engines, now
@@ -180,6 +182,7 @@
             "vanillashore.active_requests": lambda: self.active,
             "vanillashore.endpoints": lambda: len(self.membership),
             "vanillashore.endpoints.limited": lambda: self.limits.limited_endpoints,
+            "vanillashore.endpoints.leaving": lambda: self.membership.stated_leaving,
             "vanillashore.entries": lambda: self.known_entries,
             "vanillashore.config_version": lambda: self.config_version,
         }
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_generation.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_generation.py
@@ -18,6 +18,7 @@
 from vanillashore_gateway._prefill_scheduler import PrefillAssignment
 from vanillashore_gateway._sending import Sending
 from vanillashore_gateway._slot_finder import needed_tokens
+from vanillashore_gateway._statements import WithheldError
 from vanillashore_gateway._stream_origins import StreamOrigin
 
 # A resumable stream moves to another endpoint if its first event takes longer than this multiple
@@ -38,11 +39,15 @@
     """Outcome of one decode attempt."""
 
     DONE = auto()
+    WITHHELD = auto()
     NOT_SENT = auto()
     NOT_RUN = auto()
     BROKEN = auto()
 
 
+UNSENT = frozenset({_Outcome.WITHHELD, _Outcome.NOT_SENT})
+
+
 @attrs.define
 class _Stream:
     """Events passed to the caller, and how many endpoints may have run the request.
@@ -118,7 +123,7 @@
                 self._tools.shutdown.record_answer(self._job.service.name, held_s)
                 self._log_answered()
                 return
-            if outcome is not _Outcome.NOT_SENT:
+            if outcome not in UNSENT:
                 handle = None
             if attempt == MAX_DECODES or not self._may_retry(outcome):
                 break
@@ -181,7 +186,6 @@
             job.tried.add(engine.instance)
             began = tools.clock()
             handle = await self._prefill_at(assignment)
-            tools.balancer.record_result(engine, handle is not None, tools.clock())
             if handle is not None:
                 return handle
             # Each further prefill attempt counts as a retry.
@@ -230,6 +234,7 @@
         share = send.tokens / PREFILL_TOKENS
         timeout_s = min(left_s, send.timeout_s)
         handle: PrefillHandle | None = None
+        is_withheld = False
         try:
             self._job.check_crashes(self._tools)
             async with asyncio.timeout(timeout_s):
@@ -239,10 +244,13 @@
                         name = tools.dialect.decode_handle(body)
                         tools.prefills.end(assignment, sent.head.load)
                         handle = PrefillHandle(send.endpoint, name, tools.clock())
+                        tools.balancer.record_result(send.endpoint, True, tools.clock())
                         return handle
                     reason = f"status {sent.head.status}"
         except TimeoutError:
             reason = "timed out"
+        except WithheldError as exc:
+            reason, is_withheld = str(exc), True
         except (LinkError, ValueError) as exc:
             reason = str(exc)
             if isinstance(exc, LinkError) and exc.failure is LinkFailure.BROKEN:
@@ -250,6 +258,8 @@
         finally:
             if handle is None:
                 tools.prefills.give_up(assignment)
+        if not is_withheld:
+            tools.balancer.record_result(send.endpoint, False, tools.clock())
         failed = send.endpoint.instance
         job.log_decision("prefill failed", endpoint=failed, reason=reason, tokens=send.tokens)
         return None
@@ -284,7 +294,7 @@
         self._prompt_sent_at = tools.clock() if reads_prompt else None
         had_run, job.may_have_run = job.may_have_run, True
         outcome = await self._send_decode(outbound, self._first_event_timeout_s(left_s), responder)
-        if outcome in (_Outcome.NOT_SENT, _Outcome.NOT_RUN):
+        if outcome in UNSENT or outcome is _Outcome.NOT_RUN:
             job.may_have_run = had_run
         if outcome is _Outcome.BROKEN:
             self._stream.splitter.discard_partial_event()
@@ -292,7 +302,9 @@
         # An engine that is changing its role grants holds and then refuses the requests that use
         # them, so only a refusal without a hold shows a full but healthy engine.
         is_full = outcome is _Outcome.NOT_RUN and hold is None
-        tools.balancer.record_result(endpoint, outcome is _Outcome.DONE or is_full, tools.clock())
+        if outcome is not _Outcome.WITHHELD:
+            is_sound = outcome is _Outcome.DONE or is_full
+            tools.balancer.record_result(endpoint, is_sound, tools.clock())
         if outcome is not _Outcome.DONE:
             job.log_decision(
                 "decode failed",
@@ -326,6 +338,9 @@
                 return _Outcome.DONE
         except TimeoutError:
             self._reason = "the stream stalled"
+        except WithheldError as exc:
+            self._reason = str(exc)
+            return _Outcome.WITHHELD
         except LinkError as exc:
             self._reason = str(exc)
             if exc.failure is LinkFailure.NOT_SENT:
@@ -424,7 +439,7 @@
         return route.is_resumable and self._stream.runs < route.max_attempts
 
     def _may_retry(self, outcome: _Outcome) -> bool:
-        if outcome is _Outcome.NOT_SENT or self._next_hold is not None:
+        if outcome in UNSENT or self._next_hold is not None:
             return True
         if outcome is _Outcome.BROKEN and not self._may_move():
             return False
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_membership.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_membership.py
@@ -7,7 +7,7 @@
 
 # Endpoints whose records expired in an outage are listed again within about two seconds.
 RETURN_GRACE_S = 1.9
-MAX_ENDED = 4_096  # Endpoints that left, for when the store comes back from an older copy.
+MAX_ENDED = 4_096  # Starts that left, for when the store comes back from an older copy.
 
 
 class Membership:
@@ -19,6 +19,9 @@
     A record may be of an earlier start of its endpoint. It is unconfirmed if there is a sign of
     that, or if it comes from a snapshot, which a restored store may have had before the restart. An
     endpoint is unobserved if there was no connection to it, so that a sign may have been missed.
+
+    An endpoint may also state in an answer that it is leaving. That holds for its start, whatever
+    its records or other answers tell, as the list may be old and answers may overtake one another.
     """
 
     def __init__(self) -> None:
@@ -29,6 +32,7 @@
         self._unobserved: set[str] = set()
         self._outdated: set[str] = set()
         self._ended: OrderedDict[EndpointStart, None] = OrderedDict()
+        self._stated_leaving: OrderedDict[EndpointStart, None] = OrderedDict()
         # The versions of endpoints that have left or changed theirs, and when they did.
         self._left_versions: dict[tuple[str, str], float] = {}
 
@@ -68,7 +72,7 @@
     def put(self, endpoint: Endpoint, now: float) -> None:
         """Add or update an endpoint."""
         if endpoint.is_leaving:
-            self._record_ended(endpoint.start)
+            _remember(self._ended, endpoint.start)
         else:
             self._ended.pop(endpoint.start, None)
         known = self._endpoints.get(endpoint.instance)
@@ -101,13 +105,29 @@
             endpoint
             for endpoint in self._endpoints.values()
             if endpoint.service == service
-            and not endpoint.is_leaving
+            and not self.is_leaving(endpoint)
             and (role is None or endpoint.role is role)
         ]
 
     def all_usable(self) -> list[Endpoint]:
         """Return the endpoints of all services that accept new requests."""
-        return [endpoint for endpoint in self._endpoints.values() if not endpoint.is_leaving]
+        return [endpoint for endpoint in self._endpoints.values() if not self.is_leaving(endpoint)]
+
+    def is_leaving(self, endpoint: Endpoint) -> bool:
+        """Whether an endpoint's record or one of its answers tells that it is leaving."""
+        return endpoint.is_leaving or endpoint.start in self._stated_leaving
+
+    def record_leaving(self, start: EndpointStart) -> bool:
+        """Record an endpoint's statement that it is leaving; return whether it is the first."""
+        if start in self._stated_leaving:
+            return False
+        _remember(self._stated_leaving, start)
+        return True
+
+    @property
+    def stated_leaving(self) -> int:
+        """How many listed endpoints have stated that they are leaving."""
+        return sum(e.start in self._stated_leaving for e in self._endpoints.values())
 
     def record_connection_lost(self, instance: str) -> None:
         """Record that an endpoint has ended a connection or does not accept one."""
@@ -169,18 +189,20 @@
         self._drop(name, now)
         return True
 
-    def _record_ended(self, start: EndpointStart) -> None:
-        self._ended[start] = None
-        self._ended.move_to_end(start)
-        while len(self._ended) > MAX_ENDED:
-            self._ended.popitem(last=False)
-
     def _drop(self, name: str, now: float) -> None:
         endpoint = self._endpoints.pop(name, None)
         self._unconfirmed.discard(name)
         self._unobserved.discard(name)
         self._outdated.discard(name)
         if endpoint is not None:
-            self._record_ended(endpoint.start)
+            _remember(self._ended, endpoint.start)
             self._left_versions[endpoint.service, endpoint.software] = now
         self._missing_since.pop(name, None)
+
+
+def _remember(starts: OrderedDict[EndpointStart, None], start: EndpointStart) -> None:
+    """Add a start, and drop the oldest ones if there are too many."""
+    starts[start] = None
+    starts.move_to_end(start)
+    while len(starts) > MAX_ENDED:
+        starts.popitem(last=False)
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_sending.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_sending.py
@@ -10,8 +10,8 @@
 from vanillashore_gateway._dialect import Dialect, OutboundRequest
 from vanillashore_gateway._domain import AnswerHead, Endpoint
 from vanillashore_gateway._http_client import HttpConnection, LinkError, LinkFailure
-from vanillashore_gateway._limit_requests import RequestLimits
 from vanillashore_gateway._pool import ConnectionPool
+from vanillashore_gateway._statements import EndpointStatements
 
 MAX_HELD_BYTES = 65_536  # Of a body that is held until it is complete.
 
@@ -49,13 +49,13 @@
         dialect: Dialect,
         pool: ConnectionPool,
         balancer: Balancer,
-        limits: RequestLimits,
+        statements: EndpointStatements,
         clock: Callable[[], float],
     ) -> None:
         self._dialect = dialect
         self._pool = pool
         self._balancer = balancer
-        self._limits = limits
+        self._statements = statements
         self._clock = clock
 
     @asynccontextmanager
@@ -69,15 +69,17 @@
         """Send a request and wait for the head of its answer.
 
         The connection is reused if the answer was read to its end, and closed otherwise, which
-        makes the endpoint cancel the request. Raises LinkError, and TimeoutError if no head arrives
-        in time.
+        makes the endpoint cancel the request. Raises LinkError, WithheldError if the endpoint is
+        not to get a request now, and TimeoutError if no head arrives in time.
         """
         endpoint = outbound.endpoint
         conn: HttpConnection | None = None
-        known_limit = self._limits.known_limit(endpoint)
+        known_limit = self._statements.known_limit(endpoint)
         self._balancer.begin(endpoint, share)
         try:
+            self._statements.check(endpoint)
             conn = await self._connect(endpoint, must_be_fresh)
+            self._statements.check(endpoint)
             request_id = outbound.req.request_id
             conn.send(
                 self._dialect.encode_outbound(outbound),
@@ -85,16 +87,12 @@
             )
             async with asyncio.timeout(head_timeout_s):
                 head = self._dialect.decode_answer(await conn.head())
+            self._statements.record_answer(endpoint, head, known_limit, outbound.req.log_id)
             if 200 <= head.status < 300 and not head.is_sealed and not outbound.is_prefill:
                 raise LinkError(
                     LinkFailure.GARBLED, "the successful answer does not carry an endpoint's seal"
                 )
             self._balancer.record_load(endpoint, head.load, self._clock())
-            # A rejection need not come from the application, which names the limit.
-            if head.limit_per_s is not None or not head.was_not_run:
-                self._limits.record_answer(
-                    endpoint, head.limit_per_s, known_limit, outbound.req.log_id
-                )
             yield Sending(endpoint, head, conn)
             if conn.is_reusable:
                 self._pool.release_connection(endpoint, conn)
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_slot_finder.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_slot_finder.py
@@ -254,9 +254,8 @@
         """
         endpoints = self._membership.usable(request.service.name, EndpointRole.DECODE)
         if not endpoints:
-            raise refusal(
-                ErrorCode.NO_ENDPOINT, "no decode engine is available", MAX_QUEUE_WAIT_S / 2
-            )
+            after_s = MAX_QUEUE_WAIT_S / 2 * (1 + RETRY_JITTER * self._rng.random())
+            raise refusal(ErrorCode.NO_ENDPOINT, "no decode engine is available", after_s)
         endpoints = self._limits.open_endpoints(self._of_version(request, endpoints))
         tried = set(request.avoided)
         share = request.tokens / max(1, request.service.kv_tokens)
@@ -299,11 +298,14 @@
                 return None
             hold = await self._calls.request_hold(endpoint, tokens, request.service.hold_s, now)
         except EngineUnreachableError as exc:
-            self._balancer.record_result(endpoint, False, self._clock())
+            if not exc.is_withheld:
+                self._balancer.record_result(endpoint, False, self._clock())
             log.bind(request=request.req.log_id, endpoint=endpoint.instance, reason=str(exc)).info(
                 "an engine did not respond to a reservation"
             )
             return None
+        if self._membership.is_leaving(endpoint):
+            return None  # The answer says so; what it reserved expires.
         if hold is None:
             self._balancer.record_full(endpoint, now)
             return None
--- a/packages/vanillashore-standins/src/vanillashore_standins/platform_endpoint.py
+++ b/packages/vanillashore-standins/src/vanillashore_standins/platform_endpoint.py
@@ -111,8 +111,9 @@
 
     Each request consumes one of ``faults``; requests after the last one succeed, and each control
     call has the ``control_fault``. Plain answers have ``body``, or name the request. Answers name
-    ``limit_per_s`` unless it is ``None``. ``version`` is that of the endpoint's software. While
-    ``may_answer`` is not set, answers do not begin, and streams pause.
+    ``limit_per_s`` unless it is ``None``, and with ``says_leaving`` all answers say so. ``version``
+    is that of the endpoint's software. While ``may_answer`` is not set, answers do not begin, and
+    streams pause. While ``retry_after`` is set, requests and holds are turned away with it.
 
     A generation with one of ``crash_parts`` in its prompt, the last part apart, crashes the
     endpoint as the answer begins; the endpoint is back ``down_s`` later and calls ``on_restart``.
@@ -128,6 +129,8 @@
         self.highest_fence = 0
         self.body = b""
         self.limit_per_s: float | None = None
+        self.says_leaving = False
+        self.retry_after: str | None = None
         self.version = VERSION
         self.may_answer = asyncio.Event()
         self.may_answer.set()
@@ -196,10 +199,12 @@
         self._server.close()
 
     def restart(self, version: str) -> None:
-        """Start again under the same name: connections, holds and the limit are gone."""
+        """Start again under the same name: connections, holds and what it said are gone."""
         self.version = version
         self.started_ms += 1
         self.limit_per_s = None
+        self.says_leaving = False
+        self.retry_after = None
         self.holds.clear()
         self.broken_requests |= self._active
         for writer in list(self._writers):
@@ -289,18 +294,29 @@
     def _starts_work(self, fault: Fault, headers: dict[str, str]) -> bool:
         if headers.get("x-expect-instance") != self.instance or "x-stage" in headers:
             return False
-        return fault not in (Fault.SHED, Fault.OTHER_INSTANCE)
+        return fault not in (Fault.SHED, Fault.OTHER_INSTANCE) and self.retry_after is None
+
+    def _statements(self) -> dict[str, str]:
+        """Return the headers in which the endpoint says how it is."""
+        limit = {} if self.limit_per_s is None else {"Server-Limit": f"{self.limit_per_s:g}"}
+        return limit | self._leaving_headers()
+
+    def _leaving_headers(self) -> dict[str, str]:
+        return {"Server-Leaving": "1"} if self.says_leaving else {}
 
     async def _answer(self, writer: asyncio.StreamWriter, arrival: Arrival, fault: Fault) -> bool:
         await self.may_answer.wait()
-        limit = {} if self.limit_per_s is None else {"Server-Limit": f"{self.limit_per_s:g}"}
+        statements = self._statements()
         if (
             fault is Fault.OTHER_INSTANCE
             or arrival.headers.get("x-expect-instance") != self.instance
         ):
             return await _reply(writer, 421, {"X-Instance-Id": "another"}, b"")
+        if self.retry_after is not None:
+            headers = {"X-Not-Executed": "1", "Retry-After": self.retry_after}
+            return await _reply(writer, 503, headers | statements, b"")
         if fault is Fault.SHED:
-            return await _reply(writer, 503, {"X-Not-Executed": "1"} | limit, b"")
+            return await _reply(writer, 503, {"X-Not-Executed": "1"} | statements, b"")
         if fault is Fault.SILENT:
             await asyncio.sleep(3_600)
         if fault is Fault.RESET_AFTER_RUN:
@@ -309,7 +325,7 @@
         if fault is Fault.GARBAGE:
             writer.write(b"\x00\x01 this is no answer\r\n\r\n")
             return True
-        server_headers = limit | {
+        server_headers = statements | {
             "X-Request-Id": arrival.request_id,
             "X-Server-Seal": SEAL_PREFIX + self.instance,
             "X-Server-Load": "1,0,8",
@@ -408,33 +424,37 @@
         self, writer: asyncio.StreamWriter, method: str, target: str, body: bytes
     ) -> bool:
         self.calls.append((method, target))
+        headers = self._leaving_headers()
         if self.control_fault is Fault.GARBAGE:
-            return await _reply(writer, 200, {}, b"this is no JSON")
+            return await _reply(writer, 200, headers, b"this is no JSON")
         if self.control_fault is not Fault.NONE:
             return await self._send_endlessly(writer, self.control_fault, {})
+        if target == "/-/hold-take" and self.retry_after is not None:
+            turned_away = headers | {"Retry-After": self.retry_after}
+            return await _reply(writer, 503, turned_away, b"")
         if target == "/-/hold-take":
             requested_tokens = orjson.loads(body)["tokens"]
             if sum(self.holds.values()) + requested_tokens > self.engine.room:
-                return await _reply(writer, 503, {}, b"")
+                return await _reply(writer, 503, headers, b"")
             name = f"h{next(self._ids)}"
             self.holds[name] = requested_tokens
-            return await _reply(writer, 200, {}, orjson.dumps({"hold": name}))
+            return await _reply(writer, 200, headers, orjson.dumps({"hold": name}))
         if target.startswith("/-/hold-drop/"):
             name = target.rpartition("/")[2]
             self.holds.pop(name, None)
             self.dropped_holds.append(name)
-            return await _reply(writer, 200, {}, b"")
+            return await _reply(writer, 200, headers, b"")
         if target == "/-/report":
             report = {"sequence": 0, "born": self.started_ms}
-            return await _reply(writer, 200, {}, orjson.dumps(report))
+            return await _reply(writer, 200, headers, orjson.dumps(report))
         if target == "/-/order":
             order = orjson.loads(body)
             if order["fencing_token"] < self.highest_fence:
-                return await _reply(writer, 412, {}, b"")
+                return await _reply(writer, 412, headers, b"")
             self.highest_fence = order["fencing_token"]
             self.engine.stage = order["stage"]
-            return await _reply(writer, 202, {}, b"")
-        return await _reply(writer, 404, {}, b"")
+            return await _reply(writer, 202, headers, b"")
+        return await _reply(writer, 404, headers, b"")
 
 
 def _reset(writer: asyncio.StreamWriter) -> None:
--- a/tests/adapter/test_decoding.py
+++ b/tests/adapter/test_decoding.py
@@ -224,6 +224,16 @@
     assert head.limit_per_s == limit_per_s
 
 
+@pytest.mark.parametrize(
+    ("value", "is_leaving"),
+    [(None, False), (b"1", True), (b" 1 ", True), (b"0", False), (b"soon", False), (b"", False)],
+)
+def test_leaving_in_an_answer(value: bytes | None, is_leaving: bool) -> None:
+    headers = () if value is None else ((b"Server-Leaving", value),)
+    head = PlatformDialect().decode_answer(ResponseHead(503, b"", headers))
+    assert head.is_leaving is is_leaving
+
+
 @pytest.mark.parametrize(
     ("headers", "resumes"),
     [
--- /dev/null
+++ b/tests/gateway/test_statements.py
@@ -0,0 +1,205 @@
+"""Endpoints that say that they are leaving, and what they get from then on."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import attrs
+import pytest
+
+from vanillashore_standins import wait_until
+from vanillashore_standins.platform_endpoint import EndpointStandIn, EngineOptions, Fault
+from vanillashore_standins.platform_rig import Answer, PlatformRig, fail_first
+
+Ask = Callable[..., Awaitable[Answer]]
+
+
+def _ask(rig: PlatformRig, path: str) -> Ask:
+    """Return the function that sends a request with an id to a path."""
+    is_plain = path.startswith(("/stock/", "/pay/"))
+
+    async def ask(request_id: str, **headers: str) -> Answer:
+        if is_plain:
+            return await rig.ask("GET", path, request_id, **headers)
+        return await rig.generate(path, request_id, **headers)
+
+    return ask
+
+
+def _received(endpoint: EndpointStandIn) -> int:
+    """Return how many requests and calls of any kind have reached an endpoint."""
+    return len(endpoint.arrivals) + len(endpoint.calls)
+
+
+KINDS = [("/stock/1", "services"), ("/pay/1", "services"), ("/quote/1", "decodes")]
+KINDS_WITH_PREFILL = [*KINDS, ("/idea/1", "prefills")]
+
+
+@pytest.mark.parametrize(("path", "kind"), KINDS_WITH_PREFILL)
+@pytest.mark.parametrize("is_store_away", [False, True])
+async def test_endpoint_that_says_it_is_leaving_gets_nothing_more(
+    path: str, kind: str, is_store_away: bool
+) -> None:
+    async with PlatformRig(services=2, prefills=2, decodes=2) as rig:
+        ask = _ask(rig, path)
+        assert (await ask("first")).status == 200
+        other, leaving = sorted(getattr(rig, kind), key=lambda e: len(e.arrivals))
+        rig.store.faults.is_silent = is_store_away
+        leaving.says_leaving = True
+        received, number = _received(leaving), 0
+        while _received(leaving) == received:
+            number += 1
+            assert (await ask(f"second-{number}")).status == 200
+        received = _received(leaving)
+        answers = [await ask(f"later-{number}") for number in range(20)]
+        assert [answer.status for answer in answers] == [200] * 20
+        assert _received(leaving) == received
+        assert len(other.arrivals) >= 20
+
+
+@pytest.mark.parametrize(("path", "kind"), KINDS)
+async def test_request_is_refused_at_once_when_all_endpoints_say_they_are_leaving(
+    path: str, kind: str
+) -> None:
+    async with PlatformRig(services=3, decodes=3) as rig:
+        ask = _ask(rig, path)
+        endpoints = getattr(rig, kind)
+        for endpoint in endpoints:
+            endpoint.says_leaving = True
+        for number in range(3):
+            await ask(f"first-{number}")
+        received = [_received(endpoint) for endpoint in endpoints]
+        began = asyncio.get_running_loop().time()
+        answers = [await ask(f"late-{number}") for number in range(8)]
+        assert asyncio.get_running_loop().time() - began < 0.4
+        assert {answer.status for answer in answers} == {503}
+        assert all(b'"ran":"no"' in answer.body for answer in answers)
+        waits = [float(answer.headers["retry-after"]) for answer in answers]
+        assert min(waits) > 0.2
+        assert max(waits) > 1.2 * min(waits)
+        assert [_received(endpoint) for endpoint in endpoints] == received
+
+
+async def test_request_turned_away_by_all_as_they_leave_does_not_wait_for_one() -> None:
+    async with PlatformRig(services=2) as rig:
+        for endpoint in rig.services:
+            endpoint.says_leaving = True
+        fail_first(rig.services, Fault.SHED, Fault.SHED)
+        began = asyncio.get_running_loop().time()
+        answer = await rig.ask("GET", "/stock/1", "id-1")
+        assert answer.status == 503
+        assert asyncio.get_running_loop().time() - began < 0.3
+
+
+@pytest.mark.parametrize(("path", "kind"), KINDS)
+async def test_next_start_of_an_endpoint_is_used_again(path: str, kind: str) -> None:
+    async with PlatformRig(services=1, decodes=1) as rig:
+        ask = _ask(rig, path)
+        endpoint = getattr(rig, kind)[0]
+        endpoint.says_leaving = True
+        await ask("first")
+        assert (await ask("second")).status == 503
+        endpoint.restart("v1")
+        rig.store.put(f"servers/{endpoint.instance}", endpoint.entry())
+        membership = rig.process.gateway.membership
+        await wait_until(lambda: membership.get(endpoint.instance).started_ms == 2)
+        assert (await ask("third")).status == 200
+
+
+async def test_an_answer_or_a_record_that_does_not_say_it_does_not_take_it_back() -> None:
+    async with PlatformRig(services=2) as rig:
+        leaving, other = rig.services
+        leaving.may_answer.clear()
+        slow = [asyncio.ensure_future(rig.ask("GET", "/stock/1", f"s-{n}")) for n in range(4)]
+        await wait_until(lambda: len(leaving.arrivals) >= 2)
+        leaving.says_leaving = True
+        rig.process.gateway.membership.record_leaving(
+            rig.process.gateway.membership.get(leaving.instance).start
+        )
+        leaving.says_leaving = False
+        leaving.may_answer.set()
+        await asyncio.gather(*slow)
+        rig.store.put(f"servers/{leaving.instance}", leaving.entry(slots=9))
+        membership = rig.process.gateway.membership
+        await wait_until(lambda: membership.get(leaving.instance).slots == 9)
+        received = len(leaving.arrivals)
+        for number in range(10):
+            assert (await rig.ask("GET", "/stock/1", f"id-{number}")).status == 200
+        assert len(leaving.arrivals) == received
+
+
+async def test_stream_that_runs_at_a_leaving_engine_is_not_cut() -> None:
+    engine = EngineOptions(events=30, pause_s=0.02)
+    async with PlatformRig(decodes=2, prefills=1, engine=engine) as rig:
+        answers = [asyncio.ensure_future(rig.generate("/idea/1", f"id-{n}")) for n in range(4)]
+        await wait_until(lambda: sum(len(d.runs) for d in rig.decodes) == 4)
+        for decode in rig.decodes:
+            decode.says_leaving = True
+        await rig.generate("/idea/1", "finds-out")
+        for answer in await asyncio.gather(*answers):
+            assert answer.is_complete
+            assert answer.body.count(b"\ndata:") == 30
+
+
+async def test_stream_that_breaks_at_a_leaving_engine_goes_on_elsewhere() -> None:
+    async with PlatformRig(decodes=3) as rig:
+        fail_first(rig.decodes, Fault.BREAKS_MID_EVENT)
+        first, leaving, last = rig.decodes
+        membership = rig.process.gateway.membership
+        membership.record_leaving(membership.get(leaving.instance).start)
+        answer = await rig.generate("/quote/1", "id-1")
+        assert answer.is_complete
+        assert sorted(rig.arrivals("id-1")) == [first.instance, last.instance]
+
+
+async def test_generation_that_waits_for_room_is_refused_as_the_last_engine_leaves() -> None:
+    async with PlatformRig(decodes=1, engine=EngineOptions(room=0)) as rig:
+        decode = rig.decodes[0]
+        waiting = asyncio.ensure_future(rig.generate("/idea/1", "id-1"))
+        await wait_until(lambda: len(decode.calls) >= 3)
+        decode.says_leaving = True
+        began = asyncio.get_running_loop().time()
+        answer = await waiting
+        assert answer.status == 503
+        assert b'"code":"no_endpoint"' in answer.body
+        assert asyncio.get_running_loop().time() - began < 0.5
+
+
+@attrs.define
+class _LeavesMeanwhile:
+    """A pool of connections to an endpoint that is found to be leaving as one is opened."""
+
+    rig: PlatformRig
+    pool: Any
+
+    async def acquire_connection(self, endpoint: Any, *args: Any) -> Any:
+        conn = await self.pool.acquire_connection(endpoint, *args)
+        self.rig.process.gateway.membership.record_leaving(endpoint.start)
+        return conn
+
+    def release_connection(self, *args: Any) -> None:
+        self.pool.release_connection(*args)
+
+
+async def test_request_between_choice_and_send_is_not_sent_to_an_endpoint_that_leaves(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async with PlatformRig(services=1) as rig:
+        sender = rig.process.gateway._tools.sender
+        monkeypatch.setattr(sender, "_pool", _LeavesMeanwhile(rig, sender._pool))
+        answer = await rig.ask("POST", "/pay/1", "id-1", b"order")
+        assert answer.status == 503
+        assert b'"ran":"no"' in answer.body
+        assert rig.services[0].arrivals == []
+
+
+async def test_what_an_endpoint_says_is_logged_with_the_request_that_showed_it(
+    log_lines: list[dict[str, Any]],
+) -> None:
+    async with PlatformRig(services=1) as rig:
+        rig.services[0].says_leaving = True
+        await rig.ask("GET", "/stock/1", "id-1")
+        metrics = rig.process.gateway.metrics.render().decode()
+    lines = [x for x in log_lines if x["message"] == "an endpoint says that it is leaving"]
+    assert [(x["request"], x["endpoint"]) for x in lines] == [("id-1", "s0")]
+    assert "vanillashore_endpoints_leaving" in metrics
