Send nothing to an endpoint for the time with which it turned a request away

Cause: Retry-After of an endpoint's 503 was read nowhere, so it got requests and calls from the same entry during that time.

Such a pause counts like a request limit of zero: placement, the queue and refusals see it, and each send is checked right before its first byte. Callers are refused at once if all pauses last longer than they may wait, also those that wait already, with the time at which the first pause ends.

--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_domain.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_domain.py
@@ -214,6 +214,7 @@
     its answers. ``was_not_run`` is the endpoint's statement that it did not and will not run the
     request. ``limit_per_s`` is the number of requests per second that the endpoint accepts from all
     entries together; ``None`` is no limit. ``is_leaving`` states that the endpoint is to stop soon.
+    An endpoint that turns a request away may want nothing from this entry for ``pause_s``.
     """
 
     status: int
@@ -224,6 +225,7 @@
     load: Load | None = None
     limit_per_s: float | None = None
     is_leaving: bool = False
+    pause_s: float = 0.0
 
 
 @attrs.frozen
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_gateway.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_gateway.py
@@ -182,6 +182,7 @@
             "vanillashore.active_requests": lambda: self.active,
             "vanillashore.endpoints": lambda: len(self.membership),
             "vanillashore.endpoints.limited": lambda: self.limits.limited_endpoints,
+            "vanillashore.endpoints.paused": lambda: self.limits.paused_endpoints,
             "vanillashore.endpoints.leaving": lambda: self.membership.stated_leaving,
             "vanillashore.entries": lambda: self.known_entries,
             "vanillashore.config_version": lambda: self.config_version,
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_limit_requests.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_limit_requests.py
@@ -1,4 +1,8 @@
-"""Permission to send to endpoints that name a request limit, by datagrams between entries."""
+"""Permission to send to endpoints that name a request limit or want a pause.
+
+A request limit is for all entries together, so they coordinate by datagrams. A pause is for the
+entry that was turned away.
+"""
 
 import asyncio
 from collections.abc import Callable, Iterable, Mapping, Sequence
@@ -128,6 +132,7 @@
         self._table = LimitTable(node)
         self._pacer = RequestPacer()
         self._closed_until: dict[EndpointStart, float] = {}
+        self._paused_until: dict[EndpointStart, float] = {}
         self._entries: Mapping[str, Address] = {}
         self._ranked = lru_cache(MAX_TRACKED)(rank_homes)
         self.is_registered: Callable[[], bool] = lambda: True
@@ -150,12 +155,44 @@
             self._log_change(start, known, request_id)
             self._announce(start)
 
+    @property
+    def paused_endpoints(self) -> int:
+        """How many endpoints want nothing from this entry for a time."""
+        return sum(self.pause_s(start) > 0 for start in list(self._paused_until))
+
+    def record_pause(self, endpoint: Endpoint, pause_s: float, request_id: str) -> None:
+        """Record that an endpoint wants nothing from this entry for ``pause_s``."""
+        start = endpoint.start
+        until = self._clock() + pause_s
+        if until <= self._paused_until.get(start, 0.0):
+            return
+        if not self.pause_s(start):
+            bound = log.bind(request=request_id, endpoint=start.instance)
+            bound.bind(pause_s=round(pause_s, 3)).info("an endpoint wants no requests for a time")
+        self._paused_until[start] = until
+
+    def pause_s(self, start: EndpointStart) -> float:
+        """Return the seconds for which an endpoint still wants nothing from this entry."""
+        until = self._paused_until.get(start)
+        if until is None:
+            return 0.0
+        left_s = until - self._clock()
+        if left_s <= 0:
+            del self._paused_until[start]
+            return 0.0
+        return left_s
+
     async def acquire(self, endpoint: Endpoint, max_wait_s: float = 0.0) -> float | None:
         """Wait up to ``max_wait_s`` for permission to send one request.
 
         Return ``None`` with the permission, else the seconds after which one is expected.
         """
         start = endpoint.start
+        while pause_s := self.pause_s(start):
+            if pause_s > max_wait_s:
+                return pause_s
+            await asyncio.sleep(pause_s)
+            max_wait_s -= pause_s
         if self._table.get(start).limit_per_s is None:
             return None
         closed_s = self._closed_s(start)
@@ -173,7 +210,7 @@
         return None
 
     def open_endpoints(self, endpoints: Iterable[Endpoint]) -> list[Endpoint]:
-        """Return the endpoints that are not known to have reached their limits."""
+        """Return the endpoints that want requests and are not known to be at their limits."""
         return [endpoint for endpoint in endpoints if not self._closed_s(endpoint.start)]
 
     def first_open(self, endpoints: Sequence[Endpoint]) -> tuple[Endpoint, float]:
@@ -185,13 +222,15 @@
     def queue_wait_s(self, endpoints: Sequence[Endpoint], waiting: int) -> float:
         """Return how long a request would wait behind ``waiting`` others of this entry.
 
-        Assumes that as many wait at each other entry. Returns 0 if an endpoint has no limit.
+        Assumes that as many wait at each other entry. Returns 0 if an endpoint accepts requests.
         """
-        limits = [self._table.get(endpoint.start).limit_per_s for endpoint in endpoints]
-        if not limits or None in limits or self.open_endpoints(endpoints):
+        if not endpoints or self.open_endpoints(endpoints):
             return 0.0
-        rate_per_s = max(MIN_RATE_PER_S, sum(limits))
         _, first_s = self.first_open(endpoints)
+        limits = [self._table.get(endpoint.start).limit_per_s for endpoint in endpoints]
+        if None in limits:
+            return first_s
+        rate_per_s = max(MIN_RATE_PER_S, sum(limits))
         return first_s + waiting * max(1, len(self._entries)) / rate_per_s
 
     def update_entries(self, entries: Mapping[str, Address]) -> None:
@@ -207,10 +246,11 @@
                 self._requests.send(entry, LimitNotice(start, limit).encode())
 
     def forget(self, instance: str) -> None:
-        """Drop the limit of an endpoint that has left."""
+        """Drop the limit and the pause of an endpoint that has left."""
         self._table.forget(instance)
-        for start in [start for start in self._closed_until if start.instance == instance]:
-            del self._closed_until[start]
+        for times in (self._closed_until, self._paused_until):
+            for start in [start for start in times if start.instance == instance]:
+                del times[start]
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Set the socket to send on."""
@@ -263,15 +303,16 @@
         return self._pacer.take(start, rate_per_s, burst, max_wait_s, self._clock())
 
     def _closed_s(self, start: EndpointStart) -> float:
-        """Return the seconds until an endpoint at its limit may accept another request."""
+        """Return the seconds until an endpoint may accept another request."""
+        pause_s = self.pause_s(start)
         until = self._closed_until.get(start)
         if until is None:
-            return 0.0
+            return pause_s
         left_s = until - self._clock()
         if left_s <= 0 or self._table.get(start).limit_per_s is None:
             del self._closed_until[start]
-            return 0.0
-        return left_s
+            return pause_s
+        return max(left_s, pause_s)
 
     def _announce(self, start: EndpointStart) -> None:
         """Notify all entries of a change, through the endpoint's home and first substitute."""
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_slot_finder.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_slot_finder.py
@@ -162,7 +162,7 @@
         engines = self._membership.usable(request.service.name, EndpointRole.DECODE)
         wait_s = self._limits.queue_wait_s(engines, len(queue))
         if wait_s > MAX_QUEUE_WAIT_S:
-            text = "all decode engines are at their request limits"
+            text = "no decode engine accepts a request soon"
             raise self._refusal(queue, request, text, wait_s)
 
     def _waiter(self, request: SlotRequest) -> Waiter[SlotRequest]:
@@ -206,8 +206,10 @@
         try:
             while len(queue):
                 now = self._clock()
-                for expired in queue.remove_expired(now):
-                    self._refuse(queue, expired.item)
+                engines = self._membership.usable(key[0], EndpointRole.DECODE)
+                closed_s = self._limits.queue_wait_s(engines, 0)
+                for expired in queue.remove_expired(now + closed_s):
+                    self._refuse(queue, expired.item, closed_s)
                 first = queue.first(now)
                 if first is None:
                     break
@@ -231,8 +233,9 @@
             queue.record_empty()
             self._assigning.discard(key)
 
-    def _refuse(self, queue: SlotQueue[SlotRequest], request: SlotRequest) -> None:
-        _fail(request, self._refusal(queue, request, "no decode slot became free in time"))
+    def _refuse(self, queue: SlotQueue[SlotRequest], request: SlotRequest, closed_s: float) -> None:
+        text = "no decode slot became free in time"
+        _fail(request, self._refusal(queue, request, text, closed_s))
 
     def _refusal(
         self,
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_statements.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_statements.py
@@ -40,6 +40,8 @@
         """Raise WithheldError if an endpoint is not to get any request or call now."""
         if self._membership.is_leaving(endpoint):
             raise WithheldError(f"{endpoint.instance} is leaving")
+        if pause_s := self._limits.pause_s(endpoint.start):
+            raise WithheldError(f"{endpoint.instance} wants nothing for {pause_s:.3f} s")
 
     def known_limit(self, endpoint: Endpoint) -> NamedLimit:
         """Return the newest request limit of an endpoint, for `record_answer`."""
@@ -60,3 +62,5 @@
             log.bind(request=request_id, endpoint=endpoint.instance).info(
                 "an endpoint says that it is leaving"
             )
+        if head.pause_s:
+            self._limits.record_pause(endpoint, head.pause_s, request_id)
--- a/packages/vanillashore-standins/src/vanillashore_standins/platform_endpoint.py
+++ b/packages/vanillashore-standins/src/vanillashore_standins/platform_endpoint.py
@@ -69,7 +69,8 @@
 class Arrival:
     """A request received at ``at`` on the loop's clock; ``ran`` if the endpoint worked on it.
 
-    ``limit_per_s`` is the request limit that the endpoint named then.
+    ``limit_per_s`` is the request limit that the endpoint named then, and ``retry_after`` the time
+    with which it turned the request away, if it did.
     """
 
     request_id: str
@@ -80,6 +81,7 @@
     ran: bool
     at: float
     limit_per_s: float | None
+    retry_after: str | None = None
 
 
 @attrs.frozen
@@ -263,6 +265,7 @@
             self._starts_work(fault, headers),
             asyncio.get_running_loop().time(),
             self.limit_per_s,
+            self.retry_after,
         )
         self.arrivals.append(arrival)
         self._active.add(request_id)
@@ -312,8 +315,8 @@
             or arrival.headers.get("x-expect-instance") != self.instance
         ):
             return await _reply(writer, 421, {"X-Instance-Id": "another"}, b"")
-        if self.retry_after is not None:
-            headers = {"X-Not-Executed": "1", "Retry-After": self.retry_after}
+        if arrival.retry_after is not None:
+            headers = {"X-Not-Executed": "1", "Retry-After": arrival.retry_after}
             return await _reply(writer, 503, headers | statements, b"")
         if fault is Fault.SHED:
             return await _reply(writer, 503, {"X-Not-Executed": "1"} | statements, b"")
--- a/tests/gateway/test_statements.py
+++ b/tests/gateway/test_statements.py
@@ -203,3 +203,180 @@
     lines = [x for x in log_lines if x["message"] == "an endpoint says that it is leaving"]
     assert [(x["request"], x["endpoint"]) for x in lines] == [("id-1", "s0")]
     assert "vanillashore_endpoints_leaving" in metrics
+
+
+def _stop_turning_away(endpoint: EndpointStandIn) -> None:
+    endpoint.retry_after = None
+
+
+@pytest.mark.parametrize(("path", "kind"), KINDS_WITH_PREFILL)
+@pytest.mark.parametrize("is_store_away", [False, True])
+async def test_endpoint_gets_nothing_for_the_time_with_which_it_turned_a_request_away(
+    path: str, kind: str, is_store_away: bool
+) -> None:
+    async with PlatformRig(services=2, prefills=2, decodes=2) as rig:
+        ask = _ask(rig, path)
+        assert (await ask("first")).status == 200
+        other, busy = sorted(getattr(rig, kind), key=lambda e: len(e.arrivals))
+        rig.store.faults.is_silent = is_store_away
+        busy.retry_after = "1.5"
+        received, number = _received(busy), 0
+        while _received(busy) == received:
+            number += 1
+            assert (await ask(f"second-{number}")).status == 200
+        received, since = _received(busy), asyncio.get_running_loop().time()
+        _stop_turning_away(busy)
+        number = 0
+        while asyncio.get_running_loop().time() < since + 1.3:
+            number += 1
+            assert (await ask(f"later-{number}")).status == 200
+            await asyncio.sleep(0.02)
+        assert _received(busy) == received
+        await asyncio.sleep(0.3)
+        await asyncio.gather(*(ask(f"last-{n}") for n in range(12)))
+        assert len(other.arrivals) + len(busy.arrivals) > number
+        if kind != "prefills":
+            assert _received(busy) > received
+
+
+async def _turn_away(rig: PlatformRig, ask: Ask, endpoints: list[EndpointStandIn]) -> None:
+    """Have all endpoints turn a request away once."""
+    for number in range(2 * len(endpoints)):
+        await ask(f"first-{number}")
+        if all(_received(endpoint) for endpoint in endpoints):
+            return
+
+
+@pytest.mark.parametrize(("path", "kind"), KINDS)
+async def test_request_is_refused_at_once_while_all_endpoints_want_none(
+    path: str, kind: str
+) -> None:
+    async with PlatformRig(services=3, decodes=3) as rig:
+        ask = _ask(rig, path)
+        endpoints = getattr(rig, kind)
+        for endpoint in endpoints:
+            endpoint.retry_after = "20"
+        await _turn_away(rig, ask, endpoints)
+        for endpoint in endpoints:
+            _stop_turning_away(endpoint)
+        received = [_received(endpoint) for endpoint in endpoints]
+        began = asyncio.get_running_loop().time()
+        answers = [await ask(f"late-{number}") for number in range(8)]
+        assert asyncio.get_running_loop().time() - began < 0.4
+        assert {answer.status for answer in answers} == {503}
+        assert all(b'"ran":"no"' in answer.body for answer in answers)
+        waits = [float(answer.headers["retry-after"]) for answer in answers]
+        assert min(waits) >= 18.0
+        assert max(waits) > 1.05 * min(waits)
+        assert [_received(endpoint) for endpoint in endpoints] == received
+
+
+@pytest.mark.parametrize(("path", "kind"), KINDS)
+async def test_short_time_of_all_endpoints_is_waited_for(path: str, kind: str) -> None:
+    async with PlatformRig(services=2, decodes=2) as rig:
+        ask = _ask(rig, path)
+        endpoints = getattr(rig, kind)
+        for endpoint in endpoints:
+            endpoint.retry_after = "0.3"
+        asking = asyncio.ensure_future(ask("id-1"))
+        await wait_until(lambda: all(_received(endpoint) for endpoint in endpoints))
+        for endpoint in endpoints:
+            _stop_turning_away(endpoint)
+        assert (await asking).status == 200
+        assert sum(len(endpoint.runs) for endpoint in endpoints) == 1
+
+
+async def test_generation_that_waits_is_refused_when_no_engine_wants_one_in_time() -> None:
+    async with PlatformRig(decodes=1, engine=EngineOptions(room=0)) as rig:
+        decode = rig.decodes[0]
+        waiting = asyncio.ensure_future(rig.generate("/idea/1", "id-1"))
+        await wait_until(lambda: len(decode.calls) >= 3)
+        decode.retry_after = "30"
+        began = asyncio.get_running_loop().time()
+        answer = await waiting
+        assert answer.status == 503
+        assert asyncio.get_running_loop().time() - began < 0.5
+        assert float(answer.headers["retry-after"]) > 25.0
+
+
+@pytest.mark.parametrize(
+    ("retry_after", "is_used"),
+    [
+        ("0", True),
+        ("0.05", True),
+        ("-3", True),
+        ("Fri, 04 Dec 2026 14:00:00 GMT", True),
+        ("soon", True),
+        ("20", False),
+        ("1e2", True),
+        ("999999999999999999999999", False),
+    ],
+)
+async def test_odd_times_with_which_requests_are_turned_away(
+    retry_after: str, is_used: bool
+) -> None:
+    async with PlatformRig(services=1) as rig:
+        endpoint = rig.services[0]
+        endpoint.retry_after = retry_after
+        await rig.ask("GET", "/stock/1", "id-1")
+        _stop_turning_away(endpoint)
+        await asyncio.sleep(0.2)
+        answer = await rig.ask("GET", "/stock/1", "id-2")
+        assert (answer.status == 200) is is_used
+
+
+async def test_time_of_one_answer_holds_although_others_succeed() -> None:
+    async with PlatformRig(services=2) as rig:
+        busy = rig.services[0]
+        busy.may_answer.clear()
+        slow = [asyncio.ensure_future(rig.ask("GET", "/stock/1", f"s-{n}")) for n in range(4)]
+        await wait_until(lambda: len(busy.arrivals) >= 2)
+        busy.retry_after = "20"
+        gateway = rig.process.gateway
+        gateway.limits.record_pause(gateway.membership.get(busy.instance), 20.0, "other")
+        _stop_turning_away(busy)
+        busy.may_answer.set()
+        await asyncio.gather(*slow)
+        received = _received(busy)
+        for number in range(10):
+            assert (await rig.ask("GET", "/stock/1", f"id-{number}")).status == 200
+        assert _received(busy) == received
+
+
+async def test_next_start_of_an_endpoint_wants_requests_again() -> None:
+    async with PlatformRig(services=1) as rig:
+        endpoint = rig.services[0]
+        endpoint.retry_after = "20"
+        await rig.ask("GET", "/stock/1", "id-1")
+        endpoint.restart("v1")
+        rig.store.put(f"servers/{endpoint.instance}", endpoint.entry())
+        membership = rig.process.gateway.membership
+        await wait_until(lambda: membership.get(endpoint.instance).started_ms == 2)
+        assert (await rig.ask("GET", "/stock/1", "id-2")).status == 200
+
+
+async def test_endpoint_with_a_request_limit_may_also_want_nothing_for_a_time() -> None:
+    async with PlatformRig(services=1) as rig:
+        endpoint = rig.services[0]
+        endpoint.limit_per_s = 50.0
+        assert (await rig.ask("GET", "/stock/1", "id-1")).status == 200
+        endpoint.retry_after = "20"
+        await rig.ask("GET", "/stock/1", "id-2")
+        _stop_turning_away(endpoint)
+        received = len(endpoint.arrivals)
+        answer = await rig.ask("GET", "/stock/1", "id-3")
+        assert answer.status == 503
+        assert float(answer.headers["retry-after"]) >= 18.0
+        assert len(endpoint.arrivals) == received
+
+
+async def test_time_with_which_requests_are_turned_away_is_logged(
+    log_lines: list[dict[str, Any]],
+) -> None:
+    async with PlatformRig(services=1) as rig:
+        rig.services[0].retry_after = "20"
+        await rig.ask("GET", "/stock/1", "id-1")
+        metrics = rig.process.gateway.metrics.render().decode()
+    lines = [x for x in log_lines if x["message"] == "an endpoint wants no requests for a time"]
+    assert [(x["request"], x["endpoint"], x["pause_s"]) for x in lines] == [("id-1", "s0", 20.0)]
+    assert "vanillashore_endpoints_paused" in metrics
