Play leaving endpoints and pauses in the soak, and check both from what endpoints see

Endpoints of each kind say they are leaving, with the list late or silent, or turn requests away with times that may be odd, one at a time or all of a kind, beside all other faults. Restarts and freezes of an entry excuse it, cuts do not excuse a request to a leaving endpoint.

--- a/packages/vanillashore-standins/src/vanillashore_standins/soak/_entries.py
+++ b/packages/vanillashore-standins/src/vanillashore_standins/soak/_entries.py
@@ -34,6 +34,7 @@
         self._folder = folder
         self._log_path = folder / f"{name}.log"
         self._mutant = mutant
+        self._interruptions: list[TimeSpan] = []
         self._process: asyncio.subprocess.Process | None = None
 
     @property
@@ -92,24 +93,40 @@
     async def kill(self, pause_s: float) -> None:
         """Kill the process and start it again after a pause."""
         self._check_runs()
-        self.signal(signal.SIGKILL)
-        await self._process.wait()
-        await asyncio.sleep(pause_s)
-        await self.start()
+        with self._interruption():
+            self.signal(signal.SIGKILL)
+            await self._process.wait()
+            await asyncio.sleep(pause_s)
+            await self.start()
 
     async def stop(self) -> int:
         """Stop the process with SIGTERM, start it again and return the exit code."""
         self._check_runs()
         self.signal(signal.SIGTERM)
         code = await asyncio.wait_for(self._process.wait(), GRACE_S + 4.0)
-        await self.start()
+        with self._interruption():
+            await self.start()
         return code
 
     async def freeze(self, pause_s: float) -> None:
         """Suspend the process for a while with SIGSTOP."""
-        self.signal(signal.SIGSTOP)
-        await asyncio.sleep(pause_s)
-        self.signal(signal.SIGCONT)
+        with self._interruption():
+            self.signal(signal.SIGSTOP)
+            await asyncio.sleep(pause_s)
+            self.signal(signal.SIGCONT)
+
+    def was_interrupted(self, since: float, until: float) -> bool:
+        """Whether the process was started again or frozen between two times."""
+        return any(span.start < until and span.end > since for span in self._interruptions)
+
+    @contextlib.contextmanager
+    def _interruption(self) -> Iterator[None]:
+        span = TimeSpan(asyncio.get_running_loop().time())
+        self._interruptions.append(span)
+        try:
+            yield
+        finally:
+            span.end = asyncio.get_running_loop().time()
 
     def signal(self, number: int) -> None:
         """Send a signal to the process, unless it has ended by itself."""
@@ -178,6 +195,10 @@
         """Return the addresses of the unaffected entries, or of all if there are none."""
         return [entry.address for entry in self.unaffected or self.entries]
 
+    def was_interrupted(self, address: tuple[str, int], since: float, until: float) -> bool:
+        """Whether an entry was started again or frozen between two times."""
+        return any(e.was_interrupted(since, until) for e in self.entries if e.address == address)
+
     @contextlib.contextmanager
     def disruption_of(self, entry: EntryProcess) -> Iterator[None]:
         """Record that an entry is disrupted."""
--- a/packages/vanillashore-standins/src/vanillashore_standins/soak/_mutants.py
+++ b/packages/vanillashore-standins/src/vanillashore_standins/soak/_mutants.py
@@ -129,6 +129,16 @@
     Shutdown.check_generation = lambda self, *args, **kwargs: None
 
 
+def _ignore_leaving_in_answers() -> None:
+    """Believe only the list of endpoints that one is leaving."""
+    Membership.record_leaving = lambda self, start: False
+
+
+def _ignore_pauses() -> None:
+    """Go on sending to endpoints that want nothing for a time."""
+    RequestLimits.record_pause = lambda self, *args, **kwargs: None
+
+
 def _ignore_crashes() -> None:
     """Never refuse a request, whatever crashes endpoints."""
     CrashMonitor.is_refused = lambda self, *args, **kwargs: False
@@ -149,6 +159,8 @@
     "ignore-eras": _ignore_eras,
     "accept-while-stopping": _accept_while_stopping,
     "ignore-crashes": _ignore_crashes,
+    "ignore-leaving-in-answers": _ignore_leaving_in_answers,
+    "ignore-pauses": _ignore_pauses,
 }
 
 if __name__ == "__main__":
--- a/packages/vanillashore-standins/src/vanillashore_standins/soak/_versions.py
+++ b/packages/vanillashore-standins/src/vanillashore_standins/soak/_versions.py
@@ -60,20 +60,22 @@
                     await self._drain(engine)
             finally:
                 engine.restart(version)
-                self._record(engine, version)
+                self.note(engine, True)
                 self._publish(engine, "ready")
 
     async def _drain(self, engine: EndpointStandIn) -> None:
-        self._record(engine, "")
+        self.note(engine, False)
         self._publish(engine, "draining")
         await asyncio.sleep(2.0 + self._rng.random())
 
     def _record_all(self) -> None:
         for engine in self._engines:
-            self._record(engine, engine.version)
+            self.note(engine, True)
 
-    def _record(self, engine: EndpointStandIn, version: str) -> None:
+    def note(self, engine: EndpointStandIn, serves: bool) -> None:
+        """Record whether an engine serves from now on, with its version."""
         at = asyncio.get_running_loop().time()
+        version = engine.version if serves else ""
         self._history.append(_Serving(at, engine.instance, version))
 
     def violations(
