Let a statement hold for a start whose record is read a little later

Cause: an endpoint that had started again under its name turned requests away before its new record arrived. The entry took that for the earlier start, and the pause ended with it. Statements of the last 3 s are now carried over to the new start; that it is leaving for 10 s, in which the list comes to tell it.

--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_gateway.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_gateway.py
@@ -18,6 +18,7 @@
     CallerRequest,
     Endpoint,
     EndpointRole,
+    EndpointStart,
     Route,
     ServingConfig,
     Workspace,
@@ -62,6 +63,8 @@
 from vanillashore_gateway._statements import EndpointStatements
 from vanillashore_gateway._stream_origins import StreamOrigins
 
+# In this time the list tells that an endpoint leaves, or that another start of it does not.
+CARRIED_LEAVING_S = 10.0
 EXPIRY_CHECK_DELAY_S = 2.0  # Slightly longer than Membership's grace period.
 STALE_LIST_S = 3.5  # A watch without changes returns sooner.
 SNAPSHOTS_TO_SETTLE = 2  # After a restore: the first is merged, the second replaces the list.
@@ -113,7 +116,8 @@
         )
         self.balancer = Balancer(cfg.data_centre, rng)
         self.limits = RequestLimits(cfg.node, now)
-        statements = EndpointStatements(self.membership, self.limits)
+        statements = EndpointStatements(self.membership, self.limits, now)
+        self.membership.on_new_start = self._carry_statements
         self.calls = EngineCalls(dialect, self.pool, statements)
         self.duty = DutyState()
         self.rotation = Rotation(cfg.node, now)
@@ -451,6 +455,13 @@
         self.limits.forget(instance)
         self.start_checks.forget(instance)
 
+    def _carry_statements(self, old: EndpointStart, new: EndpointStart) -> None:
+        """Let what an endpoint has just said hold for its new start, which may have said it."""
+        self.limits.carry_pause(old, new)
+        if self.membership.carry_leaving(old, new, now()):
+            loop = asyncio.get_running_loop()
+            loop.call_later(CARRIED_LEAVING_S, self.membership.end_carried, new)
+
     def _log_endpoint(self, change: EndpointWritten) -> None:
         endpoint = change.endpoint
         known = self.membership.get(endpoint.instance)
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_limit_requests.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_limit_requests.py
@@ -15,6 +15,7 @@
 
 from vanillashore_gateway._domain import Endpoint, EndpointStart
 from vanillashore_gateway._home_ranking import Address, rank_homes
+from vanillashore_gateway._membership import RECORD_LAG_S
 from vanillashore_gateway._peer_requests import PeerRequests
 from vanillashore_gateway._request_limits import (
     HOME_BURST,
@@ -110,6 +111,14 @@
     raise ValueError("not a message about a limit")
 
 
+@attrs.frozen
+class _Pause:
+    """A time in which an endpoint wants nothing from this entry."""
+
+    began_at: float
+    until: float
+
+
 class RequestLimits(asyncio.DatagramProtocol):
     """One entry's part in keeping the limits of endpoints.
 
@@ -132,7 +141,7 @@
         self._table = LimitTable(node)
         self._pacer = RequestPacer()
         self._closed_until: dict[EndpointStart, float] = {}
-        self._paused_until: dict[EndpointStart, float] = {}
+        self._pauses: dict[EndpointStart, _Pause] = {}
         self._entries: Mapping[str, Address] = {}
         self._ranked = lru_cache(MAX_TRACKED)(rank_homes)
         self.is_registered: Callable[[], bool] = lambda: True
@@ -158,27 +167,33 @@
     @property
     def paused_endpoints(self) -> int:
         """How many endpoints want nothing from this entry for a time."""
-        return sum(self.pause_s(start) > 0 for start in list(self._paused_until))
+        return sum(self.pause_s(start) > 0 for start in list(self._pauses))
 
     def record_pause(self, endpoint: Endpoint, pause_s: float, request_id: str) -> None:
         """Record that an endpoint wants nothing from this entry for ``pause_s``."""
-        start = endpoint.start
-        until = self._clock() + pause_s
-        if until <= self._paused_until.get(start, 0.0):
+        start, now = endpoint.start, self._clock()
+        known = self._pauses.get(start)
+        if known is not None and known.until >= now + pause_s:
             return
         if not self.pause_s(start):
             bound = log.bind(request=request_id, endpoint=start.instance)
             bound.bind(pause_s=round(pause_s, 3)).info("an endpoint wants no requests for a time")
-        self._paused_until[start] = until
+        self._pauses[start] = _Pause(now, now + pause_s)
+
+    def carry_pause(self, old: EndpointStart, new: EndpointStart) -> None:
+        """Let a recent pause hold for a later start, whose record is read after its answers."""
+        pause = self._pauses.pop(old, None)
+        if pause is not None and self._clock() - pause.began_at <= RECORD_LAG_S:
+            self._pauses[new] = pause
 
     def pause_s(self, start: EndpointStart) -> float:
         """Return the seconds for which an endpoint still wants nothing from this entry."""
-        until = self._paused_until.get(start)
-        if until is None:
+        pause = self._pauses.get(start)
+        if pause is None:
             return 0.0
-        left_s = until - self._clock()
+        left_s = pause.until - self._clock()
         if left_s <= 0:
-            del self._paused_until[start]
+            del self._pauses[start]
             return 0.0
         return left_s
 
@@ -248,9 +263,9 @@
     def forget(self, instance: str) -> None:
         """Drop the limit and the pause of an endpoint that has left."""
         self._table.forget(instance)
-        for times in (self._closed_until, self._paused_until):
-            for start in [start for start in times if start.instance == instance]:
-                del times[start]
+        for known in (self._closed_until, self._pauses):
+            for start in [start for start in known if start.instance == instance]:
+                del known[start]
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Set the socket to send on."""
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_membership.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_membership.py
@@ -1,15 +1,22 @@
 """The platform's list of endpoints, kept through outages of the platform's store."""
 
 from collections import OrderedDict
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
+from typing import TypeVar
 
 from vanillashore_gateway._domain import Endpoint, EndpointRole, EndpointStart
 
 # Endpoints whose records expired in an outage are listed again within about two seconds.
 RETURN_GRACE_S = 1.9
+# Longest time from an endpoint's start until its new record is read, without an outage. An answer
+# in this time may be of either start.
+RECORD_LAG_S = 3.0
 MAX_ENDED = 4_096  # Starts that left, for when the store comes back from an older copy.
 
 
+T = TypeVar("T")
+
+
 class Membership:
     """Keeps the newest record of each endpoint.
 
@@ -22,6 +29,8 @@
 
     An endpoint may also state in an answer that it is leaving. That holds for its start, whatever
     its records or other answers tell, as the list may be old and answers may overtake one another.
+    A statement may also be of a start whose record is read a little later. It is then carried over
+    to that start for a while, in which the list comes to tell it if it was.
     """
 
     def __init__(self) -> None:
@@ -32,7 +41,9 @@
         self._unobserved: set[str] = set()
         self._outdated: set[str] = set()
         self._ended: OrderedDict[EndpointStart, None] = OrderedDict()
-        self._stated_leaving: OrderedDict[EndpointStart, None] = OrderedDict()
+        self._stated_leaving: OrderedDict[EndpointStart, float] = OrderedDict()
+        self._carried_leaving: set[EndpointStart] = set()
+        self.on_new_start: Callable[[EndpointStart, EndpointStart], None] = lambda old, new: None
         # The versions of endpoints that have left or changed theirs, and when they did.
         self._left_versions: dict[tuple[str, str], float] = {}
 
@@ -72,7 +83,7 @@
     def put(self, endpoint: Endpoint, now: float) -> None:
         """Add or update an endpoint."""
         if endpoint.is_leaving:
-            _remember(self._ended, endpoint.start)
+            _remember(self._ended, endpoint.start, None)
         else:
             self._ended.pop(endpoint.start, None)
         known = self._endpoints.get(endpoint.instance)
@@ -81,6 +92,8 @@
         if known is not None and known.start != endpoint.start:
             self._unconfirmed.discard(endpoint.instance)
             self._outdated.discard(endpoint.instance)
+            self._carried_leaving.discard(known.start)
+            self.on_new_start(known.start, endpoint.start)
         if known is None or known.start != endpoint.start:
             self._unobserved.add(endpoint.instance)
         self._missing_since.pop(endpoint.instance, None)
@@ -115,19 +128,38 @@
 
     def is_leaving(self, endpoint: Endpoint) -> bool:
         """Whether an endpoint's record or one of its answers tells that it is leaving."""
-        return endpoint.is_leaving or endpoint.start in self._stated_leaving
+        start = endpoint.start
+        return (
+            endpoint.is_leaving or start in self._stated_leaving or start in self._carried_leaving
+        )
 
-    def record_leaving(self, start: EndpointStart) -> bool:
+    def record_leaving(self, start: EndpointStart, now: float) -> bool:
         """Record an endpoint's statement that it is leaving; return whether it is the first."""
         if start in self._stated_leaving:
             return False
-        _remember(self._stated_leaving, start)
+        _remember(self._stated_leaving, start, now)
+        return True
+
+    def carry_leaving(self, old: EndpointStart, new: EndpointStart, now: float) -> bool:
+        """Let a recent statement hold for a later start too; return whether there is one.
+
+        It has to be ended with `end_carried`.
+        """
+        stated_at = self._stated_leaving.get(old)
+        if stated_at is None or now - stated_at > RECORD_LAG_S:
+            return False
+        self._carried_leaving.add(new)
         return True
 
+    def end_carried(self, start: EndpointStart) -> None:
+        """Use a start again that only its predecessor's statement kept out."""
+        self._carried_leaving.discard(start)
+
     @property
     def stated_leaving(self) -> int:
         """How many listed endpoints have stated that they are leaving."""
-        return sum(e.start in self._stated_leaving for e in self._endpoints.values())
+        starts = [endpoint.start for endpoint in self._endpoints.values()]
+        return sum(s in self._stated_leaving or s in self._carried_leaving for s in starts)
 
     def record_connection_lost(self, instance: str) -> None:
         """Record that an endpoint has ended a connection or does not accept one."""
@@ -195,14 +227,15 @@
         self._unobserved.discard(name)
         self._outdated.discard(name)
         if endpoint is not None:
-            _remember(self._ended, endpoint.start)
+            _remember(self._ended, endpoint.start, None)
+            self._carried_leaving.discard(endpoint.start)
             self._left_versions[endpoint.service, endpoint.software] = now
         self._missing_since.pop(name, None)
 
 
-def _remember(starts: OrderedDict[EndpointStart, None], start: EndpointStart) -> None:
+def _remember(starts: OrderedDict[EndpointStart, T], start: EndpointStart, value: T) -> None:
     """Add a start, and drop the oldest ones if there are too many."""
-    starts[start] = None
+    starts[start] = value
     starts.move_to_end(start)
     while len(starts) > MAX_ENDED:
         starts.popitem(last=False)
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_statements.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_statements.py
@@ -4,6 +4,8 @@
 right before it is sent.
 """
 
+from collections.abc import Callable
+
 from loguru import logger as log
 
 from vanillashore_gateway._domain import AnswerHead, Endpoint
@@ -32,9 +34,12 @@
         statements.record_answer(endpoint, head, known, "request-1")
     """
 
-    def __init__(self, membership: Membership, limits: RequestLimits) -> None:
+    def __init__(
+        self, membership: Membership, limits: RequestLimits, clock: Callable[[], float]
+    ) -> None:
         self._membership = membership
         self._limits = limits
+        self._clock = clock
 
     def check(self, endpoint: Endpoint) -> None:
         """Raise WithheldError if an endpoint is not to get any request or call now."""
@@ -58,7 +63,7 @@
 
     def record_call(self, endpoint: Endpoint, head: AnswerHead, request_id: str = "") -> None:
         """Record an answer to a call of the entry itself, which names no request limit."""
-        if head.is_leaving and self._membership.record_leaving(endpoint.start):
+        if head.is_leaving and self._membership.record_leaving(endpoint.start, self._clock()):
             log.bind(request=request_id, endpoint=endpoint.instance).info(
                 "an endpoint says that it is leaving"
             )
