--- a/tests/gateway/test_statements.py
+++ b/tests/gateway/test_statements.py
@@ -406,8 +406,10 @@
         rig.store.put(f"servers/{endpoint.instance}", endpoint.entry())
         membership = rig.process.gateway.membership
         await wait_until(lambda: membership.get(endpoint.instance).started_ms == 2)
-        for number in range(6):
-            assert (await rig.ask("GET", "/stock/1", f"id-{number}")).status == 200
+        answers = await asyncio.gather(
+            *(rig.ask("GET", "/stock/1", f"id-{number}") for number in range(20))
+        )
+        assert [answer.status for answer in answers] == [200] * 20
         assert len(endpoint.arrivals) == received
 
 
