Keep what engines said out of the home's choices and of pending orders

Cause: the home of the prefill engines does not know which engines want nothing from another entry, and assigned prompts to them; these were left to the decode engine. An order that was withheld from a paused engine blocked the plan for 20 s like one that may still be carried out. The new test of the home failed first for a leaving engine.

--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_duty.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_duty.py
@@ -171,6 +171,8 @@
             answer = await self._calls.order_role(order)
         except EngineUnreachableError as exc:
             reason = str(exc)
+            if exc.is_withheld:
+                self._sent_orders.remove(sent)
         log.bind(
             endpoint=endpoint.instance,
             role=change.role.value,
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_gateway.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_gateway.py
@@ -141,7 +141,11 @@
         sender = Sender(dialect, self.pool, self.balancer, statements, now)
         self.prefill_estimator = PrefillEstimator(rng)
         self.prefills = PrefillScheduler(
-            cfg.node, self.prefill_estimator, self._prefill_engines, now
+            cfg.node,
+            self.prefill_estimator,
+            self._prefill_engines,
+            self._closed_prefill_engines,
+            now,
         )
         self.start_checks = StartChecks(self.calls, self.membership, self._is_list_stale, now)
         self.slot_finder = SlotFinder(
@@ -435,6 +439,12 @@
         engines = self.membership.usable(service, EndpointRole.PREFILL)
         return self.balancer.healthy(self.limits.open_endpoints(engines), now())
 
+    def _closed_prefill_engines(self, service: str) -> list[str]:
+        """Return the names of the engines that this entry cannot use now."""
+        usable = {engine.instance for engine in self._prefill_engines(service)}
+        listed = self.membership.listed(service, EndpointRole.PREFILL)
+        return [engine.instance for engine in listed if engine.instance not in usable]
+
     def _is_list_stale(self) -> bool:
         """Whether changes of the list of endpoints may not have arrived."""
         is_settled = self._has_store_contact and self._snapshots_to_settle == 0
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_membership.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_membership.py
@@ -114,12 +114,14 @@
 
     def usable(self, service: str, role: EndpointRole | None = None) -> list[Endpoint]:
         """Return the endpoints of a service that accept new requests."""
+        return [e for e in self.listed(service, role) if not self.is_leaving(e)]
+
+    def listed(self, service: str, role: EndpointRole | None = None) -> list[Endpoint]:
+        """Return the endpoints of a service, those that are leaving included."""
         return [
             endpoint
             for endpoint in self._endpoints.values()
-            if endpoint.service == service
-            and not self.is_leaving(endpoint)
-            and (role is None or endpoint.role is role)
+            if endpoint.service == service and (role is None or endpoint.role is role)
         ]
 
     def all_usable(self) -> list[Endpoint]:
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_prefill_scheduler.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_prefill_scheduler.py
@@ -113,7 +113,11 @@
 
 
 class PrefillScheduler:
-    """One entry's part in choosing prefill engines; ``engines`` returns those of a service."""
+    """One entry's part in choosing prefill engines.
+
+    ``engines`` returns those of a service that this entry can use, and ``closed`` the names of the
+    others, which it tells the home.
+    """
 
     PREFIX = b'["prefill'
 
@@ -122,11 +126,13 @@
         node: str,
         estimator: PrefillEstimator,
         engines: Engines,
+        closed: Callable[[str], Collection[str]],
         clock: Callable[[], float],
     ) -> None:
         self._node = node
         self._estimator = estimator
         self._engines = engines
+        self._closed = closed
         self._clock = clock
         self._requests: PeerRequests[tuple[int, PrefillAnswer]] = PeerRequests(
             clock, REQUEST_TIMEOUT_S
@@ -145,7 +151,8 @@
         for home in self._ranked(service, tuple(self._entries))[:MAX_HOMES_ASKED]:
             if home == self._node:
                 break
-            request = PrefillRequest(0, service, prompt, tuple(tried), software)
+            avoided = (*tried, *self._closed(service))
+            request = PrefillRequest(0, service, prompt, avoided, software)
             answered = await self._requests.ask(
                 home, lambda n, r=request: attrs.evolve(r, number=n).encode()
             )
--- a/tests/gateway/test_prefill_scheduler.py
+++ b/tests/gateway/test_prefill_scheduler.py
@@ -43,7 +43,7 @@
     def _scheduler(self, name: str) -> PrefillScheduler:
         estimator = PrefillEstimator(random.Random(name))
         scheduler = PrefillScheduler(
-            name, estimator, lambda service: self.engines, lambda: self.now
+            name, estimator, lambda service: self.engines, lambda service: (), lambda: self.now
         )
         scheduler.connection_made(_Transport(self, name))
         scheduler.update_entries(self.entries)
@@ -175,7 +175,9 @@
     schedulers, entries = {}, {}
     for name in ("a", "b"):
         estimator = PrefillEstimator(random.Random(name))
-        scheduler = PrefillScheduler(name, estimator, lambda service: ENGINES[:2], loop.time)
+        scheduler = PrefillScheduler(
+            name, estimator, lambda service: ENGINES[:2], lambda service: (), loop.time
+        )
         transport, _ = await loop.create_datagram_endpoint(
             lambda scheduler=scheduler: PeerSocket([scheduler], lambda: None),
             local_addr=("127.0.0.1", 0),
--- a/tests/gateway/test_statements.py
+++ b/tests/gateway/test_statements.py
@@ -8,9 +8,10 @@
 import pytest
 
 from vanillashore_gateway import Endpoint, _limit_requests, _membership
+from vanillashore_gateway._home_ranking import rank_homes
 from vanillashore_standins import wait_until
 from vanillashore_standins.platform_endpoint import EndpointStandIn, EngineOptions, Fault
-from vanillashore_standins.platform_rig import Answer, PlatformRig, fail_first
+from vanillashore_standins.platform_rig import MODELS, Answer, PlatformRig, fail_first
 
 Ask = Callable[..., Awaitable[Answer]]
 
@@ -428,3 +429,23 @@
     assert members.record_leaving(new.start, 11.0)
     members.end_carried(new.start)
     assert members.is_leaving(new)
+
+
+@pytest.mark.parametrize("statement", ["leaving", "pause"])
+async def test_home_assigns_prompts_to_other_engines_than_those_that_want_none_from_an_entry(
+    statement: str,
+) -> None:
+    async with PlatformRig(prefills=2, decodes=2, entries=2) as rig:
+        names = [process.gateway.cfg.node for process in rig.processes]
+        entry = 1 - names.index(rank_homes(MODELS, names)[0])
+        gateway = rig.processes[entry].gateway
+        closed, other = rig.prefills
+        endpoint = gateway.membership.get(closed.instance)
+        if statement == "leaving":
+            gateway.membership.record_leaving(endpoint.start, 0.0)
+        else:
+            gateway.limits.record_pause(endpoint, 60.0, "id-0")
+        for number in range(10):
+            answer = await rig.generate("/idea/1", f"id-{number}", entry=entry)
+            assert answer.status == 200
+        assert (len(closed.arrivals), len(other.arrivals)) == (0, 10)
