Reserve memory for answers that are longer than estimated

Each has a reservation of its prompt and the caller's estimate, which is right at the median, so half of the answers outgrow it; on engines whose memory is reserved in full these are preempted and their prompts of 5,000 tokens read again.

Reservations now cover 0.7 of the answers, by the spread of recent answers around their estimates.

--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_generation.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_generation.py
@@ -17,7 +17,6 @@
 from vanillashore_gateway._prefill_estimator import Prompt
 from vanillashore_gateway._prefill_scheduler import PrefillAssignment
 from vanillashore_gateway._sending import Sending
-from vanillashore_gateway._slot_finder import needed_tokens
 from vanillashore_gateway._statements import WithheldError
 from vanillashore_gateway._stream_origins import StreamOrigin
 
@@ -74,7 +73,8 @@
         self._tools = tools
         self._job = job
         self._budget = tools.budgets.of(job.service.name)
-        self._share = needed_tokens(job.req) / max(1, job.service.kv_tokens)
+        tokens = tools.slot_finder.needed_tokens(job.req, job.service)
+        self._share = tokens / max(1, job.service.kv_tokens)
         self._stream = _Stream()
         self._stream.splitter.last_id = job.req.last_event_id
         self._stream.software = job.origin.software if job.origin is not None else None
@@ -118,6 +118,7 @@
             if outcome is _Outcome.DONE:
                 responder.finish()
                 self._tools.crashes.record_success(self._job.fingerprint)
+                self._record_output_size()
                 held_s = self._tools.clock() - hold.taken_at
                 self._tools.slot_finder.record_answer_time(self._job.service, held_s)
                 self._tools.shutdown.record_answer(self._job.service.name, held_s)
@@ -452,6 +453,15 @@
         after_s = RETRY_AFTER_S * (0.5 + self._tools.rng.random())
         return refusal(ErrorCode.ENDPOINTS_FULL, text, after_s)
 
+    def _record_output_size(self) -> None:
+        """Record the length of an answer that one engine made from its beginning."""
+        size, stream = self._job.req.generation_size, self._stream
+        is_whole = stream.runs == 1 and self._job.req.last_event_id is None
+        if is_whole and size is not None and size.expected_output_tokens is not None:
+            self._tools.slot_finder.output_sizes.record(
+                self._job.service.name, size.expected_output_tokens, stream.splitter.events
+            )
+
     def _log_answered(self) -> None:
         stream = self._stream
         took_s = round(self._tools.clock() - self._job.req.arrived, 3)
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_slot_finder.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_slot_finder.py
@@ -15,6 +15,7 @@
 from vanillashore_gateway._errors import ErrorCode, RefusalError, refusal
 from vanillashore_gateway._limit_requests import RequestLimits
 from vanillashore_gateway._membership import Membership
+from vanillashore_gateway._output_sizes import OutputSizes
 from vanillashore_gateway._prefill_estimator import PrefillEstimator
 from vanillashore_gateway._slot_queue import SlotQueue, Waiter
 from vanillashore_gateway._start_checks import StartChecks
@@ -38,16 +39,6 @@
 RETRY_JITTER = 0.3  # Keeps callers that were refused together from returning together.
 
 
-def needed_tokens(req: CallerRequest) -> int:
-    """Return the memory that a generation is expected to take, in tokens."""
-    if req.generation_size is None:
-        return 1
-    output_tokens = req.generation_size.expected_output_tokens
-    if output_tokens is None:
-        output_tokens = int(req.generation_size.max_output_tokens * DEFAULT_OUTPUT_SHARE)
-    return req.generation_size.input_tokens + output_tokens
-
-
 @attrs.define(eq=False)
 class SlotRequest:
     """A generation that needs a decode slot; ``avoided`` are engines that have failed it.
@@ -92,10 +83,23 @@
         self._membership = membership
         self._clock = clock
         self._rng = rng
+        self.output_sizes = OutputSizes()
         self._queues: dict[tuple[str, str | None], SlotQueue[SlotRequest]] = defaultdict(SlotQueue)
         self._tasks: set[asyncio.Task[Any]] = set()
         self._assigning: set[tuple[str, str | None]] = set()
 
+    def needed_tokens(self, req: CallerRequest, service: Service) -> int:
+        """Return the memory to reserve for a generation, in tokens."""
+        size = req.generation_size
+        if size is None:
+            return 1
+        if size.expected_output_tokens is None:
+            return size.input_tokens + int(size.max_output_tokens * DEFAULT_OUTPUT_SHARE)
+        output_tokens = self.output_sizes.reserved_tokens(
+            service.name, size.expected_output_tokens, size.max_output_tokens
+        )
+        return size.input_tokens + output_tokens
+
     async def find(
         self,
         req: CallerRequest,
@@ -110,7 +114,8 @@
         With ``has_begun`` the caller has already received a part of the answer, so the request is
         put at the front of the queue.
         """
-        request = SlotRequest(req, route, service, needed_tokens(req), avoided, software, _future())
+        tokens = self.needed_tokens(req, service)
+        request = SlotRequest(req, route, service, tokens, avoided, software, _future())
         queue = self._queues[request.queue_key]
         if has_begun or not len(queue):
             hold = await self._try(request)
@@ -133,7 +138,8 @@
         software: str | None = None,
     ) -> Hold | None:
         """Return a reservation, or ``None`` if no engine that was asked has room at once."""
-        request = SlotRequest(req, route, service, needed_tokens(req), avoided, software, _future())
+        tokens = self.needed_tokens(req, service)
+        request = SlotRequest(req, route, service, tokens, avoided, software, _future())
         try:
             return await self._try(request)
         except RefusalError as exc:
