Notify all entries before an engine is ordered to change its role

It had an order to prefill, grants reservations until it is done, and each entry found out by itself. Now the entry that orders notifies the others half a second before; they leave the engine out until its record shows the role.

--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_duty.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_duty.py
@@ -17,6 +17,7 @@
     StoreRestoredError,
     StoreUnavailableError,
 )
+from vanillashore_gateway._role_changes import RoleChanges
 from vanillashore_gateway._role_plan import RoleChange, plan_roles
 
 ROLES_DUTY = "roles"
@@ -25,6 +26,7 @@
 # still be incomplete, or an engine may just have joined or left.
 PLAN_SETTLE_S = 1.5
 ORDER_REPEAT_S = 20.0  # Longer than an engine may delay an order.
+ORDER_NOTICE_S = 0.5  # From the notice to other entries until the order: longer than a prefill.
 ACQUIRE_JITTER_S = 0.6  # Keeps entries from requesting a free duty at the same moment.
 
 
@@ -65,6 +67,7 @@
         state: DutyState,
         membership: Membership,
         calls: EngineCalls,
+        changes: RoleChanges,
         follower: Follower,
         registration: EntryRegistration,
         clock: Callable[[], float],
@@ -76,6 +79,7 @@
         self._state = state
         self._membership = membership
         self._calls = calls
+        self._changes = changes
         self._follower = follower
         self._registration = registration
         self._clock = clock
@@ -159,20 +163,25 @@
 
     async def _send_order(self, change: RoleChange) -> None:
         endpoint = change.endpoint
+        self._changes.announce(endpoint.start, change.role)
+        # Generations that have reserved a slot there begin before the order.
+        await asyncio.sleep(ORDER_NOTICE_S)
+        if not self._is_holder():
+            self._changes.announce(endpoint.start, None)
+            return
         now = self._clock()
         self._sent_orders = [o for o in self._sent_orders if now - o.at < ORDER_REPEAT_S]
         sent = _SentOrder(change, now)
         self._sent_orders.append(sent)
         answer = OrderAnswer.FAILED
-        reason = ""
+        reason, is_withheld = "", False
         try:
             orders_taken = await self._calls.orders_taken(endpoint)
             order = RoleOrder(endpoint, change.role, self._node, self._state.fence, orders_taken)
             answer = await self._calls.order_role(order)
         except EngineUnreachableError as exc:
             reason = str(exc)
-            if exc.is_withheld:
-                self._sent_orders.remove(sent)
+            is_withheld = exc.is_withheld
         log.bind(
             endpoint=endpoint.instance,
             role=change.role.value,
@@ -180,7 +189,11 @@
             answer=answer.value,
             reason=reason,
         ).info("ordered a role change")
+        is_open = answer in (OrderAnswer.ACCEPTED, OrderAnswer.FAILED) and not is_withheld
+        # A second notice, as datagrams may be lost.
+        self._changes.announce(endpoint.start, change.role if is_open else None)
         if answer is OrderAnswer.FENCED:
             # Another entry has used a higher fence; a new holder gets one above that.
             self._own_fence = None
+        if answer is OrderAnswer.FENCED or is_withheld:
             self._sent_orders.remove(sent)
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_gateway.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_gateway.py
@@ -54,6 +54,7 @@
 from vanillashore_gateway._quota import QuotaSettings
 from vanillashore_gateway._quota_requests import Quotas
 from vanillashore_gateway._resumption import Resumption
+from vanillashore_gateway._role_changes import RoleChanges
 from vanillashore_gateway._rotation import Rotation
 from vanillashore_gateway._routing import RouteTable, pick_service
 from vanillashore_gateway._sending import Sender
@@ -118,6 +119,8 @@
         self.limits = RequestLimits(cfg.node, now)
         statements = EndpointStatements(self.membership, self.limits, now)
         self.membership.on_new_start = self._carry_statements
+        self.role_changes = RoleChanges(cfg.node, now)
+        self.membership.is_changing = self.role_changes.is_changing
         self.calls = EngineCalls(dialect, self.pool, statements)
         self.duty = DutyState()
         self.rotation = Rotation(cfg.node, now)
@@ -184,6 +187,7 @@
             self.rotation,
             self.limits,
             self.origins,
+            self.role_changes,
         )
         self._update_entries()
         gauges = {
@@ -432,7 +436,7 @@
 
     def _greet(self, entry: str) -> None:
         """Tell an entry that has registered what it cannot know."""
-        for handler in (self.limits, self.origins, self.parts):
+        for handler in (self.limits, self.origins, self.parts, self.role_changes):
             handler.greet(entry)
 
     def _prefill_engines(self, service: str) -> list[Endpoint]:
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_membership.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_membership.py
@@ -31,6 +31,9 @@
     its records or other answers tell, as the list may be old and answers may overtake one another.
     A statement may also be of a start whose record is read a little later. It is then carried over
     to that start for a while, in which the list comes to tell it if it was.
+
+    ``is_changing`` tells whether an engine is changing its role, and ``on_new_start`` is called
+    with the earlier and the later start of an endpoint that has started again.
     """
 
     def __init__(self) -> None:
@@ -43,6 +46,7 @@
         self._ended: OrderedDict[EndpointStart, None] = OrderedDict()
         self._stated_leaving: OrderedDict[EndpointStart, float] = OrderedDict()
         self._carried_leaving: set[EndpointStart] = set()
+        self.is_changing: Callable[[Endpoint], bool] = lambda endpoint: False
         self.on_new_start: Callable[[EndpointStart, EndpointStart], None] = lambda old, new: None
         # The versions of endpoints that have left or changed theirs, and when they did.
         self._left_versions: dict[tuple[str, str], float] = {}
@@ -114,7 +118,8 @@
 
     def usable(self, service: str, role: EndpointRole | None = None) -> list[Endpoint]:
         """Return the endpoints of a service that accept new requests."""
-        return [e for e in self.listed(service, role) if not self.is_leaving(e)]
+        endpoints = self.listed(service, role)
+        return [e for e in endpoints if not self.is_leaving(e) and not self.is_changing(e)]
 
     def listed(self, service: str, role: EndpointRole | None = None) -> list[Endpoint]:
         """Return the endpoints of a service, those that are leaving included."""
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_process.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_process.py
@@ -51,6 +51,7 @@
             gateway.duty,
             gateway.membership,
             gateway.calls,
+            gateway.role_changes,
             self._follower,
             self._registration,
             now,
