--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_prefill_estimator.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_prefill_estimator.py
@@ -8,7 +8,7 @@
 
 import itertools
 import random
-from collections import defaultdict
+from collections import defaultdict, deque
 from collections.abc import Collection, Sequence
 
 import attrs
@@ -18,9 +18,12 @@
 INITIAL_PREFILL_S = 50e-6  # Per token, on a usual accelerator.
 MIN_PREFILL_S = 1e-6  # Per token; faster than any accelerator.
 INITIAL_DECODE_S = 90e-6  # Per prompt token, at a decode engine that also runs nine streams.
-# An engine's time per token is the shortest one measured. It grows by this factor with each
-# prompt, to follow an engine that slows down; a slow answer alone shows nothing, as its prompt may
-# have been queued.
+# An engine's time per token is the shortest one that most of the last `RECENT_PREFILLS` confirm. A
+# single short one shows nothing, as its prompt may have been in the engine's cache. It grows by
+# the drift with each prompt, to follow an engine that slows down; a long one shows nothing either,
+# as its prompt may have been queued.
+RECENT_PREFILLS = 9
+MIN_PREFILLS = 5
 PREFILL_DRIFT = 1.02
 SMOOTHING = 0.1  # Weight of the newest value; a decode engine's time varies with its other prompts.
 INITIAL_PROMPT_TOKENS = 3_000
@@ -69,6 +72,7 @@
     """Estimates for a prefill engine, which should be idle at ``free_at``."""
 
     per_token_s: float = INITIAL_PREFILL_S
+    recent_s: deque[float] = attrs.field(factory=lambda: deque(maxlen=RECENT_PREFILLS))
     free_at: float = 0.0
     sends: dict[int, PrefillSend] = attrs.field(factory=dict)
 
@@ -77,6 +81,14 @@
         self.sends[number] = send
         self.free_at = max(self.free_at, send.sent_at) + send.tokens * self.per_token_s
 
+    def record_prefill(self, per_token_s: float) -> None:
+        """Record the time per token of a completed prefill, its wait in the queue included."""
+        self.recent_s.append(per_token_s)
+        if len(self.recent_s) < MIN_PREFILLS:
+            return
+        confirmed_s = sorted(self.recent_s)[len(self.recent_s) // 2]
+        self.per_token_s = max(MIN_PREFILL_S, min(self.per_token_s * PREFILL_DRIFT, confirmed_s))
+
     def remove(self, number: int, now: float, min_left_s: float) -> None:
         """Remove a prompt that has ended; the engine stays busy for at least ``min_left_s``."""
         self.sends.pop(number, None)
@@ -166,9 +178,7 @@
     def end(self, number: int, send: PrefillSend, load: Load | None, now: float) -> None:
         """Record a completed prefill, and the load that the engine reported with its answer."""
         state = self._engines[send.endpoint.instance]
-        took_s = now - send.sent_at
-        per_token_s = min(state.per_token_s * PREFILL_DRIFT, took_s / max(1, send.tokens))
-        state.per_token_s = max(MIN_PREFILL_S, per_token_s)
+        state.record_prefill((now - send.sent_at) / max(1, send.tokens))
         queued = 0 if load is None else load.running + load.waiting
         state.remove(number, now, queued * self._mean_tokens * state.per_token_s)
 
--- a/tests/gateway/test_prefill_scheduler.py
+++ b/tests/gateway/test_prefill_scheduler.py
@@ -22,6 +22,7 @@
 
 TARGET_S = 0.9
 PREFILL_S = 50e-6
+CACHED_PREFILL_S = 2e-6
 DECODE_S = 90e-6
 ENGINES = [
     Endpoint(f"p{n}", "llm", "10.0.0.1", 80, "abc"[n % 3], 16, EndpointRole.PREFILL)
@@ -197,6 +198,14 @@
     await wait_until(lambda: not schedulers[home]._assigned)
 
 
+@attrs.frozen
+class _Shares:
+    """Shares of the prompts that were prefilled too late, or read in vain until a time-out."""
+
+    late: float
+    given_up: float
+
+
 @attrs.define
 class _SimulatedEngine:
     """An engine that prefills one prompt after the other."""
@@ -204,17 +213,22 @@
     free_at: float = 0.0
 
 
-async def _simulate(rate_per_s: float, is_coordinated: bool, seed: int) -> float:
-    """Simulate ten seconds of prompts over 28 entries; return the share prefilled too late."""
+async def _simulate(
+    rate_per_s: float, is_coordinated: bool, seed: int, size: int = 28, cached_share: float = 0.0
+) -> "_Shares":
+    """Simulate ten seconds of prompts over all entries.
+
+    An engine has most of a cached prompt already, as of one that was sent before.
+    """
     rng = random.Random(seed)
-    fleet = Fleet(28)
+    fleet = Fleet(size)
     if not is_coordinated:
         fleet.unreachable = set(fleet.entries)
         for scheduler in fleet.schedulers.values():
             scheduler._requests._timeout_s = 0.0
     engines = {engine.instance: _SimulatedEngine() for engine in ENGINES}
     pending: list[tuple[float, bool, str, PrefillAssignment]] = []
-    late = count = 0
+    late = given_up = count = 0
     end_at = fleet.now + 10.0
     while fleet.now < end_at:
         now = fleet.now + rng.expovariate(rate_per_s)
@@ -224,6 +238,7 @@
             if is_prefilled:
                 fleet.schedulers[entry].end(assignment, None)
             else:
+                given_up += 1
                 fleet.schedulers[entry].give_up(assignment)
         fleet.now = now
         tokens = min(6_600, int(rng.lognormvariate(7.9, 0.5)) + 200)
@@ -239,10 +254,11 @@
                 entry,
                 assignment,
                 pending,
+                CACHED_PREFILL_S if rng.random() < cached_share else PREFILL_S,
             )
         count += 1
         late += done_at - now > TARGET_S - 0.1 + 1e-6
-    return late / count
+    return _Shares(late / count, given_up / count)
 
 
 def _send_prompt(
@@ -251,8 +267,9 @@
     entry: str,
     assignment: PrefillAssignment,
     pending: list[tuple[float, bool, str, PrefillAssignment]],
+    per_token_s: float,
 ) -> float:
-    completed_at = max(engine.free_at, send.sent_at) + send.tokens * PREFILL_S
+    completed_at = max(engine.free_at, send.sent_at) + send.tokens * per_token_s
     if completed_at - send.sent_at <= send.timeout_s:
         engine.free_at = completed_at
         pending.append((completed_at, True, entry, assignment))
@@ -265,6 +282,14 @@
 @pytest.mark.parametrize("rate_per_s", [30.0, 45.0])
 async def test_burst_over_many_entries_is_prefilled_in_time(rate_per_s: float) -> None:
     """Eight engines prefill 49 prompts a second at most."""
-    coordinated = [await _simulate(rate_per_s, True, seed) for seed in range(3)]
-    uncoordinated = [await _simulate(rate_per_s, False, seed) for seed in range(3)]
+    coordinated = [(await _simulate(rate_per_s, True, seed)).late for seed in range(3)]
+    uncoordinated = [(await _simulate(rate_per_s, False, seed)).late for seed in range(3)]
     assert sum(coordinated) < sum(uncoordinated) / 4
+
+
+@pytest.mark.parametrize("size", [3, 30, 68])
+async def test_cached_prompts_do_not_attract_others_to_an_engine(size: int) -> None:
+    plain = [await _simulate(40.0, True, seed, size) for seed in range(3)]
+    cached = [await _simulate(40.0, True, seed, size, cached_share=0.03) for seed in range(3)]
+    assert sum(s.late for s in cached) <= sum(s.late for s in plain) + 0.03
+    assert sum(s.given_up for s in cached) <= sum(s.given_up for s in plain) + 0.03
