Plan a smaller share of prefill engines for large pools

Peaks and the loss of an engine need a larger share of a small pool than of a large one: 2 of 6 and 3 of 9 as before, 5 of 23 instead of 7, 7 of 37 instead of 11.

--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_role_plan.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_role_plan.py
@@ -13,9 +13,11 @@
 
 from vanillashore_gateway._domain import Endpoint, EndpointRole
 
-# Prefilling a prompt takes a quarter of the engine time that decoding its answer takes, so a share
-# of 0.2 is enough on average; the rest is for peaks.
-PREFILL_SHARE = 0.3
+# Prefills take less than a tenth of the engines' time on average. In a large pool twice that is
+# enough for peaks; a small one also needs engines for the loss of one, up to a limit.
+PREFILL_SHARE = 0.15
+SPARE_PREFILLS = 1.5
+MAX_PREFILL_SHARE = 0.3
 MAX_CHANGING_SHARE = 0.25  # Of a pool, as engines are unavailable while they change roles.
 
 
@@ -44,7 +46,8 @@
     """Return how many of a pool's ``engines`` should prefill."""
     if engines < 2:
         return 0
-    return max(1, round(engines * PREFILL_SHARE))
+    needed = round(engines * PREFILL_SHARE + SPARE_PREFILLS)
+    return max(1, min(needed, round(engines * MAX_PREFILL_SHARE)))
 
 
 def _plan_pool(pool: list[Endpoint]) -> list[RoleChange]:
--- a/tests/gateway/test_prefill_scheduler.py
+++ b/tests/gateway/test_prefill_scheduler.py
@@ -18,11 +18,13 @@
     PrefillScheduler,
     decode_prefill,
 )
+from vanillashore_gateway._role_plan import target_prefills
 from vanillashore_standins import wait_until
 
 TARGET_S = 0.9
 PREFILL_S = 50e-6
 CACHED_PREFILL_S = 2e-6
+MEAN_PREFILL_S = 0.158  # Of a prompt of the simulation.
 DECODE_S = 90e-6
 ENGINES = [
     Endpoint(f"p{n}", "llm", "10.0.0.1", 80, "abc"[n % 3], 16, EndpointRole.PREFILL)
@@ -200,10 +202,11 @@
 
 @attrs.frozen
 class _Shares:
-    """Shares of the prompts that were prefilled too late, or read in vain until a time-out."""
+    """Shares of the prompts that were late, read in vain, or left to the decode engines."""
 
     late: float
     given_up: float
+    left: float
 
 
 @attrs.define
@@ -214,7 +217,12 @@
 
 
 async def _simulate(
-    rate_per_s: float, is_coordinated: bool, seed: int, size: int = 28, cached_share: float = 0.0
+    rate_per_s: float,
+    is_coordinated: bool,
+    seed: int,
+    size: int = 28,
+    cached_share: float = 0.0,
+    prefills: int = len(ENGINES),
 ) -> "_Shares":
     """Simulate ten seconds of prompts over all entries.
 
@@ -222,13 +230,14 @@
     """
     rng = random.Random(seed)
     fleet = Fleet(size)
+    fleet.engines = ENGINES[:prefills]
     if not is_coordinated:
         fleet.unreachable = set(fleet.entries)
         for scheduler in fleet.schedulers.values():
             scheduler._requests._timeout_s = 0.0
     engines = {engine.instance: _SimulatedEngine() for engine in ENGINES}
     pending: list[tuple[float, bool, str, PrefillAssignment]] = []
-    late = given_up = count = 0
+    late = given_up = left = count = 0
     end_at = fleet.now + 10.0
     while fleet.now < end_at:
         now = fleet.now + rng.expovariate(rate_per_s)
@@ -247,6 +256,7 @@
             "llm", _prompt(tokens, rng.choice("abc")), ()
         )
         done_at = now + tokens * DECODE_S
+        left += assignment is None
         if assignment is not None:
             done_at = _send_prompt(
                 engines[assignment.send.endpoint.instance],
@@ -258,7 +268,7 @@
             )
         count += 1
         late += done_at - now > TARGET_S - 0.1 + 1e-6
-    return _Shares(late / count, given_up / count)
+    return _Shares(late / count, given_up / count, left / count)
 
 
 def _send_prompt(
@@ -287,6 +297,18 @@
     assert sum(coordinated) < sum(uncoordinated) / 4
 
 
+@pytest.mark.parametrize(("entries", "engines"), [(3, 9), (30, 23), (68, 37)])
+async def test_planned_prefill_engines_keep_up_with_a_burst(entries: int, engines: int) -> None:
+    """Prompts take 0.085 of the engines' time at the usual load, and twice that in a burst."""
+    rate_per_s = 2 * 0.085 * engines / MEAN_PREFILL_S
+    prefills = target_prefills(engines)
+    burst = [
+        await _simulate(rate_per_s, True, seed, entries, prefills=prefills) for seed in range(3)
+    ]
+    assert sum(shares.late for shares in burst) / 3 < 0.02
+    assert sum(shares.left for shares in burst) / 3 < 0.05
+
+
 @pytest.mark.parametrize("size", [3, 30, 68])
 async def test_cached_prompts_do_not_attract_others_to_an_engine(size: int) -> None:
     plain = [await _simulate(40.0, True, seed, size) for seed in range(3)]
--- a/tests/gateway/test_role_plan.py
+++ b/tests/gateway/test_role_plan.py
@@ -54,6 +54,13 @@
     assert sum(e.role is EndpointRole.PREFILL for e in pool) == target_prefills(size)
 
 
+@pytest.mark.parametrize(
+    ("engines", "prefills"), [(1, 0), (2, 1), (4, 1), (6, 2), (9, 3), (23, 5), (28, 6), (37, 7)]
+)
+def test_large_pools_need_a_smaller_share_for_prefills(engines: int, prefills: int) -> None:
+    assert target_prefills(engines) == prefills
+
+
 def test_prefill_engines_stay_spread_over_the_data_centres() -> None:
     changes = plan_roles(_pool(6, 3))
     assert len({change.endpoint.data_centre for change in changes}) == len(changes)
