Measure a stream's stall from its last whole event

Cause: the time-out of a stream began anew with each byte, so an engine that sent a byte now and then held a resumable stream until the end of the route's time. Its caller leaves after two seconds without an event. Now the stream goes on elsewhere like one that is silent; events that arrive in parts within the time are sound.

test_resumable_stream_resumes_at_another_engine[trickles] failed before.

--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_generation.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_generation.py
@@ -1,6 +1,7 @@
 """Forwards generations: reserve a slot, prefill, decode, and resume broken streams elsewhere."""
 
 import asyncio
+import contextlib
 from enum import Enum, auto
 
 import attrs
@@ -373,7 +374,9 @@
         elif not is_stream:
             raise LinkError(LinkFailure.BROKEN, f"the resumed stream has status {head.status}")
         splitter = self._stream.splitter
-        while data := await self._read_or_move(sent, timeout_s):
+        # Until the next whole event: an engine in trouble may still send a byte now and then.
+        event_due_at = self._tools.clock() + timeout_s
+        while data := await self._read_or_move(sent, event_due_at):
             self._record_prompt_read(splitter.events)
             is_first = not self._stream.run_events
             try:
@@ -387,7 +390,8 @@
                     self._tools.crashes.record_success(job.fingerprint)
                 await self._record_origin(sent.endpoint)
             await responder.write(events)
-            timeout_s = self._stall_timeout_s()
+            if events:
+                event_due_at = self._tools.clock() + self._stall_timeout_s()
         if splitter.has_partial_event:
             raise LinkError(LinkFailure.BROKEN, "the stream ended inside an event")
 
@@ -400,14 +404,14 @@
                 self._job.req.generation_size.input_tokens, took_s
             )
 
-    async def _read_or_move(self, sent: Sending, timeout_s: float) -> bytes:
+    async def _read_or_move(self, sent: Sending, event_due_at: float) -> bytes:
         """Read more; raise TimeoutError if the stream stalls and can move to another endpoint."""
         while True:
-            try:
-                return await sent.read(timeout_s)
-            except TimeoutError:
-                if await self._reserve_elsewhere():
-                    raise
+            with contextlib.suppress(TimeoutError):
+                return await sent.read(max(0.0, event_due_at - self._tools.clock()))
+            if await self._reserve_elsewhere():
+                raise TimeoutError
+            event_due_at = self._tools.clock() + self._stall_timeout_s()
 
     async def _reserve_elsewhere(self) -> bool:
         """Reserve another endpoint for a stalled stream; without one, the stream keeps waiting."""
--- a/packages/vanillashore-standins/src/vanillashore_standins/platform_endpoint.py
+++ b/packages/vanillashore-standins/src/vanillashore_standins/platform_endpoint.py
@@ -51,6 +51,7 @@
     SILENT = auto()
     BREAKS_MID_EVENT = auto()
     STALLS = auto()
+    TRICKLES = auto()
     ENDLESS_HEAD = auto()
     ENDLESS_LINE = auto()
     ENDLESS_BODY = auto()
@@ -61,7 +62,14 @@
 
 # With these an endpoint is full, silent, or answers as a whole.
 UNBROKEN_FAULTS = frozenset(
-    {Fault.NONE, Fault.SHED, Fault.EXTRA_ANSWER, Fault.SILENT, Fault.STALLS}
+    {
+        Fault.NONE,
+        Fault.SHED,
+        Fault.EXTRA_ANSWER,
+        Fault.SILENT,
+        Fault.STALLS,
+        Fault.TRICKLES,
+    }
 )
 
 
@@ -98,7 +106,8 @@
     """Stage, answers and capacity of an engine.
 
     ``room`` is the number of tokens that all holds together may reserve. The faults
-    ``BREAKS_MID_EVENT`` and ``STALLS`` occur after ``break_after`` events.
+    ``BREAKS_MID_EVENT``, ``STALLS`` and ``TRICKLES`` (a byte every ``trickle_s``) occur after
+    ``break_after`` events.
     """
 
     stage: str = "decode"
@@ -107,6 +116,7 @@
     room: int = 1_000_000
     break_after: int = 2
     stall_s: float = 3_600.0
+    trickle_s: float = 0.2
 
 
 class EndpointStandIn:
@@ -420,9 +430,11 @@
                 return False
             if number == self.engine.break_after + 1 and fault is Fault.STALLS:
                 await asyncio.sleep(self.engine.stall_s)
-            writer.write(_chunk(event))
-            await writer.drain()
-            await asyncio.sleep(self.engine.pause_s)
+            is_trickled = number > self.engine.break_after and fault is Fault.TRICKLES
+            for part in [event[i : i + 1] for i in range(len(event))] if is_trickled else [event]:
+                writer.write(_chunk(part))
+                await writer.drain()
+                await asyncio.sleep(self.engine.trickle_s if is_trickled else self.engine.pause_s)
         writer.write(b"0\r\n\r\n")
         await writer.drain()
         return True
--- a/tests/gateway/test_generation.py
+++ b/tests/gateway/test_generation.py
@@ -23,7 +23,9 @@
         assert decode.headers["x-token-count"] == "1000,500"
 
 
-@pytest.mark.parametrize("fault", [Fault.BREAKS_MID_EVENT, Fault.STALLS, Fault.RESET_AFTER_RUN])
+@pytest.mark.parametrize(
+    "fault", [Fault.BREAKS_MID_EVENT, Fault.STALLS, Fault.TRICKLES, Fault.RESET_AFTER_RUN]
+)
 async def test_resumable_stream_resumes_at_another_engine(fault: Fault) -> None:
     async with PlatformRig(prefills=1, decodes=2) as rig:
         fail_first(rig.decodes, fault)
@@ -140,6 +142,15 @@
         assert len(rig.arrivals("id-1")) == 1
 
 
+async def test_stream_whose_events_arrive_in_parts_stays_at_its_engine() -> None:
+    options = EngineOptions(trickle_s=0.03)  # About a second for an event.
+    async with PlatformRig(prefills=1, decodes=2, engine=options) as rig:
+        fail_first(rig.decodes, Fault.TRICKLES)
+        answer = await rig.generate("/quote/1", "id-1")
+        assert (answer.status, answer.body, answer.is_complete) == (200, WHOLE, True)
+        assert len(rig.arrivals("id-1")) == 1
+
+
 async def test_stalled_stream_stays_at_its_engine_if_no_other_has_room() -> None:
     options = EngineOptions(stall_s=1.5)
     async with PlatformRig(prefills=1, decodes=2, engine=options) as rig:
