--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_sending.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_sending.py
@@ -1,6 +1,7 @@
 """Sends one request to an endpoint, from choosing the connection to the end of the answer."""
 
 import asyncio
+import contextlib
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 
@@ -13,6 +14,7 @@
 from vanillashore_gateway._pool import ConnectionPool
 from vanillashore_gateway._statements import EndpointStatements
 
+WAKE_S = 0.02  # For the event loop to read what waits in the sockets.
 MAX_HELD_BYTES = 65_536  # Of a body that is held until it is complete.
 
 
@@ -29,7 +31,11 @@
 
         Raises LinkError if the answer is cut off, and TimeoutError after ``timeout_s``.
         """
-        async with asyncio.timeout(timeout_s):
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(timeout_s):
+                return await self._conn.read()
+        # A process that was frozen gets what has arrived and the time-out at the same moment.
+        async with asyncio.timeout(WAKE_S):
             return await self._conn.read()
 
     async def read_to_end(self) -> bytes:
