--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_duty.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_duty.py
@@ -157,18 +157,18 @@
         )
 
     async def _send_orders(self, changes: list[RoleChange]) -> None:
+        for change in changes:
+            self._changes.announce(change.endpoint.start, change.role)
+        # Generations that have reserved a slot at these engines begin before the orders.
+        await asyncio.sleep(ORDER_NOTICE_S)
         for change in changes:
             if self._is_holder():
                 await self._send_order(change)
+            else:
+                self._changes.announce(change.endpoint.start, None)
 
     async def _send_order(self, change: RoleChange) -> None:
         endpoint = change.endpoint
-        self._changes.announce(endpoint.start, change.role)
-        # Generations that have reserved a slot there begin before the order.
-        await asyncio.sleep(ORDER_NOTICE_S)
-        if not self._is_holder():
-            self._changes.announce(endpoint.start, None)
-            return
         now = self._clock()
         self._sent_orders = [o for o in self._sent_orders if now - o.at < ORDER_REPEAT_S]
         sent = _SentOrder(change, now)
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_role_changes.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_role_changes.py
@@ -77,8 +77,10 @@
 
     def greet(self, entry: str) -> None:
         """Notify an entry that has registered of the changes in progress."""
+        now = self._clock()
         for start, change in self._changes.items():
-            self._send(entry, RoleNotice(start, change.role))
+            if change.until > now:
+                self._send(entry, RoleNotice(start, change.role))
 
     def update_entries(self, entries: Mapping[str, Address]) -> None:
         """Set the list of entries with their addresses."""
--- a/tests/gateway/test_role_changes.py
+++ b/tests/gateway/test_role_changes.py
@@ -105,12 +105,38 @@
 
     async def order() -> None:
         duty = _duty(_Calls(log, answer, is_withheld), _Changes(log))
-        await duty._send_order(RoleChange(ENGINE, EndpointRole.PREFILL))
+        await duty._send_orders([RoleChange(ENGINE, EndpointRole.PREFILL)])
 
     run_in_virtual_time(order())
     assert log.steps == steps
 
 
+def test_several_engines_are_announced_together_and_then_ordered() -> None:
+    log = _Log()
+
+    async def order() -> None:
+        duty = _duty(_Calls(log, OrderAnswer.ACCEPTED, False), _Changes(log))
+        engines = [attrs.evolve(ENGINE, instance=f"d{n}") for n in range(3)]
+        began = asyncio.get_running_loop().time()
+        await duty._send_orders([RoleChange(e, EndpointRole.PREFILL) for e in engines])
+        assert asyncio.get_running_loop().time() - began < 1.0
+
+    run_in_virtual_time(order())
+    assert log.steps[:4] == ["announce prefill"] * 3 + ["order"]
+
+
+def test_entry_that_has_lost_the_duty_takes_its_notices_back() -> None:
+    log = _Log()
+
+    async def order() -> None:
+        duty = _duty(_Calls(log, OrderAnswer.ACCEPTED, False), _Changes(log))
+        duty._is_holder = lambda: False
+        await duty._send_orders([RoleChange(ENGINE, EndpointRole.PREFILL)])
+
+    run_in_virtual_time(order())
+    assert log.steps == ["announce prefill", "announce None"]
+
+
 def _duty(calls: Any, changes: Any) -> RoleDuty:
     clock: Callable[[], float] = asyncio.get_running_loop().time
     duty = RoleDuty("e1", None, DutyState(), None, calls, changes, None, None, clock, None, 0.0)
