--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_duty.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_duty.py
@@ -125,7 +125,11 @@
             self._changes_since = now
         if now - self._changes_since < PLAN_SETTLE_S:
             return []
-        return [] if any(self._is_pending(sent, now) for sent in self._sent_orders) else changes
+        if any(self._is_pending(sent, now) for sent in self._sent_orders):
+            return []
+        # An earlier holder of the duty may have ordered the same.
+        is_ordered = any(self._changes.is_changing(change.endpoint) for change in changes)
+        return [] if is_ordered else changes
 
     def _is_pending(self, sent: "_SentOrder", now: float) -> bool:
         """Whether an engine may still carry out an order."""
--- a/tests/gateway/test_role_changes.py
+++ b/tests/gateway/test_role_changes.py
@@ -11,6 +11,7 @@
 from vanillashore_gateway._domain import EndpointStart
 from vanillashore_gateway._duty import DutyState, RoleDuty
 from vanillashore_gateway._engine_calls import EngineUnreachableError
+from vanillashore_gateway._membership import Membership
 from vanillashore_gateway._role_changes import (
     CHANGE_S,
     RoleChanges,
@@ -111,6 +112,25 @@
     assert log.steps == steps
 
 
+def test_new_holder_does_not_repeat_an_order_that_is_being_carried_out() -> None:
+    async def plan() -> None:
+        loop = asyncio.get_running_loop()
+        changes = RoleChanges("e1", loop.time)
+        members = Membership()
+        pool = [attrs.evolve(ENGINE, instance=f"d{n}") for n in range(3)]
+        members.replace_all(pool, loop.time())
+        duty = _duty(None, changes, members)
+        assert duty._due_changes() == []  # The plan has to settle.
+        await asyncio.sleep(2.0)
+        (change,) = duty._due_changes()
+        changes.announce(change.endpoint.start, change.role)
+        assert duty._due_changes() == []
+        await asyncio.sleep(CHANGE_S)
+        assert duty._due_changes() == [change]
+
+    run_in_virtual_time(plan())
+
+
 def test_several_engines_are_announced_together_and_then_ordered() -> None:
     log = _Log()
 
@@ -137,9 +157,9 @@
     assert log.steps == ["announce prefill", "announce None"]
 
 
-def _duty(calls: Any, changes: Any) -> RoleDuty:
+def _duty(calls: Any, changes: Any, members: Membership | None = None) -> RoleDuty:
     clock: Callable[[], float] = asyncio.get_running_loop().time
-    duty = RoleDuty("e1", None, DutyState(), None, calls, changes, None, None, clock, None, 0.0)
+    duty = RoleDuty("e1", None, DutyState(), members, calls, changes, None, None, clock, None, 0.0)
     duty._is_holder = lambda: True
     return duty
 
