Warm the engines up before the tests of leaving prefill engines choose one

The most used engine of one request is no longer the one that gets the next: an engine's time per token is learnt from five prompts, so the other one got all later prompts, and three cases asked for 1,816 generations until the stand-ins' memory was full. The checks are the same.

--- a/tests/gateway/test_statements.py
+++ b/tests/gateway/test_statements.py
@@ -44,7 +44,8 @@
 ) -> None:
     async with PlatformRig(services=2, prefills=2, decodes=2) as rig:
         ask = _ask(rig, path)
-        assert (await ask("first")).status == 200
+        for number in range(12):
+            assert (await ask(f"first-{number}")).status == 200
         other, leaving = sorted(getattr(rig, kind), key=lambda e: len(e.arrivals))
         rig.store.faults.is_silent = is_store_away
         leaving.says_leaving = True
@@ -219,7 +220,8 @@
 ) -> None:
     async with PlatformRig(services=2, prefills=2, decodes=2) as rig:
         ask = _ask(rig, path)
-        assert (await ask("first")).status == 200
+        for number in range(12):
+            assert (await ask(f"first-{number}")).status == 200
         other, busy = sorted(getattr(rig, kind), key=lambda e: len(e.arrivals))
         rig.store.faults.is_silent = is_store_away
         busy.retry_after = "1.5"
