--- a/tests/gateway/test_statements.py
+++ b/tests/gateway/test_statements.py
@@ -451,3 +451,24 @@
             answer = await rig.generate("/idea/1", f"id-{number}", entry=entry)
             assert answer.status == 200
         assert (len(closed.arrivals), len(other.arrivals)) == (0, 10)
+
+
+@pytest.mark.parametrize("statement", ["leaving", "pause"])
+async def test_statement_holds_through_a_restore_of_the_store(statement: str) -> None:
+    async with PlatformRig(services=2) as rig:
+        gateway, endpoint = rig.process.gateway, rig.services[0]
+        copy = rig.store.copy()
+        if statement == "leaving":
+            endpoint.says_leaving = True
+        else:
+            endpoint.retry_after = "60"
+        for number in range(6):
+            assert (await rig.ask("GET", "/stock/1", f"first-{number}")).status == 200
+        received = len(endpoint.arrivals)
+        assert received
+        _stop_turning_away(endpoint)
+        rig.store.restore(copy)
+        await wait_until(lambda: gateway._snapshots_to_settle == 1)
+        for number in range(20):
+            assert (await rig.ask("GET", "/stock/1", f"id-{number}")).status == 200
+        assert len(endpoint.arrivals) == received
