Rewrite lost records in the soak at its end, and keep clocks out of the new tests

Five tests of statements compared real times; now a request that is not refused at once would get another status. Their check of the spread failed in one of four runs: eight values between 1 and 1.3 need not differ by a fifth. Now 16 must differ by 0.05.

--- a/packages/vanillashore-standins/src/vanillashore_standins/platform_endpoint.py
+++ b/packages/vanillashore-standins/src/vanillashore_standins/platform_endpoint.py
@@ -278,7 +278,7 @@
             self._starts_work(fault, headers),
             asyncio.get_running_loop().time(),
             self.limit_per_s,
-            self.retry_after,
+            self.retry_after if self._is_meant(fault, headers) else None,
             self.started_ms,
         )
         self.arrivals.append(arrival)
@@ -309,9 +309,14 @@
         return await answer_task
 
     def _starts_work(self, fault: Fault, headers: dict[str, str]) -> bool:
-        if headers.get("x-expect-instance") != self.instance or "x-stage" in headers:
+        if not self._is_meant(fault, headers) or "x-stage" in headers:
             return False
-        return fault not in (Fault.SHED, Fault.OTHER_INSTANCE) and self.retry_after is None
+        return fault is not Fault.SHED and self.retry_after is None
+
+    def _is_meant(self, fault: Fault, headers: dict[str, str]) -> bool:
+        """Whether a request is for this instance; others are answered with 421."""
+        is_same = headers.get("x-expect-instance") == self.instance
+        return is_same and fault is not Fault.OTHER_INSTANCE
 
     def _statements(self) -> dict[str, str]:
         """Return the headers in which the endpoint says how it is."""
@@ -324,10 +329,7 @@
     async def _answer(self, writer: asyncio.StreamWriter, arrival: Arrival, fault: Fault) -> bool:
         await self.may_answer.wait()
         statements = self._statements()
-        if (
-            fault is Fault.OTHER_INSTANCE
-            or arrival.headers.get("x-expect-instance") != self.instance
-        ):
+        if not self._is_meant(fault, arrival.headers):
             return await _reply(writer, 421, {"X-Instance-Id": "another"}, b"")
         if arrival.retry_after is not None:
             headers = {"X-Not-Executed": "1", "Retry-After": arrival.retry_after}
--- a/packages/vanillashore-standins/src/vanillashore_standins/soak/_restores.py
+++ b/packages/vanillashore-standins/src/vanillashore_standins/soak/_restores.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from vanillashore_standins.platform_store import PlatformStoreStandIn
+from vanillashore_standins.platform_store import PlatformStoreStandIn, StoreCopy
 
 MAX_AGE_S = 4.0
 MAX_AWAY_S = 1.0
@@ -47,21 +47,26 @@
             copy = self._store.copy()
             await asyncio.sleep(self._rng.random() * MAX_AGE_S)
             start = _now()
-            self._store.is_away = True
-            try:
-                await asyncio.sleep(self._rng.random() * MAX_AWAY_S)
-            finally:
-                lost = self._store.revision - copy.revision
-                self._store.restore(copy)
-                for number in range(lost if self._rng.random() < 0.5 else 0):
-                    self._store.put("others/x", {"number": number})
-                self._store.is_away = False
+            # What was written is written again also if the faults end in the middle.
             try:
+                await self._restore(copy)
                 await asyncio.sleep(self._rng.random() * MAX_REWRITE_S)
             finally:
                 self._rewrite()
                 self._restores.append(_Restore(start, _now()))
 
+    async def _restore(self, copy: StoreCopy) -> None:
+        """Let the store be away for a moment, and come back from a copy."""
+        self._store.is_away = True
+        try:
+            await asyncio.sleep(self._rng.random() * MAX_AWAY_S)
+        finally:
+            lost = self._store.revision - copy.revision
+            self._store.restore(copy)
+            for number in range(lost if self._rng.random() < 0.5 else 0):
+                self._store.put("others/x", {"number": number})
+            self._store.is_away = False
+
     def may_have_lost(self, changed_at: float) -> bool:
         """Whether a change may have been lost before all entries had read it."""
         return any(r.start - SETTLE_S < changed_at < r.end for r in self._restores)
--- a/tests/gateway/test_statements.py
+++ b/tests/gateway/test_statements.py
@@ -7,7 +7,7 @@
 import attrs
 import pytest
 
-from vanillashore_gateway import Endpoint, _limit_requests, _membership
+from vanillashore_gateway import Endpoint, _calls, _limit_requests, _membership, _slot_finder
 from vanillashore_gateway._home_ranking import rank_homes
 from vanillashore_standins import wait_until
 from vanillashore_standins.platform_endpoint import EndpointStandIn, EngineOptions, Fault
@@ -33,6 +33,14 @@
     return len(endpoint.arrivals) + len(endpoint.calls)
 
 
+@pytest.fixture
+def patience(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Let requests wait for 18 s, so that one that is not refused at once gets 504 after 4 s."""
+    monkeypatch.setattr(_calls, "MAX_QUEUE_SHARE", 20.0)
+    monkeypatch.setattr(_slot_finder, "MAX_WAIT_TARGETS", 20.0)
+    monkeypatch.setattr(_slot_finder, "MAX_WAIT_TIMEOUT_SHARE", 10.0)
+
+
 KINDS = [("/stock/1", "services"), ("/pay/1", "services"), ("/quote/1", "decodes")]
 KINDS_WITH_PREFILL = [*KINDS, ("/idea/1", "prefills")]
 
@@ -61,6 +69,7 @@
 
 
 @pytest.mark.parametrize(("path", "kind"), KINDS)
+@pytest.mark.usefixtures("patience")
 async def test_request_is_refused_at_once_when_all_endpoints_say_they_are_leaving(
     path: str, kind: str
 ) -> None:
@@ -72,26 +81,23 @@
         for number in range(3):
             await ask(f"first-{number}")
         received = [_received(endpoint) for endpoint in endpoints]
-        began = asyncio.get_running_loop().time()
-        answers = [await ask(f"late-{number}") for number in range(8)]
-        assert asyncio.get_running_loop().time() - began < 0.4
+        answers = [await ask(f"late-{number}") for number in range(16)]
         assert {answer.status for answer in answers} == {503}
         assert all(b'"ran":"no"' in answer.body for answer in answers)
         waits = [float(answer.headers["retry-after"]) for answer in answers]
         assert min(waits) > 0.2
-        assert max(waits) > 1.2 * min(waits)
+        assert max(waits) > 1.05 * min(waits)
         assert [_received(endpoint) for endpoint in endpoints] == received
 
 
+@pytest.mark.usefixtures("patience")
 async def test_request_turned_away_by_all_as_they_leave_does_not_wait_for_one() -> None:
     async with PlatformRig(services=2) as rig:
         for endpoint in rig.services:
             endpoint.says_leaving = True
         fail_first(rig.services, Fault.SHED, Fault.SHED)
-        began = asyncio.get_running_loop().time()
         answer = await rig.ask("GET", "/stock/1", "id-1")
         assert answer.status == 503
-        assert asyncio.get_running_loop().time() - began < 0.3
 
 
 @pytest.mark.parametrize(("path", "kind"), KINDS)
@@ -156,17 +162,16 @@
         assert sorted(rig.arrivals("id-1")) == [first.instance, last.instance]
 
 
+@pytest.mark.usefixtures("patience")
 async def test_generation_that_waits_for_room_is_refused_as_the_last_engine_leaves() -> None:
     async with PlatformRig(decodes=1, engine=EngineOptions(room=0)) as rig:
         decode = rig.decodes[0]
         waiting = asyncio.ensure_future(rig.generate("/idea/1", "id-1"))
         await wait_until(lambda: len(decode.calls) >= 3)
         decode.says_leaving = True
-        began = asyncio.get_running_loop().time()
         answer = await waiting
         assert answer.status == 503
         assert b'"code":"no_endpoint"' in answer.body
-        assert asyncio.get_running_loop().time() - began < 0.5
 
 
 @attrs.define
@@ -253,6 +258,7 @@
 
 
 @pytest.mark.parametrize(("path", "kind"), KINDS)
+@pytest.mark.usefixtures("patience")
 async def test_request_is_refused_at_once_while_all_endpoints_want_none(
     path: str, kind: str
 ) -> None:
@@ -260,18 +266,16 @@
         ask = _ask(rig, path)
         endpoints = getattr(rig, kind)
         for endpoint in endpoints:
-            endpoint.retry_after = "20"
+            endpoint.retry_after = "60"
         await _turn_away(rig, ask, endpoints)
         for endpoint in endpoints:
             _stop_turning_away(endpoint)
         received = [_received(endpoint) for endpoint in endpoints]
-        began = asyncio.get_running_loop().time()
-        answers = [await ask(f"late-{number}") for number in range(8)]
-        assert asyncio.get_running_loop().time() - began < 0.4
+        answers = [await ask(f"late-{number}") for number in range(16)]
         assert {answer.status for answer in answers} == {503}
         assert all(b'"ran":"no"' in answer.body for answer in answers)
         waits = [float(answer.headers["retry-after"]) for answer in answers]
-        assert min(waits) >= 18.0
+        assert min(waits) >= 55.0
         assert max(waits) > 1.05 * min(waits)
         assert [_received(endpoint) for endpoint in endpoints] == received
 
@@ -291,17 +295,16 @@
         assert sum(len(endpoint.runs) for endpoint in endpoints) == 1
 
 
+@pytest.mark.usefixtures("patience")
 async def test_generation_that_waits_is_refused_when_no_engine_wants_one_in_time() -> None:
     async with PlatformRig(decodes=1, engine=EngineOptions(room=0)) as rig:
         decode = rig.decodes[0]
         waiting = asyncio.ensure_future(rig.generate("/idea/1", "id-1"))
         await wait_until(lambda: len(decode.calls) >= 3)
-        decode.retry_after = "30"
-        began = asyncio.get_running_loop().time()
+        decode.retry_after = "60"
         answer = await waiting
         assert answer.status == 503
-        assert asyncio.get_running_loop().time() - began < 0.5
-        assert float(answer.headers["retry-after"]) > 25.0
+        assert float(answer.headers["retry-after"]) > 55.0
 
 
 @pytest.mark.parametrize(
