Decode ranks and paces, and state the rank to engines

Cause: no line of the code read a route's or workspace's priority, and an X-Server-Load with a fourth figure was taken for malformed, so no load was known of such endpoints. Result: no behaviour of queues or placement changes yet.

--- a/packages/vanillashore-gateway/src/vanillashore_gateway/__init__.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/__init__.py
@@ -3,6 +3,8 @@
 from vanillashore_gateway._clock import now
 from vanillashore_gateway._dialect import Dialect, OutboundRequest
 from vanillashore_gateway._domain import (
+    DEFAULT_RANK,
+    LOWEST_RANK,
     AnswerHead,
     CallerLimits,
     CallerRequest,
@@ -58,8 +60,11 @@
 )
 from vanillashore_gateway._process import GatewayProcess
 from vanillashore_gateway._quota import QuotaSettings
+from vanillashore_gateway._routing import rank_of
 
 __all__ = [
+    "DEFAULT_RANK",
+    "LOWEST_RANK",
     "AnswerHead",
     "AnswerTooLargeError",
     "CallerLimits",
@@ -112,6 +117,7 @@
     "hyphenated",
     "now",
     "open_connection",
+    "rank_of",
     "refusal",
     "render_headers",
     "set_up_logging",
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_dialect.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_dialect.py
@@ -23,7 +23,8 @@
     """One attempt to send a request to an endpoint.
 
     ``kv`` is a prefilled KV cache to fetch, ``hold`` a reservation to use, and ``resume_after`` the
-    id of the last event that the caller has.
+    id of the last event that the caller has. An engine serves a lower ``rank`` first; ``None`` does
+    not state one.
     """
 
     req: CallerRequest
@@ -34,6 +35,7 @@
     kv: PrefillHandle | None = None
     hold: Hold | None = None
     resume_after: int | None = None
+    rank: int | None = None
 
 
 class Dialect(Protocol):
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_domain.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_domain.py
@@ -21,6 +21,10 @@
     SERVICE = "service"
 
 
+DEFAULT_RANK = 5  # Of routes and workspaces that state none; engines assume the same.
+LOWEST_RANK = 9
+
+
 @attrs.frozen
 class Target:
     """A service of a route, and its weight, not negative, among the route's services."""
@@ -35,7 +39,8 @@
 
     ``timeout_s`` is the time limit for the final answer, ``target_s`` the target for the answer or
     its first event. ``is_open`` routes need no key. ``is_resumable`` streams may continue at
-    another endpoint after the last event that the caller received.
+    another endpoint after the last event that the caller received. ``rank`` is the urgency of its
+    requests; 0 is the most urgent.
     """
 
     name: str
@@ -50,6 +55,7 @@
     is_generation: bool = False
     is_resumable: bool = False
     gap_target_s: float = 0.0
+    rank: int = DEFAULT_RANK
 
     @property
     def may_repeat(self) -> bool:
@@ -85,7 +91,8 @@
 class Workspace:
     """A customer: its keys, and its rate over all entries. A rate of 0 is no limit.
 
-    A request that does not state how many tokens it takes counts as ``plain_tokens``.
+    A request that does not state how many tokens it takes counts as ``plain_tokens``. A ``rank``
+    replaces that of the routes.
     """
 
     name: str
@@ -93,6 +100,7 @@
     tokens_per_s: float = 0.0
     burst_tokens: float = 0.0
     plain_tokens: int = 0
+    rank: int | None = None
 
 
 @attrs.frozen
@@ -199,11 +207,15 @@
 
 @attrs.frozen
 class Load:
-    """The load that an endpoint reports with an answer."""
+    """The load that an endpoint reports with an answer.
+
+    ``pace`` is how long work takes on its VM at the moment, as a multiple of the usual time.
+    """
 
     running: int
     waiting: int
     slots: int
+    pace: float = 1.0
 
 
 @attrs.frozen
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_gateway.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_gateway.py
@@ -56,7 +56,7 @@
 from vanillashore_gateway._resumption import Resumption
 from vanillashore_gateway._role_changes import RoleChanges
 from vanillashore_gateway._rotation import Rotation
-from vanillashore_gateway._routing import RouteTable, pick_service
+from vanillashore_gateway._routing import RouteTable, pick_service, rank_of
 from vanillashore_gateway._sending import Sender
 from vanillashore_gateway._shutdown import Shutdown
 from vanillashore_gateway._slot_finder import SlotFinder
@@ -343,13 +343,25 @@
         service = table.service(origin.service if origin else pick_service(route, self._rng))
         traits = _traits(req, route, service.name, name)
         version = table.config.version
-        job = Job(req, route, service, name, version, fingerprint, traits, received, origin)
+        job = Job(
+            req,
+            route,
+            service,
+            name,
+            version,
+            fingerprint,
+            traits,
+            received,
+            origin,
+            rank=rank_of(route, workspace),
+        )
         job.check_shutdown(self.shutdown, self._expected_wait_s(job))
         job.log_decision(
             "admitted",
             route=route.name,
             service=service.name,
             workspace=name,
+            rank=job.rank,
             state_age_s=round(now() - self._synced_at, 2),
             resumes=req.resumes,
             last_event_id=req.last_event_id,
@@ -426,6 +438,8 @@
             before=before,
             routes=len(config.routes),
             workspaces=len(config.workspaces),
+            route_ranks=sorted({route.rank for route in config.routes}),
+            workspace_ranks=sorted({w.rank for w in config.workspaces if w.rank is not None}),
         ).info("activated a new configuration")
 
     def _update_entries(self) -> None:
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_generation.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_generation.py
@@ -232,7 +232,9 @@
     async def _prefill_at(self, assignment: PrefillAssignment) -> PrefillHandle | None:
         job, tools, send = self._job, self._tools, assignment.send
         left_s = job.give_up_at - tools.clock()
-        outbound = OutboundRequest(job.req, send.endpoint, job.workspace, left_s, is_prefill=True)
+        outbound = OutboundRequest(
+            job.req, send.endpoint, job.workspace, left_s, is_prefill=True, rank=job.rank
+        )
         share = send.tokens / PREFILL_TOKENS
         timeout_s = min(left_s, send.timeout_s)
         handle: PrefillHandle | None = None
@@ -291,6 +293,7 @@
             kv=handle,
             hold=hold,
             resume_after=resume_after,
+            rank=job.rank,
         )
         reads_prompt = handle is None and job.req.generation_size is not None
         self._prompt_sent_at = tools.clock() if reads_prompt else None
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_job.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_job.py
@@ -10,7 +10,14 @@
 from vanillashore_gateway._crashes import CrashMonitor, LostRun
 from vanillashore_gateway._crashing_parts import CrashingParts
 from vanillashore_gateway._dialect import Dialect
-from vanillashore_gateway._domain import CallerRequest, Endpoint, EndpointRole, Route, Service
+from vanillashore_gateway._domain import (
+    DEFAULT_RANK,
+    CallerRequest,
+    Endpoint,
+    EndpointRole,
+    Route,
+    Service,
+)
 from vanillashore_gateway._errors import ErrorCode, RefusalError, Refused, refusal
 from vanillashore_gateway._limit_requests import RequestLimits
 from vanillashore_gateway._membership import Membership
@@ -83,7 +90,8 @@
     the parts of the prompt that other requests may share, as digests. ``origin`` is that of a
     stream that the caller takes up again. ``may_have_run`` is true from the moment at which an
     endpoint may have begun to work on the request, unless it states that it has not. A request
-    ``on_trial`` is let through although it may crash an endpoint.
+    ``on_trial`` is let through although it may crash an endpoint. ``rank`` is the urgency, of the
+    workspace if it has one, else of the route.
     """
 
     req: CallerRequest
@@ -96,6 +104,7 @@
     received: float
     origin: StreamOrigin | None = None
     on_trial: bool = False
+    rank: int = DEFAULT_RANK
     tried: set[str] = attrs.field(factory=set)
     sends: int = 0
     may_have_run: bool = False
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_routing.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_routing.py
@@ -50,6 +50,13 @@
         return None if route.is_open else found
 
 
+def rank_of(route: Route, workspace: Workspace | None) -> int:
+    """Return the urgency of a request; a workspace's takes precedence over the route's."""
+    if workspace is not None and workspace.rank is not None:
+        return workspace.rank
+    return route.rank
+
+
 def pick_service(route: Route, rng: random.Random) -> str:
     """Return one of the route's services, by weight; with no weight at all, each is as likely."""
     if len(route.targets) == 1:
--- a/tests/adapter/test_decoding.py
+++ b/tests/adapter/test_decoding.py
@@ -14,11 +14,14 @@
 )
 from vanillashore_gateway import (
     EndpointRole,
+    Load,
+    OutboundRequest,
     RefusalError,
     RequestHead,
     ResponseHead,
     RouteKind,
     Target,
+    rank_of,
 )
 
 SETTINGS = """node_name=edge-a-1
@@ -250,3 +253,34 @@
     assert (req.resumes, req.last_event_id) == (resumes, 3)
     forwarded = [value for name, value in req.headers if name.lower() == b"resumes"]
     assert forwarded == [value for _, value in headers]
+
+
+@pytest.mark.parametrize(
+    ("value", "load"),
+    [
+        (b"3,1,8", Load(3, 1, 8, 1.0)),
+        (b"3,1,8,250", Load(3, 1, 8, 2.5)),
+        (b"3,1", None),
+        (b"3,1,8,250,7", None),
+        (b"3,1,8,fast", None),
+    ],
+)
+def test_load_of_an_endpoint(value: bytes, load: Load | None) -> None:
+    head = ResponseHead(200, b"OK", ((b"X-Server-Load", value),))
+    assert PlatformDialect().decode_answer(head).load == load
+
+
+def test_rank_of_a_workspace_takes_precedence_over_the_routes() -> None:
+    workspace = {**CONFIG["tenants"][0], "priority": 0}
+    config = decode_config(orjson.dumps({**CONFIG, "tenants": [workspace]}))
+    assert rank_of(config.routes[0], config.workspaces[0]) == 0
+    assert rank_of(config.routes[0], decode_config(orjson.dumps(CONFIG)).workspaces[0]) == 1
+
+
+def test_rank_is_stated_to_the_endpoint() -> None:
+    head = _head((b"X-Request-Id", b"id-1"), (b"Host", b"a.example"), (b"X-Request-Priority", b"0"))
+    req = PlatformDialect().decode_request(head, b"", 0.0)
+    endpoint = decode_endpoint("i-1", orjson.dumps(ENDPOINT))
+    sent = PlatformDialect().encode_outbound(OutboundRequest(req, endpoint, "", 1.0, rank=2))
+    assert sent.count(b"X-Request-Priority") == 1
+    assert b"X-Request-Priority: 2\r\n" in sent
