Let a slow plain request go on when no retry is left to replace it

Cause: an idempotent request was ended at 60 percent of its target to be sent elsewhere, and only then was the retry budget asked. Change: the attempt is ended only when the budget has paid for the next one.

--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_calls.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_calls.py
@@ -62,6 +62,7 @@
         self._job = job
         self._budget = tools.budgets.of(job.service.name)
         self._error_answer: _Result | None = None
+        self._is_resend_paid = False
         self._responder: Responder
 
     async def run(self, responder: Responder) -> None:
@@ -160,10 +161,13 @@
         timeout_s = outbound.time_left_s
         share = _share(outbound.endpoint)
         may_repeat = self._job.route.kind is RouteKind.IDEMPOTENT
-        if may_repeat and self._has_sends_left():
-            timeout_s = min(timeout_s, self._job.route.target_s * RESEND_AFTER_SHARE)
+        resend: asyncio.TimerHandle | None = None
         try:
             async with asyncio.timeout(timeout_s) as limit:
+                if may_repeat and self._has_sends_left():
+                    resend_s = self._job.route.target_s * RESEND_AFTER_SHARE
+                    loop = asyncio.get_running_loop()
+                    resend = loop.call_later(resend_s, self._end_to_resend, limit)
                 async with self._tools.sender.send(
                     outbound, share, timeout_s, not may_repeat
                 ) as sent:
@@ -171,6 +175,8 @@
                         await sent.read_to_end()
                         return _Result(_Outcome.NOT_RUN, sent.head)
                     body, is_complete = await sent.read_start()
+                    if resend is not None:
+                        resend.cancel()
                     if is_complete:
                         return _Result(_Outcome.ANSWERED, sent.head, body)
                     left_s = self._job.give_up_at - self._tools.clock()
@@ -185,6 +191,15 @@
                 return _Result(_Outcome.NOT_SENT, reason=str(exc), is_withheld=is_withheld)
             is_broken = exc.failure is LinkFailure.BROKEN
             return _Result(_Outcome.UNCLEAR, reason=str(exc), is_broken=is_broken)
+        finally:
+            if resend is not None:
+                resend.cancel()
+
+    def _end_to_resend(self, limit: asyncio.Timeout) -> None:
+        """End a slow attempt if the budget pays for another one; without it, keep waiting."""
+        if not limit.expired() and self._budget.spend():
+            self._is_resend_paid = True
+            limit.reschedule(asyncio.get_running_loop().time())
 
     async def _relay(self, sent: Sending, body: bytes) -> None:
         """Pass a long answer on as it arrives; from here on it cannot be repeated."""
@@ -210,12 +225,13 @@
             return False
         if result.outcome is _Outcome.NOT_SENT:
             return True
+        is_paid, self._is_resend_paid = self._is_resend_paid, False
         if result.outcome is not _Outcome.NOT_RUN:
             if self._job.route.kind is not RouteKind.IDEMPOTENT:
                 return False
             if self._job.sends >= self._job.route.max_attempts:
                 return False
-        return self._budget.spend()
+        return is_paid or self._budget.spend()
 
     def _give_up(self, result: _Result) -> _Result:
         if self._error_answer is not None:
--- a/tests/gateway/test_calls.py
+++ b/tests/gateway/test_calls.py
@@ -6,7 +6,7 @@
 
 from vanillashore_standins import wait_until
 from vanillashore_standins.platform_endpoint import SEAL_PREFIX, Fault
-from vanillashore_standins.platform_rig import KEY, PlatformRig, fail_first
+from vanillashore_standins.platform_rig import KEY, ORDERS, PlatformRig, fail_first
 
 # For a payment: fault at the first of two endpoints, status, and number of executions.
 PAYMENT_FAULTS = [
@@ -213,3 +213,14 @@
         for number in range(10):
             assert (await rig.ask("POST", "/pay/1", f"id-{number}", b"pay")).status == 200
         assert first.arrivals == []
+
+
+async def test_slow_attempt_is_not_ended_when_no_retry_is_left() -> None:
+    """An attempt that was ended to resend the request, without a retry, failed needlessly."""
+    async with PlatformRig(services=2) as rig:
+        fail_first(rig.services, Fault.SILENT)
+        rig.process.gateway._budgets.of(ORDERS).earned_per_request = 0.0
+        rig.process.gateway._budgets.of(ORDERS).saved = 0.0
+        answer = await rig.ask("GET", "/stock/1", "id-1", X_Deadline_Ms="900")
+        assert answer.status == 504
+        assert len(rig.arrivals("id-1")) == 1
