--- a/packages/vanillashore-gateway/src/vanillashore_gateway/__init__.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/__init__.py
@@ -60,7 +60,7 @@
 )
 from vanillashore_gateway._process import GatewayProcess
 from vanillashore_gateway._quota import QuotaSettings
-from vanillashore_gateway._routing import rank_of
+from vanillashore_gateway._routing import RouteTable
 
 __all__ = [
     "DEFAULT_RANK",
@@ -105,6 +105,7 @@
     "RoleOrder",
     "Route",
     "RouteKind",
+    "RouteTable",
     "OutboundRequest",
     "Service",
     "ServingConfig",
@@ -117,7 +118,6 @@
     "hyphenated",
     "now",
     "open_connection",
-    "rank_of",
     "refusal",
     "render_headers",
     "set_up_logging",
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_domain.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_domain.py
@@ -240,13 +240,27 @@
     pause_s: float = 0.0
 
 
+@attrs.frozen
+class SlotTicket:
+    """A decode slot that the home of a service has granted, under a number of this entry's."""
+
+    service: str
+    home: str
+    number: int
+    instance: str
+
+
 @attrs.frozen
 class Hold:
-    """A slot and memory that are reserved at an endpoint for one request, for a short time."""
+    """A slot and memory that are reserved at an endpoint for one request, for a short time.
+
+    ``ticket`` is the grant of the home that schedules the service's slots, if one did.
+    """
 
     endpoint: Endpoint
     name: str
     taken_at: float
+    ticket: SlotTicket | None = None
 
 
 @attrs.frozen
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_gateway.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_gateway.py
@@ -56,10 +56,11 @@
 from vanillashore_gateway._resumption import Resumption
 from vanillashore_gateway._role_changes import RoleChanges
 from vanillashore_gateway._rotation import Rotation
-from vanillashore_gateway._routing import RouteTable, pick_service, rank_of
+from vanillashore_gateway._routing import RouteTable, pick_service
 from vanillashore_gateway._sending import Sender
 from vanillashore_gateway._shutdown import Shutdown
 from vanillashore_gateway._slot_finder import SlotFinder
+from vanillashore_gateway._slot_requests import SlotRequests
 from vanillashore_gateway._start_checks import StartChecks
 from vanillashore_gateway._statements import EndpointStatements
 from vanillashore_gateway._stream_origins import StreamOrigins
@@ -151,6 +152,7 @@
             now,
         )
         self.start_checks = StartChecks(self.calls, self.membership, self._is_list_stale, now)
+        self.slot_requests = SlotRequests(cfg.node, self._decode_engines, now, rng)
         self.slot_finder = SlotFinder(
             self.calls,
             self.balancer,
@@ -158,6 +160,8 @@
             self.start_checks,
             self.prefill_estimator,
             self.membership,
+            self.slot_requests,
+            cfg.data_centre,
             now,
             rng,
         )
@@ -184,6 +188,7 @@
             self.crashes,
             self.parts,
             self.prefills,
+            self.slot_requests,
             self.rotation,
             self.limits,
             self.origins,
@@ -197,6 +202,8 @@
             "vanillashore.endpoints.paused": lambda: self.limits.paused_endpoints,
             "vanillashore.endpoints.leaving": lambda: self.membership.stated_leaving,
             "vanillashore.entries": lambda: self.known_entries,
+            "vanillashore.slots.waiting": lambda: self.slot_requests.waiting,
+            "vanillashore.slots.granted": lambda: self.slot_requests.granted,
             "vanillashore.config_version": lambda: self.config_version,
         }
         self.metrics = GatewayMetrics(cfg.node, cfg.data_centre, gauges)
@@ -353,7 +360,8 @@
             traits,
             received,
             origin,
-            rank=rank_of(route, workspace),
+            rank=table.rank(route, workspace),
+            is_scheduled=service.name in table.ranked_services,
         )
         job.check_shutdown(self.shutdown, self._expected_wait_s(job))
         job.log_decision(
@@ -438,8 +446,7 @@
             before=before,
             routes=len(config.routes),
             workspaces=len(config.workspaces),
-            route_ranks=sorted({route.rank for route in config.routes}),
-            workspace_ranks=sorted({w.rank for w in config.workspaces if w.rank is not None}),
+            ranked_services=sorted(self._table.ranked_services),
         ).info("activated a new configuration")
 
     def _update_entries(self) -> None:
@@ -457,6 +464,10 @@
         engines = self.membership.usable(service, EndpointRole.PREFILL)
         return self.balancer.healthy(self.limits.open_endpoints(engines), now())
 
+    def _decode_engines(self, service: str) -> list[Endpoint]:
+        engines = self.membership.usable(service, EndpointRole.DECODE)
+        return self.balancer.healthy(self.limits.open_endpoints(engines), now())
+
     def _closed_prefill_engines(self, service: str) -> list[str]:
         """Return the names of the engines that this entry cannot use now."""
         usable = {engine.instance for engine in self._prefill_engines(service)}
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_generation.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_generation.py
@@ -18,6 +18,7 @@
 from vanillashore_gateway._prefill_estimator import Prompt
 from vanillashore_gateway._prefill_scheduler import PrefillAssignment
 from vanillashore_gateway._sending import Sending
+from vanillashore_gateway._slot_finder import Urgency
 from vanillashore_gateway._statements import WithheldError
 from vanillashore_gateway._stream_origins import StreamOrigin
 
@@ -114,7 +115,9 @@
                 is_used = current is not None
                 outcome = await self._decode(endpoint, usable, current, responder)
             finally:
-                if not is_used:
+                if is_used:
+                    self._tools.slot_finder.end(hold)
+                else:
                     self._tools.slot_finder.release(hold)
             if outcome is _Outcome.DONE:
                 responder.finish()
@@ -142,6 +145,7 @@
                 job.tried,
                 has_begun=self._stream.runs > 0 or job.origin is not None,
                 software=self._stream.software,
+                urgency=Urgency(job.rank, job.workspace, job.fingerprint, job.is_scheduled),
             )
         job.tried.add(hold.endpoint.instance)
         job.log_decision(
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_job.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_job.py
@@ -91,7 +91,8 @@
     stream that the caller takes up again. ``may_have_run`` is true from the moment at which an
     endpoint may have begun to work on the request, unless it states that it has not. A request
     ``on_trial`` is let through although it may crash an endpoint. ``rank`` is the urgency, of the
-    workspace if it has one, else of the route.
+    workspace if it has one, else of the route. If it ``is_scheduled``, the home of the service
+    schedules its decode slot.
     """
 
     req: CallerRequest
@@ -105,6 +106,7 @@
     origin: StreamOrigin | None = None
     on_trial: bool = False
     rank: int = DEFAULT_RANK
+    is_scheduled: bool = False
     tried: set[str] = attrs.field(factory=set)
     sends: int = 0
     may_have_run: bool = False
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_routing.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_routing.py
@@ -3,7 +3,15 @@
 import random
 from collections import defaultdict
 
-from vanillashore_gateway._domain import CallerRequest, Route, Service, ServingConfig, Workspace
+from vanillashore_gateway._domain import (
+    DEFAULT_RANK,
+    LOWEST_RANK,
+    CallerRequest,
+    Route,
+    Service,
+    ServingConfig,
+    Workspace,
+)
 from vanillashore_gateway._errors import ErrorCode, refusal
 
 
@@ -24,6 +32,8 @@
             self._by_host[route.host.lower()][route.path_prefix] = route
         self._by_key = {key: w for w in config.workspaces for key in w.keys}
         self._services = {service.name: service for service in config.services}
+        self._levels = _rank_levels(config)
+        self.ranked_services = _ranked_services(config)
 
     def service(self, name: str) -> Service:
         """Return a service, with default settings if the configuration does not describe it."""
@@ -49,12 +59,39 @@
             raise refusal(ErrorCode.KEY_INVALID, "the key is missing or unknown")
         return None if route.is_open else found
 
+    def rank(self, route: Route, workspace: Workspace | None) -> int:
+        """Return the urgency of a request, from 0 to 9; 0 is the most urgent.
 
-def rank_of(route: Route, workspace: Workspace | None) -> int:
-    """Return the urgency of a request; a workspace's takes precedence over the route's."""
-    if workspace is not None and workspace.rank is not None:
-        return workspace.rank
-    return route.rank
+        A workspace's rank takes precedence, and the route's decides between equal workspaces.
+        """
+        if len(self._levels) == 1:
+            return DEFAULT_RANK
+        return min(LOWEST_RANK, self._levels[_rank_pair(route, workspace)])
+
+
+def _rank_pair(route: Route, workspace: Workspace | None) -> tuple[int, int]:
+    rank = workspace.rank if workspace is not None else None
+    return DEFAULT_RANK if rank is None else rank, route.rank
+
+
+def _rank_levels(config: ServingConfig) -> dict[tuple[int, int], int]:
+    """Return the level of each combination of ranks that a request may have."""
+    pairs = {
+        _rank_pair(route, workspace)
+        for route in config.routes
+        for workspace in (None, *config.workspaces)
+    }
+    return {pair: level for level, pair in enumerate(sorted(pairs))}
+
+
+def _ranked_services(config: ServingConfig) -> frozenset[str]:
+    """Return the services whose generations come over routes of different ranks."""
+    ranks: dict[str, set[int]] = defaultdict(set)
+    for route in config.routes:
+        if route.is_generation:
+            for target in route.targets:
+                ranks[target.service].add(route.rank)
+    return frozenset(service for service, known in ranks.items() if len(known) > 1)
 
 
 def pick_service(route: Route, rng: random.Random) -> str:
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_slot_finder.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_slot_finder.py
@@ -10,7 +10,16 @@
 from loguru import logger as log
 
 from vanillashore_gateway._balancing import Balancer
-from vanillashore_gateway._domain import CallerRequest, Endpoint, EndpointRole, Hold, Route, Service
+from vanillashore_gateway._domain import (
+    DEFAULT_RANK,
+    CallerRequest,
+    Endpoint,
+    EndpointRole,
+    Hold,
+    Route,
+    Service,
+    SlotTicket,
+)
 from vanillashore_gateway._engine_calls import EngineCalls, EngineUnreachableError
 from vanillashore_gateway._errors import ErrorCode, RefusalError, refusal
 from vanillashore_gateway._limit_requests import RequestLimits
@@ -18,6 +27,8 @@
 from vanillashore_gateway._output_sizes import OutputSizes
 from vanillashore_gateway._prefill_estimator import PrefillEstimator
 from vanillashore_gateway._slot_queue import SlotQueue, Waiter
+from vanillashore_gateway._slot_requests import SlotRequests
+from vanillashore_gateway._slot_schedule import SlotAsk, Turndown
 from vanillashore_gateway._start_checks import StartChecks
 
 MAX_ENGINES_ASKED = 3  # One after the other, in each attempt to reserve a slot.
@@ -39,6 +50,19 @@
 RETRY_JITTER = 0.3  # Keeps callers that were refused together from returning together.
 
 
+@attrs.frozen
+class Urgency:
+    """How urgent a generation is, and for whom; ``repeat_key`` is kept when it is sent again.
+
+    Where the routes of the service differ in rank, its slots are scheduled for all entries.
+    """
+
+    rank: int = DEFAULT_RANK
+    workspace: str = ""
+    repeat_key: str = ""
+    is_scheduled: bool = False
+
+
 @attrs.define(eq=False)
 class SlotRequest:
     """A generation that needs a decode slot; ``avoided`` are engines that have failed it.
@@ -54,6 +78,7 @@
     avoided: set[str]
     software: str | None
     fut: "asyncio.Future[Hold]"
+    urgency: Urgency = attrs.field(factory=Urgency)
 
     @property
     def queue_key(self) -> tuple[str, str | None]:
@@ -72,9 +97,13 @@
         start_checks: StartChecks,
         prefill_estimator: PrefillEstimator,
         membership: Membership,
+        schedule: SlotRequests,
+        data_centre: str,
         clock: Callable[[], float],
         rng: random.Random,
     ) -> None:
+        self._schedule = schedule
+        self._data_centre = data_centre
         self._calls = calls
         self._balancer = balancer
         self._limits = limits
@@ -108,6 +137,7 @@
         avoided: set[str],
         has_begun: bool = False,
         software: str | None = None,
+        urgency: Urgency | None = None,
     ) -> Hold:
         """Return a reservation; raise RefusalError if none is expected or made in time.
 
@@ -115,7 +145,13 @@
         put at the front of the queue.
         """
         tokens = self.needed_tokens(req, service)
-        request = SlotRequest(req, route, service, tokens, avoided, software, _future())
+        request = SlotRequest(
+            req, route, service, tokens, avoided, software, _future(), urgency or Urgency()
+        )
+        if request.urgency.is_scheduled and not has_begun and req.generation_size is not None:
+            hold = await self._find_scheduled(request)
+            if hold is not None:
+                return hold
         queue = self._queues[request.queue_key]
         if has_begun or not len(queue):
             hold = await self._try(request)
@@ -160,8 +196,63 @@
 
     def release(self, hold: Hold) -> None:
         """Release a reservation that was not used, in the background."""
+        self.end(hold)
         self._start(self._calls.release_hold(hold))
 
+    def end(self, hold: Hold) -> None:
+        """Record that the generation that used a reservation has ended."""
+        if hold.ticket is not None:
+            self._schedule.end(hold.ticket)
+
+    async def _find_scheduled(self, request: SlotRequest) -> Hold | None:
+        """Return a reservation at the engine that the home grants, ``None`` without a home.
+
+        Raises RefusalError if the home expects no slot in time.
+        """
+        avoided = set(request.avoided)
+        for _ in range(MAX_ENGINES_ASKED):
+            decision = await self._schedule.ask(request.service, self._slot_ask(request, avoided))
+            if decision is None:
+                return None
+            if isinstance(decision, Turndown):
+                bound = log.bind(request=request.req.log_id, rank=request.urgency.rank)
+                bound.bind(tokens=request.tokens).info("no decode slot in time")
+                text = "no decode slot is expected in time"
+                raise refusal(ErrorCode.ENDPOINTS_FULL, text, decision.retry_s)
+            try:
+                hold = await self._reserve_granted(request, decision)
+            except BaseException:
+                self._schedule.end(decision)
+                raise
+            if hold is not None:
+                return hold
+            self._schedule.fail(decision, is_full=True)
+            avoided.add(decision.instance)
+        return None
+
+    async def _reserve_granted(self, request: SlotRequest, ticket: SlotTicket) -> Hold | None:
+        endpoint = self._membership.get(ticket.instance)
+        if endpoint is None or self._membership.is_leaving(endpoint):
+            return None
+        hold = await self._reserve_at(request, endpoint, 0.0)
+        return None if hold is None else attrs.evolve(hold, ticket=ticket)
+
+    def _slot_ask(self, request: SlotRequest, avoided: set[str]) -> SlotAsk:
+        req, urgency, now = request.req, request.urgency, self._clock()
+        waiter = self._waiter(request)
+        return SlotAsk(
+            rank=urgency.rank,
+            tokens=request.tokens,
+            output_tokens=request.tokens - req.generation_size.input_tokens,
+            on_time_s=waiter.on_time_until - now,
+            wait_s=waiter.give_up_at - now,
+            left_s=req.deadline - now,
+            data_centre=self._data_centre,
+            workspace=urgency.workspace,
+            repeat_key=urgency.repeat_key,
+            avoided=tuple(avoided),
+        )
+
     def _check_queue(self, queue: SlotQueue[SlotRequest], request: SlotRequest) -> None:
         if queue.expected_wait_s() > MAX_QUEUE_WAIT_S:
             raise self._refusal(queue, request, "too many generations wait for a decode slot")
@@ -180,7 +271,8 @@
         tokens = req.generation_size.input_tokens if req.generation_size is not None else 0
         prefill_s = self._prefill_estimator.min_prefill_s(tokens)
         on_time_until = req.arrived + route.target_s * ON_TIME_TARGET_SHARE - prefill_s
-        return Waiter(request, self._clock(), on_time_until, give_up_at)
+        rank = request.urgency.rank if request.urgency.is_scheduled else 0
+        return Waiter(request, self._clock(), on_time_until, give_up_at, rank)
 
     async def _wait(
         self,
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_slot_queue.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_slot_queue.py
@@ -25,13 +25,14 @@
     """An item in the queue; times are in seconds of the caller's clock.
 
     A slot assigned before ``on_time_until`` is early enough to meet the target latency. From
-    ``give_up_at`` on, the item is refused.
+    ``give_up_at`` on, the item is refused. A lower ``rank`` is more urgent.
     """
 
     item: T
     arrived: float
     on_time_until: float
     give_up_at: float
+    rank: int = 0
 
 
 class SlotQueue(Generic[T]):
@@ -68,11 +69,12 @@
             self._waiters.remove(waiter)
 
     def first(self, now: float) -> Waiter[T] | None:
-        """Return the waiter to serve next: the first that is on time, else the first late one."""
-        for waiter in self._waiters:
-            if now < waiter.on_time_until:
-                return waiter
-        return self._waiters[0] if self._waiters else None
+        """Return the waiter to serve next.
+
+        It is the first in its rank that is on time, else the first late one.
+        """
+        on_time = [waiter for waiter in self._waiters if now < waiter.on_time_until]
+        return min(on_time or self._waiters, key=lambda waiter: waiter.rank, default=None)
 
     def remove_expired(self, now: float) -> list[Waiter[T]]:
         """Remove the waiters whose ``give_up_at`` has passed, and return them."""
--- /dev/null
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_slot_schedule.py
@@ -0,0 +1,395 @@
+"""Who gets the decode slots of a service when there are too few, decided once for all entries.
+
+Handles bursts in which more generations arrive than the engines' memory holds, from many entries
+that each see few of them. The home of a service keeps a ledger of the memory that generations take
+at each engine, counted to the end of their answers, and grants slots in an order that costs callers
+least: by rank, then those that can still be on time, then by what a caller gains for the memory and
+time that the generation takes. A generation that has no slot to expect in time is refused at once.
+"""
+
+import random
+from collections import OrderedDict, deque
+from collections.abc import Callable, Collection, Hashable, Iterable
+
+import attrs
+
+from vanillashore_gateway._domain import Endpoint
+from vanillashore_gateway._service_shares import ServiceShares
+
+# Share of the engines' memory that the expected final sizes of their generations may take. The
+# generations are at different stages, so what they hold at a moment is less.
+FILL_SHARE = 1.0
+# The part of a generation's value that does not grow with its size.
+FIXED_VALUE = 0.3
+SMOOTHING = 0.05
+INITIAL_TOKEN_S = 0.004  # Per expected output token.
+START_S = 0.3  # From the grant to the first event: transfer, prefill and the first step.
+ARRIVALS_WINDOW_S = 2.0  # Short against a burst, and long enough for dozens of arrivals.
+CHECK_EVERY_S = 0.1  # Between two checks of the generations that wait already.
+MAX_USED_SHARE = 0.97  # Of the capacity by better requests, above which a request has no place.
+# Every n-th grant goes to the best request of a lower rank, so that no rank starves.
+LOWER_RANK_EVERY = 8
+FULL_S = 0.1  # An engine that refused a reservation may have room again after this.
+LOST_FACTOR = 3.0  # A grant that outlasts its expected time by this much is taken for lost.
+LOST_MARGIN_S = 5.0
+MAX_REMEMBERED = 4_096  # Refused generations that may return, and grants.
+RETURN_S = 15.0
+REMOTE_SHARE = 0.05  # Of an engine; a closer one is chosen between nearly equal ones.
+RETRY_SPREAD = 0.5
+MIN_RETRY_S = 0.5
+# Callers that would have to wait for a third of the time that they have left do not return.
+MAX_RETRY_SHARE = 0.3
+
+
+@attrs.frozen
+class SlotAsk:
+    """A generation that needs a decode slot.
+
+    ``tokens`` is the memory that it takes at its end, ``output_tokens`` the part that it makes. A
+    slot within ``on_time_s`` meets the target, and the caller stays for ``wait_s`` at most, and
+    could return within ``left_s``. ``repeat_key`` is the same when the caller sends it again.
+    """
+
+    rank: int
+    tokens: int
+    output_tokens: int
+    on_time_s: float
+    wait_s: float
+    left_s: float
+    data_centre: str = ""
+    workspace: str = ""
+    repeat_key: str = ""
+    avoided: tuple[str, ...] = ()
+
+
+@attrs.frozen
+class Grant:
+    """A slot at an engine."""
+
+    instance: str
+
+
+@attrs.frozen
+class Turndown:
+    """No slot is expected in time; one may be free in ``retry_s``."""
+
+    retry_s: float
+
+
+Decision = Grant | Turndown
+
+
+@attrs.define(eq=False)
+class _Waiter:
+    ask: SlotAsk
+    arrived: float
+    value: float
+    work: float
+    decide: Callable[[Decision], None]
+    has_returned: bool = False
+    is_behind: bool = False
+
+    @property
+    def on_time_until(self) -> float:
+        return self.arrived + self.ask.on_time_s
+
+    def is_late(self, now: float) -> bool:
+        return now >= self.on_time_until
+
+    def order(self, now: float) -> tuple[bool, bool, float]:
+        """Return the sort key inside a rank; the smallest goes first."""
+        # A caller that was told to come back has lost its target by that, and would be refused
+        # again behind the new ones.
+        is_first = self.is_behind or self.has_returned
+        return self.is_late(now) and not is_first, not is_first, -self.value / self.work
+
+
+@attrs.frozen
+class _Grant:
+    instance: str
+    tokens: int
+    output_tokens: int
+    granted_at: float
+    expires_at: float
+
+
+@attrs.define
+class _Engine:
+    capacity: int
+    slots: int
+    data_centre: str
+    grants: dict[Hashable, _Grant] = attrs.field(factory=dict)
+    used: int = 0
+    full_until: float = 0.0
+
+    def fits(self, tokens: int, now: float) -> bool:
+        """Whether a generation of that size fits; an empty engine takes any."""
+        if now < self.full_until or len(self.grants) >= max(1, self.slots):
+            return False
+        return not self.grants or self.used + tokens <= self.capacity
+
+
+class SlotSchedule:
+    """The ledger and the queue of one service; callers pass in the current time.
+
+    Example::
+
+        schedule = SlotSchedule(random.Random())
+        schedule.update_engines(engines, kv_tokens=30_000)
+        schedule.ask("id-1", ask, decide, now)  # calls decide(Grant(...)) or decide(Turndown(...))
+        ...
+        schedule.end("id-1", now)
+        schedule.assign(now)
+    """
+
+    def __init__(self, rng: random.Random) -> None:
+        self._rng = rng
+        self._engines: dict[str, _Engine] = {}
+        self._waiters: dict[Hashable, _Waiter] = {}
+        self._grants: OrderedDict[Hashable, _Grant] = OrderedDict()
+        self._told: OrderedDict[str, float] = OrderedDict()
+        self._arrivals: deque[tuple[float, int, float, float]] = deque()
+        self._shares = ServiceShares()
+        self._token_s = INITIAL_TOKEN_S
+        self._mean_size = 0.0
+        self._grant_count = 0
+        self._checked_at = 0.0
+
+    @property
+    def waiting(self) -> int:
+        """How many generations wait for a slot."""
+        return len(self._waiters)
+
+    @property
+    def granted(self) -> int:
+        """How many grants have not ended."""
+        return len(self._grants)
+
+    def update_engines(self, engines: Iterable[Endpoint], kv_tokens: int) -> None:
+        """Set the engines that can be used, and the memory of each."""
+        usable = {engine.instance: engine for engine in engines}
+        for name in [name for name in self._engines if name not in usable]:
+            del self._engines[name]
+        capacity = int(kv_tokens * FILL_SHARE)
+        for name, endpoint in usable.items():
+            known = self._engines.get(name)
+            if known is None:
+                known = _Engine(capacity, endpoint.slots, endpoint.data_centre)
+                self._engines[name] = known
+                for key, grant in self._grants.items():
+                    if grant.instance == name:
+                        self._count(known, key, grant)
+            known.capacity, known.slots = capacity, endpoint.slots
+
+    def ask(
+        self, key: Hashable, ask: SlotAsk, decide: Callable[[Decision], None], now: float
+    ) -> None:
+        """Decide on a generation, now or later; asking again with the same key changes nothing."""
+        if key in self._waiters:
+            return
+        grant = self._grants.get(key)
+        if grant is not None:
+            decide(Grant(grant.instance))
+            return
+        waiter = self._waiter(ask, decide, now)
+        if ask.avoided:  # An engine has refused the reservation of an earlier grant.
+            waiter.has_returned = True
+        else:
+            self._record_arrival(waiter, now)
+            self._shares.record_asked(waiter.ask, now)
+        waiter.is_behind = self._shares.is_behind(ask)
+        retry_s = self._turndown_s(waiter, now)
+        if retry_s is not None:
+            self._turn_down(waiter, retry_s, now)
+            return
+        self._waiters[key] = waiter
+        self.assign(now)
+
+    def end(self, key: Hashable, now: float) -> None:
+        """Record that a generation has ended, or that its caller no longer waits."""
+        self._waiters.pop(key, None)
+        grant = self._remove_grant(key)
+        if grant is not None and grant.output_tokens > 0:
+            token_s = max(0.0, now - grant.granted_at - START_S) / grant.output_tokens
+            self._token_s += SMOOTHING * (token_s - self._token_s)
+
+    def fail(self, key: Hashable, is_full: bool, now: float) -> None:
+        """Record that a granted slot could not be used; a full engine gets no grant for a while."""
+        grant = self._remove_grant(key)
+        engine = self._engines.get(grant.instance) if grant is not None else None
+        if engine is not None and is_full:
+            engine.full_until = now + FULL_S
+
+    def assign(self, now: float) -> None:
+        """Grant free slots in order, and turn down the generations that have none to expect."""
+        if now - self._checked_at >= CHECK_EVERY_S:
+            self._checked_at = now
+            self._expire(now)
+            self._turn_down_hopeless(now)
+        passed: set[Hashable] = set()
+        while len(passed) < len(self._waiters):
+            key = self._next(now, passed)
+            waiter = self._waiters[key]
+            name = self._choose(waiter.ask, now)
+            if name is None:
+                # A smaller one behind it must not take the memory that it waits for.
+                if self._engines and not waiter.ask.avoided:
+                    break
+                passed.add(key)
+                continue
+            self._grant(key, waiter, name, now)
+
+    def _waiter(self, ask: SlotAsk, decide: Callable[[Decision], None], now: float) -> _Waiter:
+        size = ask.tokens
+        self._mean_size = self._mean_size or size
+        self._mean_size += SMOOTHING * (size - self._mean_size)
+        value = FIXED_VALUE + (1 - FIXED_VALUE) * size / max(1.0, self._mean_size)
+        work = max(1, ask.tokens) * (START_S + ask.output_tokens * self._token_s)
+        told_at = self._told.pop(ask.repeat_key, None) if ask.repeat_key else None
+        has_returned = told_at is not None and now - told_at < RETURN_S
+        return _Waiter(ask, now, value, work, decide, has_returned)
+
+    def _record_arrival(self, waiter: _Waiter, now: float) -> None:
+        density = waiter.value / waiter.work
+        self._arrivals.append((now, waiter.ask.rank, density, waiter.work))
+        while self._arrivals[0][0] < now - ARRIVALS_WINDOW_S:
+            self._arrivals.popleft()
+
+    def _turndown_s(self, waiter: _Waiter, now: float) -> float | None:
+        """Return when to retry, or ``None`` if a slot is expected in time."""
+        if not self._engines:
+            return MIN_RETRY_S * 2
+        if self._has_room(waiter, now):
+            return None
+        wait_s = self._expected_wait_s(waiter, now)
+        left_s = (
+            waiter.arrived
+            - now
+            + (
+                waiter.ask.wait_s
+                if waiter.is_late(now) or waiter.has_returned
+                else waiter.ask.on_time_s
+            )
+        )
+        if wait_s <= left_s:
+            return None
+        if not waiter.is_late(now):
+            # On time is out of reach; late it may still be served if all others leave room.
+            late_s = self._expected_wait_s(waiter, now, is_late=True)
+            if late_s <= waiter.arrived + waiter.ask.wait_s - now:
+                return None
+        backlog_s = sum(w.work for w in self._waiters.values()) / self._capacity()
+        return max(MIN_RETRY_S, backlog_s, self._mean_grant_s())
+
+    def _expected_wait_s(self, waiter: _Waiter, now: float, is_late: bool = False) -> float:
+        """Return how long a generation waits behind better ones, those yet to come included."""
+        capacity = self._capacity()
+        is_first = waiter.has_returned or waiter.is_behind
+        is_late = is_late or (waiter.is_late(now) and not is_first)
+        density = waiter.value / waiter.work
+        higher_work, own_work = 0.0, 0.0
+        for at, rank, other, work in self._arrivals:
+            if now - at > ARRIVALS_WINDOW_S:
+                continue
+            if rank < waiter.ask.rank:
+                higher_work += work
+            elif rank == waiter.ask.rank and (is_late or (other > density and not is_first)):
+                own_work += work
+        higher = min(higher_work / ARRIVALS_WINDOW_S, capacity * (1 - 1 / LOWER_RANK_EVERY))
+        arriving = higher + own_work / ARRIVALS_WINDOW_S
+        if arriving >= capacity * MAX_USED_SHARE:
+            return float("inf")
+        own_order = (waiter.ask.rank, *((True, True, -density) if is_late else waiter.order(now)))
+        ahead = sum(
+            w.work
+            for w in self._waiters.values()
+            if w is not waiter and (w.ask.rank, *w.order(now)) < own_order
+        )
+        return (ahead + waiter.work) / (capacity - arriving)
+
+    def _turn_down_hopeless(self, now: float) -> None:
+        for key, waiter in list(self._waiters.items()):
+            is_over = now >= waiter.arrived + waiter.ask.wait_s
+            if is_over or waiter.is_late(now):
+                retry_s = self._turndown_s(waiter, now)
+                if is_over and retry_s is None:
+                    retry_s = self._mean_grant_s()
+                if retry_s is not None:
+                    del self._waiters[key]
+                    self._turn_down(waiter, retry_s, now)
+
+    def _turn_down(self, waiter: _Waiter, retry_s: float, now: float) -> None:
+        ask = waiter.ask
+        spread_s = retry_s * (1 + RETRY_SPREAD * self._rng.random())
+        left_s = ask.left_s - (now - waiter.arrived)
+        told_s = min(spread_s, max(MIN_RETRY_S, left_s * MAX_RETRY_SHARE))
+        if ask.repeat_key:
+            self._told[ask.repeat_key] = now
+            self._told.move_to_end(ask.repeat_key)
+            while len(self._told) > MAX_REMEMBERED:
+                self._told.popitem(last=False)
+        waiter.decide(Turndown(told_s))
+
+    def _next(self, now: float, passed: Collection[Hashable]) -> Hashable:
+        """Return the key of the waiter to serve next."""
+        keys = [key for key in self._waiters if key not in passed]
+        ranks = {self._waiters[key].ask.rank for key in keys}
+        rank = min(ranks)
+        if len(ranks) > 1 and self._grant_count % LOWER_RANK_EVERY == LOWER_RANK_EVERY - 1:
+            rank = self._rng.choice(sorted(ranks - {rank}))
+        of_rank = [key for key in keys if self._waiters[key].ask.rank == rank]
+        return min(of_rank, key=lambda key: self._waiters[key].order(now))
+
+    def _choose(self, ask: SlotAsk, now: float) -> str | None:
+        best, best_free = None, -1.0
+        for name, engine in self._engines.items():
+            if name in ask.avoided or not engine.fits(ask.tokens, now):
+                continue
+            free = 1 - engine.used / max(1, engine.capacity)
+            free += REMOTE_SHARE * (engine.data_centre == ask.data_centre)
+            free += 1e-3 * self._rng.random()
+            if free > best_free:
+                best, best_free = name, free
+        return best
+
+    def _grant(self, key: Hashable, waiter: _Waiter, name: str, now: float) -> None:
+        ask = waiter.ask
+        expected_s = START_S + ask.output_tokens * self._token_s
+        expires_at = now + expected_s * LOST_FACTOR + LOST_MARGIN_S
+        grant = _Grant(name, ask.tokens, ask.output_tokens, now, expires_at)
+        del self._waiters[key]
+        self._grants[key] = grant
+        self._count(self._engines[name], key, grant)
+        self._grant_count += 1
+        self._shares.record_served(ask, now)
+        waiter.decide(Grant(name))
+
+    def _has_room(self, waiter: _Waiter, now: float) -> bool:
+        return not self._waiters and self._choose(waiter.ask, now) is not None
+
+    def _capacity(self) -> float:
+        return float(max(1, sum(engine.capacity for engine in self._engines.values())))
+
+    def _mean_grant_s(self) -> float:
+        if not self._grants:
+            return MIN_RETRY_S
+        outputs = sum(grant.output_tokens for grant in self._grants.values())
+        return START_S + outputs / len(self._grants) * self._token_s
+
+    def _count(self, engine: _Engine, key: Hashable, grant: _Grant) -> None:
+        engine.grants[key] = grant
+        engine.used += grant.tokens
+
+    def _remove_grant(self, key: Hashable) -> _Grant | None:
+        grant = self._grants.pop(key, None)
+        if grant is None:
+            return None
+        engine = self._engines.get(grant.instance)
+        if engine is not None and engine.grants.pop(key, None) is not None:
+            engine.used -= grant.tokens
+        return grant
+
+    def _expire(self, now: float) -> None:
+        lost = [key for key, grant in self._grants.items() if grant.expires_at <= now]
+        for key in lost:
+            self._remove_grant(key)
--- a/tests/adapter/test_decoding.py
+++ b/tests/adapter/test_decoding.py
@@ -13,6 +13,7 @@
     parse_settings,
 )
 from vanillashore_gateway import (
+    DEFAULT_RANK,
     EndpointRole,
     Load,
     OutboundRequest,
@@ -20,8 +21,8 @@
     RequestHead,
     ResponseHead,
     RouteKind,
+    RouteTable,
     Target,
-    rank_of,
 )
 
 SETTINGS = """node_name=edge-a-1
@@ -271,10 +272,23 @@
 
 
 def test_rank_of_a_workspace_takes_precedence_over_the_routes() -> None:
-    workspace = {**CONFIG["tenants"][0], "priority": 0}
-    config = decode_config(orjson.dumps({**CONFIG, "tenants": [workspace]}))
-    assert rank_of(config.routes[0], config.workspaces[0]) == 0
-    assert rank_of(config.routes[0], decode_config(orjson.dumps(CONFIG)).workspaces[0]) == 1
+    first = CONFIG["routes"][0]
+    routes = [first, {**first, "name": "r-2", "path_prefix": "/free/", "priority": 2}]
+    paying, free = (
+        {**CONFIG["tenants"][0], "name": str(rank), "api_keys": [str(rank)], "priority": rank}
+        for rank in (0, 1)
+    )
+    config = decode_config(orjson.dumps({**CONFIG, "routes": routes, "tenants": [paying, free]}))
+    table = RouteTable(config)
+    order = [(w, r) for w in config.workspaces for r in config.routes]
+    assert [table.rank(route, workspace) for workspace, route in order] == [0, 1, 2, 3]
+    assert table.ranked_services == {"a", "b"}
+
+
+def test_requests_without_ranks_have_the_usual_one() -> None:
+    table = RouteTable(decode_config(orjson.dumps(CONFIG)))
+    assert table.rank(table.config.routes[0], table.config.workspaces[0]) == DEFAULT_RANK
+    assert not table.ranked_services
 
 
 def test_rank_is_stated_to_the_endpoint() -> None:
