Refuse by the work that waits, and ask the home again after a full engine

Change: the home learns whether an engine was full or silent and is asked again; a generation is turned down when the work ahead of it leaves no slot in time.

--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_slot_finder.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_slot_finder.py
@@ -79,6 +79,7 @@
     software: str | None
     fut: "asyncio.Future[Hold]"
     urgency: Urgency = attrs.field(factory=Urgency)
+    unreachable: set[str] = attrs.field(factory=set)
 
     @property
     def queue_key(self) -> tuple[str, str | None]:
@@ -209,9 +210,11 @@
 
         Raises RefusalError if the home expects no slot in time.
         """
-        avoided = set(request.avoided)
-        for _ in range(MAX_ENGINES_ASKED):
-            decision = await self._schedule.ask(request.service, self._slot_ask(request, avoided))
+        is_repeated = False
+        while True:
+            ask = self._slot_ask(request, is_repeated)
+            is_repeated = True
+            decision = await self._schedule.ask(request.service, ask)
             if decision is None:
                 return None
             if isinstance(decision, Turndown):
@@ -226,9 +229,8 @@
                 raise
             if hold is not None:
                 return hold
-            self._schedule.fail(decision, is_full=True)
-            avoided.add(decision.instance)
-        return None
+            is_full = decision.instance not in request.unreachable
+            self._schedule.fail(decision, is_full)
 
     async def _reserve_granted(self, request: SlotRequest, ticket: SlotTicket) -> Hold | None:
         endpoint = self._membership.get(ticket.instance)
@@ -237,7 +239,7 @@
         hold = await self._reserve_at(request, endpoint, 0.0)
         return None if hold is None else attrs.evolve(hold, ticket=ticket)
 
-    def _slot_ask(self, request: SlotRequest, avoided: set[str]) -> SlotAsk:
+    def _slot_ask(self, request: SlotRequest, is_repeated: bool) -> SlotAsk:
         req, urgency, now = request.req, request.urgency, self._clock()
         waiter = self._waiter(request)
         return SlotAsk(
@@ -250,7 +252,8 @@
             data_centre=self._data_centre,
             workspace=urgency.workspace,
             repeat_key=urgency.repeat_key,
-            avoided=tuple(avoided),
+            avoided=tuple(request.avoided | request.unreachable),
+            is_repeated=is_repeated,
         )
 
     def _check_queue(self, queue: SlotQueue[SlotRequest], request: SlotRequest) -> None:
@@ -401,6 +404,7 @@
         except EngineUnreachableError as exc:
             if not exc.is_withheld:
                 self._balancer.record_result(endpoint, False, self._clock())
+            request.unreachable.add(endpoint.instance)
             log.bind(request=request.req.log_id, endpoint=endpoint.instance, reason=str(exc)).info(
                 "an engine did not respond to a reservation"
             )
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_slot_requests.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_slot_requests.py
@@ -208,8 +208,8 @@
 
     def _answer(self, address: Address, service: Service, number: int, fields: list[Any]) -> None:
         try:
-            *known, avoided = fields[: len(attrs.fields(SlotAsk))]
-            ask = SlotAsk(*known, tuple(map(str, avoided)))
+            *known, avoided, is_repeated = fields[: len(attrs.fields(SlotAsk))]
+            ask = SlotAsk(*known, tuple(map(str, avoided)), bool(is_repeated))
         except (TypeError, ValueError) as exc:
             log.bind(sender=address, reason=str(exc)).warning("ignored a malformed datagram")
             return
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_slot_schedule.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_slot_schedule.py
@@ -7,8 +7,9 @@
 time that the generation takes. A generation that has no slot to expect in time is refused at once.
 """
 
+import math
 import random
-from collections import OrderedDict, deque
+from collections import OrderedDict
 from collections.abc import Callable, Collection, Hashable, Iterable
 
 import attrs
@@ -24,12 +25,13 @@
 SMOOTHING = 0.05
 INITIAL_TOKEN_S = 0.004  # Per expected output token.
 START_S = 0.3  # From the grant to the first event: transfer, prefill and the first step.
-ARRIVALS_WINDOW_S = 2.0  # Short against a burst, and long enough for dozens of arrivals.
+ASKED_DECAY_S = 1.0  # Half of the weight of an arrival lapses in this time, short for a burst.
+MAX_ARRIVING_SHARE = 0.5  # Of the capacity: a burst may end before a late one would give up.
 CHECK_EVERY_S = 0.1  # Between two checks of the generations that wait already.
-MAX_USED_SHARE = 0.97  # Of the capacity by better requests, above which a request has no place.
 # Every n-th grant goes to the best request of a lower rank, so that no rank starves.
 LOWER_RANK_EVERY = 8
 FULL_S = 0.1  # An engine that refused a reservation may have room again after this.
+UNREACHABLE_S = 1.5  # Several entries would each wait in vain for an engine that does not answer.
 LOST_FACTOR = 3.0  # A grant that outlasts its expected time by this much is taken for lost.
 LOST_MARGIN_S = 5.0
 MAX_REMEMBERED = 4_096  # Refused generations that may return, and grants.
@@ -47,7 +49,8 @@
 
     ``tokens`` is the memory that it takes at its end, ``output_tokens`` the part that it makes. A
     slot within ``on_time_s`` meets the target, and the caller stays for ``wait_s`` at most, and
-    could return within ``left_s``. ``repeat_key`` is the same when the caller sends it again.
+    could return within ``left_s``. ``repeat_key`` is the same when the caller sends it again. It
+    ``is_repeated`` if an engine has refused the reservation of an earlier grant.
     """
 
     rank: int
@@ -60,6 +63,7 @@
     workspace: str = ""
     repeat_key: str = ""
     avoided: tuple[str, ...] = ()
+    is_repeated: bool = False
 
 
 @attrs.frozen
@@ -148,12 +152,13 @@
         self._waiters: dict[Hashable, _Waiter] = {}
         self._grants: OrderedDict[Hashable, _Grant] = OrderedDict()
         self._told: OrderedDict[str, float] = OrderedDict()
-        self._arrivals: deque[tuple[float, int, float, float]] = deque()
         self._shares = ServiceShares()
         self._token_s = INITIAL_TOKEN_S
         self._mean_size = 0.0
         self._grant_count = 0
         self._checked_at = 0.0
+        self._asked_work = 0.0  # Per second, at `_asked_at`.
+        self._asked_at = 0.0
 
     @property
     def waiting(self) -> int:
@@ -192,15 +197,15 @@
             decide(Grant(grant.instance))
             return
         waiter = self._waiter(ask, decide, now)
-        if ask.avoided:  # An engine has refused the reservation of an earlier grant.
+        if ask.is_repeated:
             waiter.has_returned = True
         else:
-            self._record_arrival(waiter, now)
+            self._record_asked(waiter.work, now)
             self._shares.record_asked(waiter.ask, now)
         waiter.is_behind = self._shares.is_behind(ask)
-        retry_s = self._turndown_s(waiter, now)
-        if retry_s is not None:
-            self._turn_down(waiter, retry_s, now)
+        is_free = not self._waiters and self._choose(ask, now) is not None
+        if not is_free and self._is_hopeless(waiter, self._work_ahead(waiter, now), now):
+            self._turn_down(waiter, now)
             return
         self._waiters[key] = waiter
         self.assign(now)
@@ -214,11 +219,14 @@
             self._token_s += SMOOTHING * (token_s - self._token_s)
 
     def fail(self, key: Hashable, is_full: bool, now: float) -> None:
-        """Record that a granted slot could not be used; a full engine gets no grant for a while."""
+        """Record that a granted slot could not be used, as the engine is full or does not answer.
+
+        The engine gets no grant for a while.
+        """
         grant = self._remove_grant(key)
         engine = self._engines.get(grant.instance) if grant is not None else None
-        if engine is not None and is_full:
-            engine.full_until = now + FULL_S
+        if engine is not None:
+            engine.full_until = now + (FULL_S if is_full else UNREACHABLE_S)
 
     def assign(self, now: float) -> None:
         """Grant free slots in order, and turn down the generations that have none to expect."""
@@ -249,78 +257,63 @@
         has_returned = told_at is not None and now - told_at < RETURN_S
         return _Waiter(ask, now, value, work, decide, has_returned)
 
-    def _record_arrival(self, waiter: _Waiter, now: float) -> None:
-        density = waiter.value / waiter.work
-        self._arrivals.append((now, waiter.ask.rank, density, waiter.work))
-        while self._arrivals[0][0] < now - ARRIVALS_WINDOW_S:
-            self._arrivals.popleft()
-
-    def _turndown_s(self, waiter: _Waiter, now: float) -> float | None:
-        """Return when to retry, or ``None`` if a slot is expected in time."""
+    def _turn_down_hopeless(self, now: float) -> None:
+        """Turn down the generations that no longer have a slot to expect in time.
+
+        Better ones that came since may have taken their places.
+        """
+        ahead = 0.0
+        ordered = sorted(self._waiters.items(), key=lambda item: item[1].order(now))
+        for key, waiter in sorted(ordered, key=lambda item: item[1].ask.rank):
+            if self._is_hopeless(waiter, ahead, now):
+                del self._waiters[key]
+                self._turn_down(waiter, now)
+            else:
+                ahead += waiter.work
+
+    def _is_hopeless(self, waiter: _Waiter, ahead: float, now: float) -> bool:
+        """Whether no slot is expected in time behind generations with that work.
+
+        A late one also waits for those that are yet to come, as they go first while they are on
+        time. Others do not count them: bursts are short, and to refuse for them left memory unused
+        and served fewer.
+        """
         if not self._engines:
-            return MIN_RETRY_S * 2
-        if self._has_room(waiter, now):
-            return None
-        wait_s = self._expected_wait_s(waiter, now)
-        left_s = (
-            waiter.arrived
-            - now
-            + (
-                waiter.ask.wait_s
-                if waiter.is_late(now) or waiter.has_returned
-                else waiter.ask.on_time_s
-            )
-        )
-        if wait_s <= left_s:
-            return None
-        if not waiter.is_late(now):
-            # On time is out of reach; late it may still be served if all others leave room.
-            late_s = self._expected_wait_s(waiter, now, is_late=True)
-            if late_s <= waiter.arrived + waiter.ask.wait_s - now:
-                return None
-        backlog_s = sum(w.work for w in self._waiters.values()) / self._capacity()
-        return max(MIN_RETRY_S, backlog_s, self._mean_grant_s())
-
-    def _expected_wait_s(self, waiter: _Waiter, now: float, is_late: bool = False) -> float:
-        """Return how long a generation waits behind better ones, those yet to come included."""
+            return True
         capacity = self._capacity()
-        is_first = waiter.has_returned or waiter.is_behind
-        is_late = is_late or (waiter.is_late(now) and not is_first)
-        density = waiter.value / waiter.work
-        higher_work, own_work = 0.0, 0.0
-        for at, rank, other, work in self._arrivals:
-            if now - at > ARRIVALS_WINDOW_S:
-                continue
-            if rank < waiter.ask.rank:
-                higher_work += work
-            elif rank == waiter.ask.rank and (is_late or (other > density and not is_first)):
-                own_work += work
-        higher = min(higher_work / ARRIVALS_WINDOW_S, capacity * (1 - 1 / LOWER_RANK_EVERY))
-        arriving = higher + own_work / ARRIVALS_WINDOW_S
-        if arriving >= capacity * MAX_USED_SHARE:
-            return float("inf")
-        own_order = (waiter.ask.rank, *((True, True, -density) if is_late else waiter.order(now)))
-        ahead = sum(
-            w.work
-            for w in self._waiters.values()
-            if w is not waiter and (w.ask.rank, *w.order(now)) < own_order
+        work = ahead + waiter.work
+        if now + work / capacity <= waiter.on_time_until:
+            return False
+        arriving = min(self._arriving(now), capacity * MAX_ARRIVING_SHARE)
+        return now + work / (capacity - arriving) > waiter.arrived + waiter.ask.wait_s
+
+    def _arriving(self, now: float) -> float:
+        """Return the work per second that has been asked for lately."""
+        return self._asked_work * 0.5 ** ((now - self._asked_at) / ASKED_DECAY_S)
+
+    def _record_asked(self, work: float, now: float) -> None:
+        rate = work * math.log(2) / ASKED_DECAY_S
+        self._asked_work = self._arriving(now) + rate
+        self._asked_at = now
+
+    def _work_ahead(self, waiter: _Waiter, now: float) -> float:
+        own_order = (waiter.ask.rank, *waiter.order(now))
+        return sum(
+            other.work
+            for other in self._waiters.values()
+            if (other.ask.rank, *other.order(now)) < own_order
         )
-        return (ahead + waiter.work) / (capacity - arriving)
 
-    def _turn_down_hopeless(self, now: float) -> None:
-        for key, waiter in list(self._waiters.items()):
-            is_over = now >= waiter.arrived + waiter.ask.wait_s
-            if is_over or waiter.is_late(now):
-                retry_s = self._turndown_s(waiter, now)
-                if is_over and retry_s is None:
-                    retry_s = self._mean_grant_s()
-                if retry_s is not None:
-                    del self._waiters[key]
-                    self._turn_down(waiter, retry_s, now)
-
-    def _turn_down(self, waiter: _Waiter, retry_s: float, now: float) -> None:
+    def _retry_s(self) -> float:
+        """Return when the generations that wait now will have their slots."""
+        if not self._engines:
+            return MIN_RETRY_S * 2
+        backlog = sum(waiter.work for waiter in self._waiters.values())
+        return max(MIN_RETRY_S, backlog / self._capacity(), self._mean_grant_s())
+
+    def _turn_down(self, waiter: _Waiter, now: float) -> None:
         ask = waiter.ask
-        spread_s = retry_s * (1 + RETRY_SPREAD * self._rng.random())
+        spread_s = self._retry_s() * (1 + RETRY_SPREAD * self._rng.random())
         left_s = ask.left_s - (now - waiter.arrived)
         told_s = min(spread_s, max(MIN_RETRY_S, left_s * MAX_RETRY_SHARE))
         if ask.repeat_key:
@@ -364,9 +357,6 @@
         self._shares.record_served(ask, now)
         waiter.decide(Grant(name))
 
-    def _has_room(self, waiter: _Waiter, now: float) -> bool:
-        return not self._waiters and self._choose(waiter.ask, now) is not None
-
     def _capacity(self) -> float:
         return float(max(1, sum(engine.capacity for engine in self._engines.values())))
 
