Share the retry budget of a service between all entries

A generation whose engine crashed before its first event was often answered with 502 although the fleet had hardly used its retries: with 28 entries and a slack of 96, each could save 2.7 retries and began with 0.7.

An entry now keeps a share for itself, passes the surplus to the home of the service, and borrows what it lacks (time-out 40 ms). Retries are only moved, never made twice, and the caps add up to BUDGET_SHARE of the slack, so that the bound holds when messages are lost, the home is killed or all entries restart.

Tests without a network over 3, 28 and 68 entries, on a virtual clock. Seen failing first: without the cap of the pool, 4 cases of the bound fail; with initial retries of 0.35 of the cap, the case of restarting entries fails; with own shares divided by 3 in place of the number of entries, 8 cases fail. tests/gateway/test_retry_requests.py: 34 passed. test_generation, test_calls, test_statements, test_stop and test_layers: 181 passed.

--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_calls.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_calls.py
@@ -85,7 +85,7 @@
                 return result
             if result.outcome is _Outcome.ANSWERED:
                 self._error_answer = result
-            if not self._may_send_again(result):
+            if not await self._may_send_again(result):
                 return self._give_up(result)
 
     async def _send_next(self) -> _Result:
@@ -203,7 +203,7 @@
             return False
         return _is_failure(result) and self._job.sends < self._job.route.max_attempts
 
-    def _may_send_again(self, result: _Result) -> bool:
+    async def _may_send_again(self, result: _Result) -> bool:
         if self._responder.has_begun:
             return False
         if self._tools.clock() > self._job.give_up_at - MIN_TIME_LEFT_S:
@@ -215,7 +215,7 @@
                 return False
             if self._job.sends >= self._job.route.max_attempts:
                 return False
-        return self._budget.spend()
+        return await self._budget.spend()
 
     def _give_up(self, result: _Result) -> _Result:
         if self._error_answer is not None:
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_gateway.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_gateway.py
@@ -33,7 +33,7 @@
     Responder,
 )
 from vanillashore_gateway._generation import GenerationForwarder
-from vanillashore_gateway._job import Job, RetryBudgets, Tools, crash_refusal, give_up_at
+from vanillashore_gateway._job import Job, Tools, crash_refusal, give_up_at
 from vanillashore_gateway._limit_requests import RequestLimits
 from vanillashore_gateway._membership import Membership
 from vanillashore_gateway._metrics import GatewayMetrics
@@ -54,6 +54,8 @@
 from vanillashore_gateway._quota import QuotaSettings
 from vanillashore_gateway._quota_requests import Quotas
 from vanillashore_gateway._resumption import Resumption
+from vanillashore_gateway._retry_budget import RetryLimits
+from vanillashore_gateway._retry_requests import RetryBudgets
 from vanillashore_gateway._role_changes import RoleChanges
 from vanillashore_gateway._rotation import Rotation
 from vanillashore_gateway._routing import RouteTable, pick_service, rank_of
@@ -70,8 +72,8 @@
 STALE_LIST_S = 3.5  # A watch without changes returns sooner.
 SNAPSHOTS_TO_SETTLE = 2  # After a restore: the first is merged, the second replaces the list.
 STARTUP_RETRY_AFTER_S = 0.5  # Time for a new process to load its configuration.
-# Share of the fleet-wide retry limits that the entries use; the rest covers the new budgets of
-# entries that restart.
+# Share of the fleet-wide retry limits that the entries use; the rest covers the initial retries of
+# entries that restart (`INITIAL_SHARE`).
 BUDGET_SHARE = 0.8
 QUOTA_WAIT_SHARE = 0.3  # Longest wait for rate-limit tokens, as a share of the target latency.
 UNKNOWN_ROUTE = "none"
@@ -140,7 +142,8 @@
         self._snapshots_to_settle = 0
         self.restore_listeners: list[Callable[[], None]] = []
         self._synced_at = now()
-        self._budgets = RetryBudgets(cfg.retry_ratio * BUDGET_SHARE, cfg.retry_slack * BUDGET_SHARE)
+        retries = RetryLimits(cfg.retry_ratio * BUDGET_SHARE, cfg.retry_slack * BUDGET_SHARE)
+        self.budgets = RetryBudgets(cfg.node, retries, cfg.expected_entries, now)
         sender = Sender(dialect, self.pool, self.balancer, statements, now)
         self.prefill_estimator = PrefillEstimator(rng)
         self.prefills = PrefillScheduler(
@@ -174,7 +177,7 @@
             self.crashes,
             self.parts,
             self.membership,
-            self._budgets,
+            self.budgets,
             self.shutdown,
             now,
             rng,
@@ -188,6 +191,7 @@
             self.limits,
             self.origins,
             self.role_changes,
+            self.budgets,
         )
         self._update_entries()
         gauges = {
@@ -196,6 +200,8 @@
             "vanillashore.endpoints.limited": lambda: self.limits.limited_endpoints,
             "vanillashore.endpoints.paused": lambda: self.limits.paused_endpoints,
             "vanillashore.endpoints.leaving": lambda: self.membership.stated_leaving,
+            "vanillashore.retries.borrowed": lambda: self.budgets.borrowed,
+            "vanillashore.retries.denied": lambda: self.budgets.denied,
             "vanillashore.entries": lambda: self.known_entries,
             "vanillashore.config_version": lambda: self.config_version,
         }
@@ -443,10 +449,8 @@
         ).info("activated a new configuration")
 
     def _update_entries(self) -> None:
-        count = max(self.cfg.expected_entries, len(self._entries))
         for handler in self.peer_handlers:
             handler.update_entries(self._entries)
-        self._budgets.resize(self.cfg.retry_slack * BUDGET_SHARE / count)
 
     def _greet(self, entry: str) -> None:
         """Tell an entry that has registered what it cannot know."""
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_generation.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_generation.py
@@ -127,7 +127,7 @@
                 return
             if outcome not in UNSENT:
                 handle = None
-            if attempt == MAX_DECODES or not self._may_retry(outcome):
+            if attempt == MAX_DECODES or not await self._may_retry(outcome):
                 break
         raise self._final_refusal(outcome)
 
@@ -191,7 +191,7 @@
             if handle is not None:
                 return handle
             # Each further prefill attempt counts as a retry.
-            if tools.clock() - began >= assignment.send.timeout_s or not self._budget.spend():
+            if tools.clock() - began >= assignment.send.timeout_s or not await self._budget.spend():
                 return None
         return None
 
@@ -424,7 +424,7 @@
         hold = await tools.slot_finder.find_now(
             job.req, job.service, job.route, job.tried, self._stream.software
         )
-        if hold is not None and not self._budget.spend():
+        if hold is not None and not await self._budget.spend():
             tools.slot_finder.release(hold)
             hold = None
         self._next_hold = hold
@@ -446,12 +446,12 @@
         route = self._job.route
         return route.is_resumable and self._stream.runs < route.max_attempts
 
-    def _may_retry(self, outcome: _Outcome) -> bool:
+    async def _may_retry(self, outcome: _Outcome) -> bool:
         if outcome in UNSENT or self._next_hold is not None:
             return True
         if outcome is _Outcome.BROKEN and not self._may_move():
             return False
-        return self._budget.spend()
+        return await self._budget.spend()
 
     def _final_refusal(self, outcome: _Outcome) -> RefusalError:
         if outcome is _Outcome.BROKEN or self._stream.runs:
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_job.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_job.py
@@ -23,36 +23,12 @@
 from vanillashore_gateway._membership import Membership
 from vanillashore_gateway._prefill_estimator import PrefillEstimator
 from vanillashore_gateway._prefill_scheduler import PrefillScheduler
+from vanillashore_gateway._retry_requests import RetryBudgets
 from vanillashore_gateway._sending import Sender
 from vanillashore_gateway._shutdown import Shutdown
 from vanillashore_gateway._slot_finder import SlotFinder
 from vanillashore_gateway._start_checks import StartChecks
 from vanillashore_gateway._stream_origins import StreamOrigin, StreamOrigins
-from vanillashore_resilience import RetryBudget
-
-
-@attrs.define
-class RetryBudgets:
-    """The retry budgets of this entry, one for each service."""
-
-    per_request: float
-    max_saved: float
-    _budgets: dict[str, RetryBudget] = attrs.field(factory=dict)
-
-    def of(self, service: str) -> RetryBudget:
-        """Return a service's budget; a new one begins with a quarter of the maximum."""
-        found = self._budgets.get(service)
-        if found is None:
-            found = RetryBudget(self.per_request, self.max_saved, self.max_saved / 4)
-            self._budgets[service] = found
-        return found
-
-    def resize(self, max_saved: float) -> None:
-        """Change the maximum number of retries that may be saved up."""
-        self.max_saved = max_saved
-        for budget in self._budgets.values():
-            budget.max_saved = max_saved
-            budget.saved = min(budget.saved, max_saved)
 
 
 @attrs.frozen
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_process.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_process.py
@@ -45,6 +45,7 @@
         self._registration = EntryRegistration(store, cfg.node, cfg.peers, now, rng)
         gateway = self.gateway
         gateway.limits.is_registered = lambda: self._registration.is_held(now())
+        gateway.budgets.is_registered = gateway.limits.is_registered
         self._roles = RoleDuty(
             cfg.node,
             store,
