Move a generation without an event in time for its target

A generation at a decode engine that had fallen silent was given up only after 1.2 times its target, counted again from the head of the answer, so that its first event was always late.

The entry now reserves another engine and moves the generation when the time left is just enough for the second engine, though not before the first has had twice its expected time. Without room or a retry it stays and tries again. Only resumable routes with attempts left move. A request that was not run takes its cache along; one that may have run does not, as a cache can be taken once.

--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_generation.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_generation.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+from collections.abc import AsyncIterator
 from enum import Enum, auto
 
 import attrs
@@ -11,6 +12,7 @@
 from vanillashore_gateway._engine_calls import EngineUnreachableError
 from vanillashore_gateway._errors import ErrorCode, RefusalError, refusal
 from vanillashore_gateway._events import EventSplitter, OversizedEventError
+from vanillashore_gateway._first_events import first_event_wait_s
 from vanillashore_gateway._front import Responder
 from vanillashore_gateway._http_client import LinkError, LinkFailure
 from vanillashore_gateway._http_messages import end_to_end
@@ -21,11 +23,13 @@
 from vanillashore_gateway._statements import WithheldError
 from vanillashore_gateway._stream_origins import StreamOrigin
 
-# A resumable stream moves to another endpoint if its first event takes longer than this multiple
-# of the target latency, or if it pauses for longer than `STALL_GAPS` times the gap target.
+# A resumable stream is given up if its first event takes longer than this multiple of the target
+# latency; before that it moves if another endpoint has room (`_first_events.py`). It also moves if
+# it pauses for longer than `STALL_GAPS` times the gap target.
 FIRST_EVENT_SHARE = 1.2
 STALL_GAPS = 2.0
 MIN_STALL_S = 1.5  # A sound endpoint may be silent for a second; callers wait for two at least.
+SILENCE_CHECK_S = 0.25  # Between two attempts to reserve another endpoint for a silent one.
 HANDLE_MARGIN_S = 0.1  # A handle this close to its expiry is not worth a transfer.
 HOLD_MARGIN_S = 0.2  # A hold this close to its expiry may expire in transit.
 PREFILL_TOKENS = 16_384  # Prompt tokens that count as a full engine: half a second of work.
@@ -125,7 +129,8 @@
                 self._tools.shutdown.record_answer(self._job.service.name, held_s)
                 self._log_answered()
                 return
-            if outcome not in UNSENT:
+            # An engine that has run the request may have taken the cache, which it can only once.
+            if outcome is _Outcome.BROKEN:
                 handle = None
             if attempt == MAX_DECODES or not await self._may_retry(outcome):
                 break
@@ -329,8 +334,12 @@
         if not await self._is_current(outbound.endpoint):
             self._reason = "the engine has started again"
             return _Outcome.NOT_SENT
+        event_due_at = self._tools.clock() + self._first_event_wait_s(outbound, timeout_s)
         try:
-            async with sender.send(outbound, self._share, timeout_s, must_be_fresh) as sent:
+            async with contextlib.AsyncExitStack() as stack:
+                sending = sender.send(outbound, self._share, timeout_s, must_be_fresh)
+                async with self._moved_if_silent(event_due_at):
+                    sent = await stack.enter_async_context(sending)
                 if sent.head.was_not_run:
                     await sent.read_to_end()
                     self._reason = f"not run, status {sent.head.status}"
@@ -339,7 +348,7 @@
                 # The sign of a restart may have come after the request was sent.
                 if not await self._is_current(outbound.endpoint):
                     raise LinkError(LinkFailure.GARBLED, "the engine has started again")
-                await self._relay_answer(sent, responder, timeout_s)
+                await self._relay_answer(sent, responder, event_due_at)
                 return _Outcome.DONE
         except TimeoutError:
             self._reason = "the stream stalled"
@@ -363,7 +372,7 @@
         except EngineUnreachableError:
             return False
 
-    async def _relay_answer(self, sent: Sending, responder: Responder, timeout_s: float) -> None:
+    async def _relay_answer(self, sent: Sending, responder: Responder, event_due_at: float) -> None:
         """Relay a stream in complete events; the caller gets the head of the first run only."""
         head = sent.head
         is_stream = head.status == 200
@@ -378,7 +387,6 @@
             raise LinkError(LinkFailure.BROKEN, f"the resumed stream has status {head.status}")
         splitter = self._stream.splitter
         # Until the next whole event: an engine in trouble may still send a byte now and then.
-        event_due_at = self._tools.clock() + timeout_s
         while data := await self._read_or_move(sent, event_due_at):
             self._record_prompt_read(splitter.events)
             is_first = not self._stream.run_events
@@ -416,6 +424,32 @@
                 raise TimeoutError
             event_due_at = self._tools.clock() + self._stall_timeout_s()
 
+    @contextlib.asynccontextmanager
+    async def _moved_if_silent(self, event_due_at: float) -> AsyncIterator[None]:
+        """Raise TimeoutError once the head is overdue and another endpoint is reserved."""
+        if not self._may_move():
+            yield
+            return
+        async with asyncio.timeout(None) as limit:
+            watch = asyncio.ensure_future(self._watch_for_silence(event_due_at, limit))
+            try:
+                yield
+            finally:
+                watch.cancel()
+                await asyncio.wait([watch])
+        # The head came while the other endpoint was reserved.
+        if self._next_hold is not None:
+            self._tools.slot_finder.release(self._next_hold)
+            self._next_hold = None
+
+    async def _watch_for_silence(self, event_due_at: float, limit: asyncio.Timeout) -> None:
+        while True:
+            await asyncio.sleep(max(0.0, event_due_at - self._tools.clock()))
+            if await self._reserve_elsewhere():
+                limit.reschedule(asyncio.get_running_loop().time())
+                return
+            event_due_at = self._tools.clock() + SILENCE_CHECK_S
+
     async def _reserve_elsewhere(self) -> bool:
         """Reserve another endpoint for a stalled stream; without one, the stream keeps waiting."""
         job, tools = self._job, self._tools
@@ -431,6 +465,15 @@
         job.log_decision("the stream is stalled", moves=hold is not None)
         return hold is not None
 
+    def _first_event_wait_s(self, outbound: OutboundRequest, timeout_s: float) -> float:
+        """Return how long the first event may take before the stream moves, if it may."""
+        size = self._job.req.generation_size
+        if not self._may_move() or size is None:
+            return timeout_s
+        read_s = self._tools.prefill_estimator.decode_s(size.input_tokens)
+        left_s = self._job.req.arrived + self._job.route.target_s - self._tools.clock()
+        return min(timeout_s, first_event_wait_s(left_s, 0.0 if outbound.kv else read_s, read_s))
+
     def _first_event_timeout_s(self, left_s: float) -> float:
         if not self._may_move():
             return min(left_s, MAX_WAIT_S)
--- a/tests/gateway/test_generation.py
+++ b/tests/gateway/test_generation.py
@@ -54,6 +54,52 @@
             assert WHOLE.startswith(answer.body)
 
 
+async def test_generation_at_a_dark_engine_moves_with_one_retry() -> None:
+    async with PlatformRig(prefills=1, decodes=2) as rig:
+        fail_first(rig.decodes, Fault.SILENT)
+        answer = await rig.generate("/quote/1", "id-1")
+        assert (answer.status, answer.body, answer.is_complete) == (200, WHOLE, True)
+        assert len(set(rig.arrivals("id-1"))) == 2
+        await wait_until(
+            lambda: sum((e.disconnected_requests for e in rig.decodes), []) == ["id-1"]
+        )
+
+
+async def test_generation_stays_at_a_silent_engine_if_no_other_has_room() -> None:
+    async with PlatformRig(prefills=1, decodes=2) as rig:
+        for engine in rig.decodes:
+            engine.may_answer.clear()
+        pending = asyncio.ensure_future(rig.generate("/quote/1", "id-1"))
+        await wait_until(lambda: bool(rig.arrivals("id-1")))
+        for engine in rig.decodes:
+            engine.engine.room = 0
+        await asyncio.sleep(0.8)  # The first event is overdue, and its time is not up.
+        for engine in rig.decodes:
+            engine.may_answer.set()
+        answer = await pending
+        assert (answer.status, answer.body, answer.is_complete) == (200, WHOLE, True)
+        assert len(rig.arrivals("id-1")) == 1
+
+
+async def test_generation_that_may_run_once_stays_at_a_dark_engine() -> None:
+    """A route with one attempt may be sent again only if the first engine has not run it."""
+    async with PlatformRig(prefills=1, decodes=2) as rig:
+        fail_first(rig.decodes, Fault.SILENT)
+        answer = await rig.generate("/idea/1", "id-1")
+        assert answer.status == 504
+        assert len(rig.arrivals("id-1")) == 1
+
+
+async def test_request_that_was_not_run_takes_its_cache_to_the_next_engine() -> None:
+    """Reading the prompt again costs a decode engine twice the time of a prefill engine."""
+    async with PlatformRig(prefills=1, decodes=2) as rig:
+        fail_first(rig.decodes, Fault.SHED)
+        answer = await rig.generate("/idea/1", "id-1")
+        assert (answer.status, answer.is_complete) == (200, True)
+        sources = [a.headers.get("x-kv-source") for e in rig.decodes for a in e.arrivals]
+        assert sources == [f"{rig.prefills[0].address}/kv1"] * 2
+
+
 async def test_resumable_stream_is_not_sent_to_more_engines_than_the_route_allows() -> None:
     async with PlatformRig(prefills=1, decodes=4) as rig:
         for engine in rig.decodes:
