Leave prompts to decode engines before the queue uses up their target

In a burst, prompts queued at the prefill engines until each would have missed its target there: with a target of two seconds, for up to two seconds.

A prompt now goes to its decode engine when the prefill engines would take more than three times as long.

--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_prefill_estimator.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_prefill_estimator.py
@@ -2,8 +2,8 @@
 
 Handles bursts in which prompts arrive nearly as fast as the prefill engines process them. A decode
 engine prefills at about half the speed, between the tokens of its streams, but without a queue. So
-a prompt is sent to the prefill engine that would finish first, unless it would miss the target
-there and the decode engine would prefill it sooner.
+a prompt is sent to the prefill engine that would finish first, unless the queue there is long, or
+it would miss the target there and the decode engine would prefill it sooner.
 """
 
 import itertools
@@ -33,6 +33,11 @@
 # Added if the prefill engine is in another data centre than the decode engine, as fetching the
 # cache then costs up to three times as much.
 REMOTE_PENALTY_S = 0.04
+# A prompt at a decode engine slows its streams down, and they keep their slots for longer. So a
+# queue at the prefill engines is preferred up to this multiple of the time at the decode engine.
+# Beyond it, the queue only delays later prompts, as a lasting burst overflows to the decode engines
+# anyway. The factor is an assumption: the cost to the streams was not measured.
+STREAM_COST = 3.0
 FIRST_EVENT_S = 0.1  # From the end of the prefill to the first event at the caller.
 # Time-out, as a share of the target, of a prefill that the decode engine could not repeat in time.
 TIMEOUT_SHARE = 0.6
@@ -142,6 +147,8 @@
         left_s = prompt.left_s - FIRST_EVENT_S
         if expected_s > left_s and prompt.decode_s < max(left_s, expected_s):
             return None
+        if expected_s > prompt.decode_s * STREAM_COST:
+            return None
         return self.send_to(engine, prompt, expected_s, now)
 
     def send_to(
