--- a/tests/gateway/test_retry_requests.py
+++ b/tests/gateway/test_retry_requests.py
@@ -213,3 +213,25 @@
     message: SurplusNotice | LoanRequest | LoanAnswer,
 ) -> None:
     assert decode_retry(message.encode()) == message
+
+
+async def test_entry_borrows_over_real_datagrams() -> None:
+    loop = asyncio.get_running_loop()
+    entries: dict[str, tuple[str, int]] = {}
+    budgets = {name: RetryBudgets(name, LIMITS, 2, loop.time) for name in ("a", "b")}
+    transports = []
+    for name, mine in budgets.items():
+        transport, _ = await loop.create_datagram_endpoint(
+            lambda mine=mine: mine, local_addr=("127.0.0.1", 0)
+        )
+        transports.append(transport)
+        entries[name] = transport.get_extra_info("sockname")[:2]
+    for mine in budgets.values():
+        mine.update_entries(entries)
+    home, other = rank_homes(SERVICE, tuple(entries))
+    budgets[home].pass_on(SERVICE, 2.0)
+    budgets[other].of(SERVICE).own.saved = 0.25
+    assert await budgets[other].of(SERVICE).spend()
+    assert budgets[home]._pool.level(SERVICE) == pytest.approx(1.25)
+    for transport in transports:
+        transport.close()
