--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_calls.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_calls.py
@@ -86,7 +86,7 @@
                 return result
             if result.outcome is _Outcome.ANSWERED:
                 self._error_answer = result
-            if not self._may_send_again(result):
+            if not await self._may_send_again(result):
                 return self._give_up(result)
 
     async def _send_next(self) -> _Result:
@@ -161,13 +161,12 @@
         timeout_s = outbound.time_left_s
         share = _share(outbound.endpoint)
         may_repeat = self._job.route.kind is RouteKind.IDEMPOTENT
-        resend: asyncio.TimerHandle | None = None
+        resend: asyncio.Task[None] | None = None
         try:
             async with asyncio.timeout(timeout_s) as limit:
                 if may_repeat and self._has_sends_left():
                     resend_s = self._job.route.target_s * RESEND_AFTER_SHARE
-                    loop = asyncio.get_running_loop()
-                    resend = loop.call_later(resend_s, self._end_to_resend, limit)
+                    resend = asyncio.create_task(self._end_to_resend(resend_s, limit))
                 async with self._tools.sender.send(
                     outbound, share, timeout_s, not may_repeat
                 ) as sent:
@@ -195,9 +194,10 @@
             if resend is not None:
                 resend.cancel()
 
-    def _end_to_resend(self, limit: asyncio.Timeout) -> None:
+    async def _end_to_resend(self, resend_s: float, limit: asyncio.Timeout) -> None:
         """End a slow attempt if the budget pays for another one; without it, keep waiting."""
-        if not limit.expired() and self._budget.spend():
+        await asyncio.sleep(resend_s)
+        if not limit.expired() and await self._budget.spend():
             self._is_resend_paid = True
             limit.reschedule(asyncio.get_running_loop().time())
 
@@ -218,7 +218,7 @@
             return False
         return _is_failure(result) and self._job.sends < self._job.route.max_attempts
 
-    def _may_send_again(self, result: _Result) -> bool:
+    async def _may_send_again(self, result: _Result) -> bool:
         if self._responder.has_begun:
             return False
         if self._tools.clock() > self._job.give_up_at - MIN_TIME_LEFT_S:
@@ -231,7 +231,7 @@
                 return False
             if self._job.sends >= self._job.route.max_attempts:
                 return False
-        return is_paid or self._budget.spend()
+        return is_paid or await self._budget.spend()
 
     def _give_up(self, result: _Result) -> _Result:
         if self._error_answer is not None:
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_slot_schedule.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_slot_schedule.py
@@ -7,6 +7,7 @@
 time that the generation takes. A generation that has no slot to expect in time is refused at once.
 """
 
+import itertools
 import math
 import random
 from collections import OrderedDict
@@ -90,6 +91,7 @@
     value: float
     work: float
     decide: Callable[[Decision], None]
+    number: int
     has_returned: bool = False
     is_behind: bool = False
 
@@ -100,12 +102,13 @@
     def is_late(self, now: float) -> bool:
         return now >= self.on_time_until
 
-    def order(self, now: float) -> tuple[bool, bool, float]:
+    def order(self, now: float) -> tuple[bool, bool, float, int]:
         """Return the sort key inside a rank; the smallest goes first."""
         # A caller that was told to come back has lost its target by that, and would be refused
         # again behind the new ones.
         is_first = self.is_behind or self.has_returned
-        return self.is_late(now) and not is_first, not is_first, -self.value / self.work
+        is_last = self.is_late(now) and not is_first
+        return is_last, not is_first, -self.value / self.work, self.number
 
 
 @attrs.frozen
@@ -156,6 +159,7 @@
         self._token_s = INITIAL_TOKEN_S
         self._mean_size = 0.0
         self._grant_count = 0
+        self._numbers = itertools.count()
         self._checked_at = 0.0
         self._asked_work = 0.0  # Per second, at `_asked_at`.
         self._asked_at = 0.0
@@ -255,7 +259,7 @@
         work = max(1, ask.tokens) * (START_S + ask.output_tokens * self._token_s)
         told_at = self._told.pop(ask.repeat_key, None) if ask.repeat_key else None
         has_returned = told_at is not None and now - told_at < RETURN_S
-        return _Waiter(ask, now, value, work, decide, has_returned)
+        return _Waiter(ask, now, value, work, decide, next(self._numbers), has_returned)
 
     def _turn_down_hopeless(self, now: float) -> None:
         """Turn down the generations that no longer have a slot to expect in time.
--- a/tests/gateway/test_calls.py
+++ b/tests/gateway/test_calls.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import attrs
 import pytest
 
 from vanillashore_standins import wait_until
@@ -219,8 +220,9 @@
     """An attempt that was ended to resend the request, without a retry, failed needlessly."""
     async with PlatformRig(services=2) as rig:
         fail_first(rig.services, Fault.SILENT)
-        rig.process.gateway._budgets.of(ORDERS).earned_per_request = 0.0
-        rig.process.gateway._budgets.of(ORDERS).saved = 0.0
+        budgets = rig.process.gateway.budgets
+        budgets.limits = attrs.evolve(budgets.limits, per_request=0.0)
+        budgets.of(ORDERS).own.saved = 0.0
         answer = await rig.ask("GET", "/stock/1", "id-1", X_Deadline_Ms="900")
         assert answer.status == 504
         assert len(rig.arrivals("id-1")) == 1
