Age the failure share and don't count 'not run' as a failure

The failure share fell only with new results, so an endpoint that had failed was never used again under light load, where it outweighs the load of idle endpoints. The gateway excludes an endpoint for at most 4 s at a time. A plain endpoint that answers 'not run' (503) is recorded as full instead of as failing.

--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_balancing.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_balancing.py
@@ -16,6 +16,9 @@
 FULL_TTL_S = 0.1  # A full endpoint may have room again after this.
 LOAD_TTL_S = 1.0  # A load that an endpoint reported is outdated after this.
 FAILURE_WEIGHT = 2.0  # Load added to an endpoint that always fails; less for fewer failures.
+# Longest exclusion. Endpoints fail for some seconds at a time, and each exclusion after a failed probe
+# doubles; with half a minute, an endpoint would stay unused long after it is sound again.
+MAX_EXCLUSION_S = 4.0
 REMOTE_WEIGHT = 0.2  # Load added to an idle endpoint in another data centre, as traffic costs.
 
 
@@ -45,7 +48,7 @@
         self._data_centre = data_centre
         self._rng = rng
         self._work: dict[str, _Work] = defaultdict(_Work)
-        self.breaker = Breaker()
+        self.breaker = Breaker(MAX_EXCLUSION_S)
 
     def choose(
         self, endpoints: Sequence[Endpoint], tried: Collection[str], now: float, share: float
@@ -118,7 +121,7 @@
 
     def _score(self, endpoint: Endpoint, now: float, share: float) -> float:
         pressure = self.pressure(endpoint, now, share)
-        failing = FAILURE_WEIGHT * self.breaker.failure_share(endpoint.instance)
+        failing = FAILURE_WEIGHT * self.breaker.failure_share(endpoint.instance, now)
         if endpoint.data_centre == self._data_centre:
             return pressure + failing
         # Distance counts less on a fuller endpoint, so that near endpoints are not overloaded.
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_calls.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_calls.py
@@ -106,10 +106,11 @@
             job.sends += 1
         else:
             job.may_have_run = had_run
-        is_healthy = result.outcome in (_Outcome.ANSWERED, _Outcome.NOT_RUN) and not _is_failure(
-            result
-        )
-        if not result.is_withheld:
+        if result.outcome is _Outcome.NOT_RUN:
+            # The endpoint is full or paused, which is no failure; it has no room for the moment.
+            tools.balancer.record_full(endpoint, tools.clock())
+        elif not result.is_withheld:
+            is_healthy = result.outcome is _Outcome.ANSWERED and not _is_failure(result)
             tools.balancer.record_result(endpoint, is_healthy, tools.clock())
         if result.is_broken:
             job.record_disconnect(tools, endpoint)
--- a/tests/gateway/test_balancing.py
+++ b/tests/gateway/test_balancing.py
@@ -3,6 +3,8 @@
 import random
 from collections import Counter
 
+import pytest
+
 from vanillashore_gateway import Endpoint, Load
 from vanillashore_gateway._balancing import Balancer
 
@@ -69,3 +71,34 @@
     balancer.record_unreachable(ENDPOINTS[1], 0.0)
     balancer.record_unreachable(ENDPOINTS[2], 0.0)
     assert balancer.choose(ENDPOINTS, (), 0.1, SHARE) is not None
+
+
+@pytest.mark.parametrize("requests_per_s", [2, 400])
+def test_endpoint_that_failed_for_12_s_gets_its_share_back(requests_per_s: int) -> None:
+    """Guards against a failure share or an exclusion that outlives the fault by far.
+
+    Of three endpoints in one data centre, one fails each request from 4 s to 16 s. Within 5 s of
+    its recovery it must get two thirds of its even share, at light and at heavy load. While it
+    fails it gets a quarter of its even share, or one request every 2 s, as probes.
+    """
+    endpoints = [Endpoint(f"e{i}", "s", "10.0.0.1", 80, "dc-0", 8) for i in range(3)]
+    balancer = _balancer()
+    running: list[tuple[float, Endpoint]] = []
+    chosen: Counter[str] = Counter()
+    during = 0
+    for step in range(41 * requests_per_s):
+        now = step / requests_per_s
+        while running and running[0][0] <= now:
+            ended_at, endpoint = running.pop(0)
+            balancer.end(endpoint, SHARE)
+            is_down = endpoint.instance == "e0" and 4.0 <= ended_at < 16.0
+            balancer.record_result(endpoint, not is_down, ended_at)
+        endpoint = balancer.choose(endpoints, (), now, SHARE)
+        balancer.begin(endpoint, SHARE)
+        running.append((now + 0.04, endpoint))
+        if now >= 21.0:
+            chosen[endpoint.instance] += 1
+        elif 8.0 <= now < 16.0 and endpoint.instance == "e0":
+            during += 1
+    assert chosen["e0"] >= 2 / 3 * chosen.total() / 3
+    assert during <= max(8 / 2, 8 * requests_per_s / 3 / 4)
--- a/tests/gateway/test_calls.py
+++ b/tests/gateway/test_calls.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from vanillashore_gateway import now
 from vanillashore_standins import wait_until
 from vanillashore_standins.platform_endpoint import SEAL_PREFIX, Fault
 from vanillashore_standins.platform_rig import KEY, PlatformRig, fail_first
@@ -213,3 +214,16 @@
         for number in range(10):
             assert (await rig.ask("POST", "/pay/1", f"id-{number}", b"pay")).status == 200
         assert first.arrivals == []
+
+
+async def test_not_run_is_no_failure_of_the_endpoint() -> None:
+    """Guards against endpoints that are excluded because they were full for a moment."""
+    async with PlatformRig(services=2) as rig:
+        first = rig.services[0]
+        first.faults.extend([Fault.SHED] * 12)
+        for number in range(40):
+            assert (await rig.ask("POST", "/pay/1", f"id-{number}", b"pay")).status == 200
+        breaker = rig.process.gateway.balancer.breaker
+        names = [e.instance for e in rig.services]
+        assert breaker.usable(names, now()) == names
+        assert breaker.failure_share(first.instance, now()) == 0.0
--- a/tests/resilience/test_breaker.py
+++ b/tests/resilience/test_breaker.py
@@ -46,3 +46,14 @@
         for _ in range(3):
             breaker.record_result(name, False, 0.0)
     assert breaker.usable(NAMES, 0.5) == NAMES
+
+
+def test_failure_share_halves_within_a_few_seconds_without_results() -> None:
+    """Guards against a share that falls only with new results, which an avoided endpoint lacks."""
+    breaker = Breaker()
+    for _ in range(20):
+        breaker.record_result("p0", False, 0.0)
+    share = breaker.failure_share("p0", 0.0)
+    assert share > 0.5
+    assert breaker.failure_share("p0", 3.0) <= share / 2
+    assert breaker.failure_share("p0", 12.0) == 0.0
