--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_balancing.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_balancing.py
@@ -16,8 +16,8 @@
 FULL_TTL_S = 0.1  # A full endpoint may have room again after this.
 LOAD_TTL_S = 1.0  # A load that an endpoint reported is outdated after this.
 FAILURE_WEIGHT = 2.0  # Load added to an endpoint that always fails; less for fewer failures.
-# Longest exclusion. Endpoints fail for some seconds at a time, and each exclusion after a failed probe
-# doubles; with half a minute, an endpoint would stay unused long after it is sound again.
+# Longest exclusion. Endpoints fail for some seconds at a time, and exclusions double with each
+# failed probe; at half a minute, an endpoint would stay unused long after it is sound again.
 MAX_EXCLUSION_S = 4.0
 REMOTE_WEIGHT = 0.2  # Load added to an idle endpoint in another data centre, as traffic costs.
 
--- a/packages/vanillashore-resilience/src/vanillashore_resilience/_breaker.py
+++ b/packages/vanillashore-resilience/src/vanillashore_resilience/_breaker.py
@@ -8,8 +8,8 @@
 OPEN_S = 1.0
 MAX_OPEN_S = 30.0
 MAX_EXCLUDED_SHARE = 0.5
-# Without results the failure share halves in this time: an endpoint that is avoided for its failures
-# brings no results that could show that it is sound again.
+# Without results the failure share halves in this time: an endpoint that is avoided for its
+# failures brings no results that could show that it is sound again.
 FAILURE_HALF_LIFE_S = 1.5
 # A smaller failure share counts as none. It would still decide between idle endpoints, which are
 # otherwise equal, for as long as it takes to decay to zero.
--- a/tests/gateway/test_generation.py
+++ b/tests/gateway/test_generation.py
@@ -164,6 +164,24 @@
         assert len(rig.arrivals("id-1")) == 1
 
 
+async def test_slow_stream_that_cannot_move_asks_other_engines_once_per_stall() -> None:
+    """Guards against queries for each chunk that arrives after a deadline that was kept."""
+    options = EngineOptions(events=1, trickle_s=0.06)  # About two seconds for the event.
+    async with PlatformRig(prefills=1, decodes=2, engine=options) as rig:
+        fail_first(rig.decodes, Fault.TRICKLES)
+        pending = asyncio.ensure_future(rig.generate("/quote/1", "id-1"))
+        await wait_until(lambda: bool(rig.arrivals("id-1")))
+        for engine in rig.decodes:
+            engine.engine.room = 0
+        other = next(e for e in rig.decodes if not e.runs)
+        before = len([call for call in other.calls if "hold" in call[1]])
+        answer = await pending
+        assert (answer.status, answer.is_complete) == (200, True)
+        asked = len([call for call in other.calls if "hold" in call[1]]) - before
+        # First after 1.2 times the target of 0.9 s, then after 1.5 s each.
+        assert 1 <= asked <= 2
+
+
 async def test_broken_stream_resumes_before_queued_requests() -> None:
     async with PlatformRig(prefills=1, decodes=2, engine=EngineOptions(pause_s=0.1)) as rig:
         fail_first(rig.decodes, Fault.BREAKS_MID_EVENT)
