Place requests by expected completion time with reported and learned speeds

The balancer compared endpoints by their part in use only, so a machine on which work takes 2.5 times as long got as much work as the others. A new module estimates the slowness of each endpoint from its reported pace, which decays after a second to what the times of successful answers teach. While speeds differ, half of the endpoints (at random) are compared, so that entries don't all choose the one that just reported to be fast.

--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_balancing.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_balancing.py
@@ -1,4 +1,4 @@
-"""Choice of the endpoint for a request: the one with most room, among the healthy ones.
+"""Choice of the endpoint for a request: where it ends first, among the healthy ones.
 
 Handles endpoints of different speed, endpoints that crash or fail a part of their requests, and
 bursts in which all endpoints are nearly full.
@@ -11,6 +11,7 @@
 import attrs
 
 from vanillashore_gateway._domain import Endpoint, Load
+from vanillashore_gateway._endpoint_speeds import EndpointSpeeds
 from vanillashore_resilience import Breaker
 
 FULL_TTL_S = 0.1  # A full endpoint may have room again after this.
@@ -19,6 +20,7 @@
 # Longest exclusion. Endpoints fail for some seconds at a time, and exclusions double with each
 # failed probe; at half a minute, an endpoint would stay unused long after it is sound again.
 MAX_EXCLUSION_S = 4.0
+MIN_CHOICES = 2  # Endpoints that are compared, at random, while speeds differ; else all are.
 REMOTE_WEIGHT = 0.2  # Load added to an idle endpoint in another data centre, as traffic costs.
 
 
@@ -48,12 +50,13 @@
         self._data_centre = data_centre
         self._rng = rng
         self._work: dict[str, _Work] = defaultdict(_Work)
+        self.speeds = EndpointSpeeds()
         self.breaker = Breaker(MAX_EXCLUSION_S)
 
     def choose(
         self, endpoints: Sequence[Endpoint], tried: Collection[str], now: float, share: float
     ) -> Endpoint | None:
-        """Return the endpoint with most room, or ``None`` if all were tried.
+        """Return the endpoint where the request ends first, or ``None`` if all were tried.
 
         ``share`` is the part of an endpoint that one such request takes.
         """
@@ -62,6 +65,9 @@
             return None
         candidates = self.healthy(untried, now)
         self._rng.shuffle(candidates)
+        if any(self.speeds.slowness(e, now) != 1.0 for e in candidates):
+            # All entries read the same reports, and would all choose the same endpoint.
+            candidates = candidates[: max(MIN_CHOICES, len(candidates) // 2)]
         chosen = min(candidates, key=lambda e: self._score(e, now, share))
         self.record_selected(chosen, now)
         return chosen
@@ -105,6 +111,11 @@
         if load is not None:
             work = self._work[endpoint.instance]
             work.reported, work.reported_at = load, now
+            self.speeds.record_pace(endpoint, load.pace, now)
+
+    def record_time(self, endpoint: Endpoint, seconds: float, now: float) -> None:
+        """Record the time that a successful answer, or a step of it, took."""
+        self.speeds.record_time(endpoint, seconds, now)
 
     def record_result(self, endpoint: Endpoint, succeeded: bool, now: float) -> None:
         """Record whether a request succeeded at an endpoint."""
@@ -117,12 +128,16 @@
     def forget(self, instance: str) -> None:
         """Drop what is recorded of an endpoint that has left."""
         self._work.pop(instance, None)
+        self.speeds.forget(instance)
         self.breaker.forget(instance)
 
     def _score(self, endpoint: Endpoint, now: float, share: float) -> float:
         pressure = self.pressure(endpoint, now, share)
-        failing = FAILURE_WEIGHT * self.breaker.failure_share(endpoint.instance, now)
+        # The expected time to the end, in usual service times beyond the first: the endpoint's part
+        # in use at usual speed, and that of an endpoint with as much delay at another speed.
+        delay = self.speeds.slowness(endpoint, now) * (1.0 + pressure) - 1.0
+        delay += FAILURE_WEIGHT * self.breaker.failure_share(endpoint.instance, now)
         if endpoint.data_centre == self._data_centre:
-            return pressure + failing
+            return delay
         # Distance counts less on a fuller endpoint, so that near endpoints are not overloaded.
-        return pressure + failing + REMOTE_WEIGHT * max(0.0, 1.0 - pressure)
+        return delay + REMOTE_WEIGHT * max(0.0, 1.0 - pressure)
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_calls.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_calls.py
@@ -101,6 +101,7 @@
         job.check_crashes(tools)
         outbound = OutboundRequest(job.req, endpoint, job.workspace, time_left_s)
         had_run, job.may_have_run = job.may_have_run, True
+        began = tools.clock()
         result = await self._send(outbound)
         if result.outcome in (_Outcome.ANSWERED, _Outcome.UNCLEAR):
             job.sends += 1
@@ -112,6 +113,9 @@
         elif not result.is_withheld:
             is_healthy = result.outcome is _Outcome.ANSWERED and not _is_failure(result)
             tools.balancer.record_result(endpoint, is_healthy, tools.clock())
+            # The time of a relayed answer depends on how fast the caller reads.
+            if is_healthy and not result.is_relayed:
+                tools.balancer.record_time(endpoint, tools.clock() - began, tools.clock())
         if result.is_broken:
             job.record_disconnect(tools, endpoint)
         elif result.outcome is _Outcome.ANSWERED:
--- /dev/null
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_endpoint_speeds.py
@@ -0,0 +1,96 @@
+"""Speeds of endpoints, from the paces that they report and from the times of their answers."""
+
+from statistics import median_low
+
+import attrs
+
+from vanillashore_gateway._domain import Endpoint, EndpointRole
+
+MIN_PACE, MAX_PACE = 0.1, 10.0  # A wrong report must not attract or repel all requests.
+PACE_TTL_S = 1.0  # A report counts in full for this time,
+PACE_HALF_LIFE_S = 0.5  # and loses half of its weight in each of these times afterwards.
+# An endpoint that is avoided as slow brings no answers that could show that it is fast again.
+LEARNED_HALF_LIFE_S = 3.0
+SMOOTHING = 0.1
+MIN_TIMES = 8  # Fewer answers say little about an endpoint's speed.
+# Answers of even endpoints differ by chance and by distance; a smaller difference counts as none.
+MIN_RATIO = 1.5
+
+
+@attrs.define
+class _Speed:
+    group: tuple[str, EndpointRole]
+    pace: float = 1.0
+    paced_at: float | None = None
+    mean_s: float = 0.0
+    times: int = 0
+    timed_at: float = 0.0
+
+
+class EndpointSpeeds:
+    """Estimates how long work takes at each endpoint, as a multiple of the usual time.
+
+    Times of answers are compared with the median of the endpoints of the same service and role.
+    Only successful answers may be recorded: an endpoint that fails fast is not fast.
+
+    Example::
+
+        speeds.record_pace(endpoint, 2.5, now)
+        speeds.slowness(endpoint, now)  # 2.5, and 1.0 some seconds later
+    """
+
+    def __init__(self) -> None:
+        self._speeds: dict[str, _Speed] = {}
+
+    def record_pace(self, endpoint: Endpoint, pace: float, now: float) -> None:
+        """Record the pace that an endpoint reported."""
+        speed = self._speed(endpoint)
+        if pace == 1.0 and speed.paced_at is None:
+            return  # The usual pace, and also that of endpoints that report none.
+        speed.pace, speed.paced_at = min(MAX_PACE, max(MIN_PACE, pace)), now
+
+    def record_time(self, endpoint: Endpoint, seconds: float, now: float) -> None:
+        """Record the time that a successful answer, or a step of it, took."""
+        speed = self._speed(endpoint)
+        speed.times += 1
+        speed.timed_at = now
+        # The first answers count evenly.
+        speed.mean_s += max(SMOOTHING, 1 / speed.times) * (seconds - speed.mean_s)
+
+    def slowness(self, endpoint: Endpoint, now: float) -> float:
+        """Return how long work takes at an endpoint; 1.0 is usual, or not known."""
+        speed = self._speeds.get(endpoint.instance)
+        if speed is None:
+            return 1.0
+        slowness = self._learned(speed, now)
+        if speed.paced_at is not None:
+            age_s = max(0.0, now - speed.paced_at - PACE_TTL_S)
+            slowness += (speed.pace - slowness) * 0.5 ** (age_s / PACE_HALF_LIFE_S)
+        return round(slowness, 1)  # A smaller difference would decide between idle endpoints.
+
+    def forget(self, instance: str) -> None:
+        """Drop what is recorded of an endpoint that has left."""
+        self._speeds.pop(instance, None)
+
+    def _speed(self, endpoint: Endpoint) -> _Speed:
+        group = (endpoint.service, endpoint.role)
+        speed = self._speeds.get(endpoint.instance)
+        if speed is None or speed.group != group:
+            speed = self._speeds[endpoint.instance] = _Speed(group)
+        return speed
+
+    def _learned(self, speed: _Speed, now: float) -> float:
+        if speed.times < MIN_TIMES:
+            return 1.0
+        means = [
+            other.mean_s
+            for other in self._speeds.values()
+            if other.group == speed.group and other.times >= MIN_TIMES
+        ]
+        ratio = speed.mean_s / max(median_low(means), 1e-6)
+        if 1 / MIN_RATIO < ratio < MIN_RATIO:
+            return 1.0
+        age_s = max(0.0, now - speed.timed_at)
+        return 1.0 + (min(MAX_PACE, max(MIN_PACE, ratio)) - 1.0) * 0.5 ** (
+            age_s / LEARNED_HALF_LIFE_S
+        )
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_job.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_job.py
@@ -139,6 +139,7 @@
             endpoint=endpoint.instance,
             role=role.value,
             pressure=round(tools.balancer.pressure(endpoint, now, share), 3),
+            slowness=round(tools.balancer.speeds.slowness(endpoint, now), 2),
             listed=len(endpoints),
             tried=len(self.tried),
         )
