Learn speeds of engines from few answers

An entry gets one answer per engine in several seconds, so eight answers and a half-life of 3 s never taught it which engines are slow. Four answers suffice now, and the half-life is 10 s.

--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_endpoint_speeds.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_endpoint_speeds.py
@@ -10,9 +10,9 @@
 PACE_TTL_S = 1.0  # A report counts in full for this time,
 PACE_HALF_LIFE_S = 0.5  # and loses half of its weight in each of these times afterwards.
 # An endpoint that is avoided as slow brings no answers that could show that it is fast again.
-LEARNED_HALF_LIFE_S = 3.0
+LEARNED_HALF_LIFE_S = 10.0
 SMOOTHING = 0.1
-MIN_TIMES = 8  # Fewer answers say little about an endpoint's speed.
+MIN_TIMES = 4  # Fewer answers say little; an entry gets one per engine in several seconds.
 # Answers of even endpoints differ by chance and by distance; a smaller difference counts as none.
 MIN_RATIO = 1.5
 
