Postpone resends while no other endpoint has room

An idempotent request was resent after 60 percent of its target also while all endpoints were full, where the second request only waits as well and makes all others later. As long as the entry knows of no free slot elsewhere, it now waits for twice the target.

Seen failing first: with the old time, the new test finds two requests at the endpoints.

--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_balancing.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_balancing.py
@@ -90,6 +90,12 @@
             return work.share
         return max(work.share, (work.reported.running + work.reported.waiting) * share)
 
+    def has_room(self, endpoints: Sequence[Endpoint], now: float) -> bool:
+        """Whether a healthy one of these endpoints has a free slot, as far as is known."""
+        return any(
+            self.pressure(e, now, 1 / max(1, e.slots)) < 1.0 for e in self.healthy(endpoints, now)
+        )
+
     def begin(self, endpoint: Endpoint, share: float) -> None:
         """Count a request that is sent to an endpoint."""
         work = self._work[endpoint.instance]
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_calls.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_calls.py
@@ -17,6 +17,9 @@
 
 # An idempotent request is resent after this share of the target latency.
 RESEND_AFTER_SHARE = 0.6
+# While no other endpoint has room, a resend only adds load: it would wait there as well. After this
+# multiple of the target the answer is late anyway, and the endpoint may have failed.
+RESEND_AFTER_SHARE_FULL = 2.0
 MAX_QUEUE_SHARE = 0.5  # Longest wait for a free endpoint, as a share of the target latency.
 ENDPOINT_POLL_S = 0.02  # While all endpoints are full; much shorter than a usual request.
 # Part of an endpoint that one request is assumed to take when endpoints are compared; it need not
@@ -166,7 +169,7 @@
         share = _share(outbound.endpoint)
         may_repeat = self._job.route.kind is RouteKind.IDEMPOTENT
         if may_repeat and self._has_sends_left():
-            timeout_s = min(timeout_s, self._job.route.target_s * RESEND_AFTER_SHARE)
+            timeout_s = min(timeout_s, self._job.route.target_s * self._resend_after_share())
         try:
             async with asyncio.timeout(timeout_s) as limit:
                 async with self._tools.sender.send(
@@ -200,6 +203,17 @@
             await self._responder.write(data)
         self._responder.finish()
 
+    def _resend_after_share(self) -> float:
+        job, tools = self._job, self._tools
+        endpoints = tools.limits.open_endpoints(
+            tools.membership.usable(job.service.name, EndpointRole.SERVICE)
+        )
+        others = [e for e in endpoints if e.instance not in job.tried]
+        if others and not tools.balancer.has_room(others, tools.clock()):
+            job.log_decision("resend postponed, no other endpoint has room", others=len(others))
+            return RESEND_AFTER_SHARE_FULL
+        return RESEND_AFTER_SHARE
+
     def _has_sends_left(self) -> bool:
         return self._job.sends + 1 < self._job.route.max_attempts
 
--- a/tests/gateway/test_calls.py
+++ b/tests/gateway/test_calls.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from vanillashore_gateway import now
+from vanillashore_gateway import EndpointRole, now
 from vanillashore_standins import wait_until
 from vanillashore_standins.platform_endpoint import SEAL_PREFIX, Fault
 from vanillashore_standins.platform_rig import KEY, PlatformRig, fail_first
@@ -227,3 +227,16 @@
         names = [e.instance for e in rig.services]
         assert breaker.usable(names, now()) == names
         assert breaker.failure_share(first.instance, now()) == 0.0
+
+
+async def test_request_is_not_resent_early_while_no_other_endpoint_has_room() -> None:
+    """Guards against resends that only add load while all endpoints are full."""
+    async with PlatformRig(services=2) as rig:
+        fail_first(rig.services, Fault.SILENT)
+        pending = asyncio.ensure_future(rig.ask("GET", "/stock/1", "id-1", X_Deadline_Ms="1000"))
+        gateway = rig.process.gateway
+        for endpoint in gateway.membership.usable("orders", EndpointRole.SERVICE):
+            for _ in range(endpoint.slots):
+                gateway.balancer.begin(endpoint, 1 / endpoint.slots)
+        assert (await pending).status == 504
+        assert len(rig.arrivals("id-1")) == 1
