Learn the speed of engines from the time per event of their streams

Engines that report no pace had no learned speed, as only answers to plain requests were timed. Short streams and those whose client reads slowly are left out. Tested in test_endpoint_speeds.py.

--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_endpoint_speeds.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_endpoint_speeds.py
@@ -15,6 +15,41 @@
 MIN_TIMES = 4  # Fewer answers say little; an entry gets one per engine in several seconds.
 # Answers of even endpoints differ by chance and by distance; a smaller difference counts as none.
 MIN_RATIO = 1.5
+MIN_EVENTS = 10  # A shorter stream says little about the time of a step.
+MAX_WRITE_SHARE = 0.1  # Of a stream's time; more means that its client reads slowly.
+
+
+@attrs.define
+class StepTimer:
+    """Measures the time per event of one stream, from its first event on.
+
+    Example::
+
+        timer.record_events(1, now)
+        timer.record_events(24, now + 0.24)
+        timer.step_s  # 0.01
+    """
+
+    first_at: float | None = None
+    last_at: float = 0.0
+    events: int = 0
+    write_s: float = 0.0
+
+    def record_events(self, events: int, now: float) -> None:
+        """Record that events have arrived; the first ones only start the measurement."""
+        if self.first_at is None:
+            self.first_at = now
+        else:
+            self.events += events
+        self.last_at = now
+
+    @property
+    def step_s(self) -> float | None:
+        """The time per event; ``None`` for short streams and clients that read slowly."""
+        if self.first_at is None or self.events < MIN_EVENTS:
+            return None
+        took_s = self.last_at - self.first_at
+        return None if self.write_s > MAX_WRITE_SHARE * took_s else took_s / self.events
 
 
 @attrs.define
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_generation.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_generation.py
@@ -8,6 +8,7 @@
 
 from vanillashore_gateway._dialect import OutboundRequest
 from vanillashore_gateway._domain import Endpoint, Hold, PrefillHandle
+from vanillashore_gateway._endpoint_speeds import StepTimer
 from vanillashore_gateway._engine_calls import EngineUnreachableError
 from vanillashore_gateway._errors import ErrorCode, RefusalError, refusal
 from vanillashore_gateway._events import EventSplitter, OversizedEventError
@@ -380,7 +381,9 @@
             raise LinkError(LinkFailure.BROKEN, f"the resumed stream has status {head.status}")
         splitter = self._stream.splitter
         self._event_due_at = self._tools.clock() + timeout_s
+        timer = StepTimer()
         while data := await self._read_or_move(sent):
+            read_at, events_before = self._tools.clock(), splitter.events
             self._record_prompt_read(splitter.events)
             is_first = not self._stream.run_events
             try:
@@ -393,11 +396,16 @@
                     self._tools.parts.record_event(job.service.name, job.traits)
                     self._tools.crashes.record_success(job.fingerprint)
                 await self._record_origin(sent.endpoint)
+                timer.record_events(splitter.events - events_before, read_at)
+            write_at = self._tools.clock()
             await responder.write(events)
+            timer.write_s += self._tools.clock() - write_at
             if events:
                 self._event_due_at = self._tools.clock() + self._stall_timeout_s()
         if splitter.has_partial_event:
             raise LinkError(LinkFailure.BROKEN, "the stream ended inside an event")
+        if timer.step_s is not None:
+            self._tools.balancer.record_time(sent.endpoint, timer.step_s, self._tools.clock())
 
     def _record_prompt_read(self, events_before: int) -> None:
         """Record how long the decode engine took to read the prompt, if it had to."""
--- a/tests/gateway/test_endpoint_speeds.py
+++ b/tests/gateway/test_endpoint_speeds.py
@@ -3,7 +3,7 @@
 import pytest
 
 from vanillashore_gateway import Endpoint
-from vanillashore_gateway._endpoint_speeds import EndpointSpeeds
+from vanillashore_gateway._endpoint_speeds import EndpointSpeeds, StepTimer
 
 ENDPOINTS = [Endpoint(f"e{i}", "s", "10.0.0.1", 80, "dc-0", 8) for i in range(4)]
 
@@ -44,3 +44,17 @@
     assert [speeds.slowness(e, 0.0) for e in ENDPOINTS] == [1.0, 1.0, 1.0, 3.0]
     speeds.forget("e3")
     assert speeds.slowness(ENDPOINTS[3], 0.0) == 1.0
+
+
+@pytest.mark.parametrize(
+    ("events", "write_s", "step_s"), [(20, 0.0, 0.01), (5, 0.0, None), (20, 0.1, None)]
+)
+def test_step_time_ignores_short_streams_and_slow_readers(
+    events: int, write_s: float, step_s: float | None
+) -> None:
+    """Guards against engines that appear slow because of their clients."""
+    timer = StepTimer()
+    for number in range(events + 1):
+        timer.record_events(1, 5.0 + number * 0.01)
+    timer.write_s = write_s
+    assert timer.step_s == (step_s and pytest.approx(step_s))
