--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_endpoint_speeds.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_endpoint_speeds.py
@@ -95,14 +95,19 @@
     def slowness(self, endpoint: Endpoint, now: float) -> float:
         """Return how long work takes at an endpoint; 1.0 is usual, or not known."""
         speed = self._speeds.get(endpoint.instance)
-        if speed is None:
-            return 1.0
+        return 1.0 if speed is None else self._slowness(speed, now)
+
+    def _slowness(self, speed: _Speed, now: float) -> float:
         slowness = self._learned(speed, now)
         if speed.paced_at is not None:
             age_s = max(0.0, now - speed.paced_at - PACE_TTL_S)
             slowness += (speed.pace - slowness) * 0.5 ** (age_s / PACE_HALF_LIFE_S)
         return round(slowness, 1)  # A smaller difference would decide between idle endpoints.
 
+    def slow_endpoints(self, now: float) -> int:
+        """Return how many endpoints are slow at the moment, as far as is known."""
+        return sum(self._slowness(speed, now) >= MIN_RATIO for speed in self._speeds.values())
+
     def forget(self, instance: str) -> None:
         """Drop what is recorded of an endpoint that has left."""
         self._speeds.pop(instance, None)
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_gateway.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_gateway.py
@@ -195,6 +195,7 @@
             "vanillashore.endpoints": lambda: len(self.membership),
             "vanillashore.endpoints.limited": lambda: self.limits.limited_endpoints,
             "vanillashore.endpoints.paused": lambda: self.limits.paused_endpoints,
+            "vanillashore.endpoints.slow": lambda: self.balancer.speeds.slow_endpoints(now()),
             "vanillashore.endpoints.leaving": lambda: self.membership.stated_leaving,
             "vanillashore.entries": lambda: self.known_entries,
             "vanillashore.config_version": lambda: self.config_version,
--- a/tests/gateway/test_endpoint_speeds.py
+++ b/tests/gateway/test_endpoint_speeds.py
@@ -19,6 +19,8 @@
     speeds = EndpointSpeeds()
     speeds.record_pace(ENDPOINTS[0], 2.5, 0.0)
     assert speeds.slowness(ENDPOINTS[0], 1.0) == 2.5
+    assert speeds.slow_endpoints(1.0) == 1
+    assert speeds.slow_endpoints(10.0) == 0
     assert 1.0 < speeds.slowness(ENDPOINTS[0], 1.5) < 2.5
     assert speeds.slowness(ENDPOINTS[0], 10.0) == pytest.approx(1.0, abs=0.01)
     _learn(speeds, (0.10, 0.05, 0.05, 0.05))
