--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_calls.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_calls.py
@@ -17,6 +17,9 @@
 
 # An idempotent request is resent after this share of the target latency.
 RESEND_AFTER_SHARE = 0.6
+# While no other endpoint has room, a resend only adds load: it would wait there as well. After this
+# multiple of the target the answer is late anyway, and the endpoint may have failed.
+RESEND_AFTER_SHARE_FULL = 2.0
 MAX_QUEUE_SHARE = 0.5  # Longest wait for a free endpoint, as a share of the target latency.
 ENDPOINT_POLL_S = 0.02  # While all endpoints are full; much shorter than a usual request.
 # Part of an endpoint that one request is assumed to take when endpoints are compared; it need not
@@ -102,16 +105,21 @@
         job.check_crashes(tools)
         outbound = OutboundRequest(job.req, endpoint, job.workspace, time_left_s)
         had_run, job.may_have_run = job.may_have_run, True
+        began = tools.clock()
         result = await self._send(outbound)
         if result.outcome in (_Outcome.ANSWERED, _Outcome.UNCLEAR):
             job.sends += 1
         else:
             job.may_have_run = had_run
-        is_healthy = result.outcome in (_Outcome.ANSWERED, _Outcome.NOT_RUN) and not _is_failure(
-            result
-        )
-        if not result.is_withheld:
+        if result.outcome is _Outcome.NOT_RUN:
+            # The endpoint is full or paused, which is no failure; it has no room for the moment.
+            tools.balancer.record_full(endpoint, tools.clock())
+        elif not result.is_withheld:
+            is_healthy = result.outcome is _Outcome.ANSWERED and not _is_failure(result)
             tools.balancer.record_result(endpoint, is_healthy, tools.clock())
+            # The time of a relayed answer depends on how fast the caller reads.
+            if is_healthy and not result.is_relayed:
+                tools.balancer.record_time(endpoint, tools.clock() - began, tools.clock())
         if result.is_broken:
             job.record_disconnect(tools, endpoint)
         elif result.outcome is _Outcome.ANSWERED:
@@ -165,7 +173,7 @@
         try:
             async with asyncio.timeout(timeout_s) as limit:
                 if may_repeat and self._has_sends_left():
-                    resend_s = self._job.route.target_s * RESEND_AFTER_SHARE
+                    resend_s = self._job.route.target_s * self._resend_after_share()
                     resend = asyncio.create_task(self._end_to_resend(resend_s, limit))
                 async with self._tools.sender.send(
                     outbound, share, timeout_s, not may_repeat
@@ -210,6 +218,17 @@
             await self._responder.write(data)
         self._responder.finish()
 
+    def _resend_after_share(self) -> float:
+        job, tools = self._job, self._tools
+        endpoints = tools.limits.open_endpoints(
+            tools.membership.usable(job.service.name, EndpointRole.SERVICE)
+        )
+        others = [e for e in endpoints if e.instance not in job.tried]
+        if others and not tools.balancer.has_room(others, tools.clock()):
+            job.log_decision("resend postponed, no other endpoint has room", others=len(others))
+            return RESEND_AFTER_SHARE_FULL
+        return RESEND_AFTER_SHARE
+
     def _has_sends_left(self) -> bool:
         return self._job.sends + 1 < self._job.route.max_attempts
 
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_generation.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_generation.py
@@ -9,6 +9,7 @@
 
 from vanillashore_gateway._dialect import OutboundRequest
 from vanillashore_gateway._domain import Endpoint, Hold, PrefillHandle
+from vanillashore_gateway._endpoint_speeds import StepTimer
 from vanillashore_gateway._engine_calls import EngineUnreachableError
 from vanillashore_gateway._errors import ErrorCode, RefusalError, refusal
 from vanillashore_gateway._events import EventSplitter, OversizedEventError
@@ -89,6 +90,8 @@
         self._reason = ""
         self._next_hold: Hold | None = None
         self._prompt_sent_at: float | None = None
+        # When the next whole event is due: an engine in trouble may still send a byte now and then.
+        self._event_due_at = 0.0
 
     async def run(self, responder: Responder) -> None:
         """Forward the request; raise RefusalError if it fails."""
@@ -391,7 +394,10 @@
             raise LinkError(LinkFailure.BROKEN, f"the resumed stream has status {head.status}")
         splitter = self._stream.splitter
         # Until the next whole event: an engine in trouble may still send a byte now and then.
-        while data := await self._read_or_move(sent, event_due_at):
+        self._event_due_at = event_due_at
+        timer = StepTimer()
+        while data := await self._read_or_move(sent):
+            read_at, events_before = self._tools.clock(), splitter.events
             self._record_prompt_read(splitter.events)
             is_first = not self._stream.run_events
             try:
@@ -404,11 +410,16 @@
                     self._tools.parts.record_event(job.service.name, job.traits)
                     self._tools.crashes.record_success(job.fingerprint)
                 await self._record_origin(sent.endpoint)
+                timer.record_events(splitter.events - events_before, read_at)
+            write_at = self._tools.clock()
             await responder.write(events)
+            timer.write_s += self._tools.clock() - write_at
             if events:
-                event_due_at = self._tools.clock() + self._stall_timeout_s()
+                self._event_due_at = self._tools.clock() + self._stall_timeout_s()
         if splitter.has_partial_event:
             raise LinkError(LinkFailure.BROKEN, "the stream ended inside an event")
+        if timer.step_s is not None:
+            self._tools.balancer.record_time(sent.endpoint, timer.step_s, self._tools.clock())
 
     def _record_prompt_read(self, events_before: int) -> None:
         """Record how long the decode engine took to read the prompt, if it had to."""
@@ -419,14 +430,14 @@
                 self._job.req.generation_size.input_tokens, took_s
             )
 
-    async def _read_or_move(self, sent: Sending, event_due_at: float) -> bytes:
+    async def _read_or_move(self, sent: Sending) -> bytes:
         """Read more; raise TimeoutError if the stream stalls and can move to another endpoint."""
         while True:
             with contextlib.suppress(TimeoutError):
-                return await sent.read(max(0.0, event_due_at - self._tools.clock()))
+                return await sent.read(max(0.0, self._event_due_at - self._tools.clock()))
             if await self._reserve_elsewhere():
                 raise TimeoutError
-            event_due_at = self._tools.clock() + self._stall_timeout_s()
+            self._event_due_at = self._tools.clock() + self._stall_timeout_s()
 
     @contextlib.asynccontextmanager
     async def _moved_if_silent(self, event_due_at: float) -> AsyncIterator[None]:
