--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_following.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_following.py
@@ -141,9 +141,11 @@
         self._record_success()
         for change in changes.items:
             self._listener.apply_change(change)
+        # Changes of keys that a gateway does not use also end a watch early.
+        had_changes = bool(changes.items) or changes.revision > self._revision
         self._revision = max(self._revision, changes.revision)
         self._snapshot_bytes = max(self._snapshot_bytes, changes.size_bytes)
-        if changes.items:
+        if had_changes:
             await asyncio.sleep(BATCH_DELAY_S)
 
     def _record_success(self) -> None:
--- a/tests/gateway/test_following.py
+++ b/tests/gateway/test_following.py
@@ -18,8 +18,9 @@
     EndpointRemoved,
     Snapshot,
     StoreUnavailableError,
+    now,
 )
-from vanillashore_gateway._following import Follower
+from vanillashore_gateway._following import BATCH_DELAY_S, Follower
 from vanillashore_standins import wait_until
 from vanillashore_standins.platform_rig import KEY, ORDERS, PlatformRig, configuration, route
 from vanillashore_standins.slow_link import SlowLink, StoreCall
@@ -41,6 +42,19 @@
         assert (await rig.ask("GET", "/stock/1", "id-2", key=KEY)).status == 401
 
 
+async def test_keys_of_others_that_change_all_the_time_do_not_speed_up_the_watch() -> None:
+    """Guards against a billed call for each change of a key that a gateway does not use."""
+    async with PlatformRig() as rig:
+        await wait_until(lambda: rig.store.calls[-1] == "kv-watch")
+        await wait_until(lambda: rig.process._follower.revision == rig.store.revision)
+        rig.store.calls.clear()
+        began = now()
+        for number in range(100):
+            rig.store.put("vanillashore/origins/x", {"number": number})
+            await asyncio.sleep(0.01)
+        assert rig.store.calls.count("kv-watch") <= 2 + (now() - began) / BATCH_DELAY_S
+
+
 async def test_malformed_configuration_leaves_the_old_one_active() -> None:
     async with PlatformRig(services=1) as rig:
         rig.store.put("op/config", {"version": 9, "routes": "none"})
