Keep the origins of streams in the store while versions differ

The origin of a resumable stream was known only to the entry that began it and two others. After a kill of all entries every stream was rejected while two versions were listed; with only the new version listed, its output was joined to that of the old one.

Versions are recorded in the store, and while several count, each entry writes the origins of its streams there, in paced batches, before the first event or 0.3 s after it was ready. A take-up reads the store beside the other entries. PlatformStore gains four calls.

Stream moves from test_stream_versions.py to the stand-ins, for both users.

--- a/packages/vanillashore-gateway/src/vanillashore_gateway/__init__.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/__init__.py
@@ -57,10 +57,13 @@
     Snapshot,
     StoreRestoredError,
     StoreUnavailableError,
+    VersionRemoved,
+    VersionWritten,
 )
 from vanillashore_gateway._process import GatewayProcess
 from vanillashore_gateway._quota import QuotaSettings
 from vanillashore_gateway._routing import rank_of
+from vanillashore_gateway._stream_origins import StreamOrigin
 
 __all__ = [
     "DEFAULT_RANK",
@@ -111,7 +114,10 @@
     "Snapshot",
     "StoreRestoredError",
     "StoreUnavailableError",
+    "StreamOrigin",
     "Target",
+    "VersionRemoved",
+    "VersionWritten",
     "Workspace",
     "end_to_end",
     "hyphenated",
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_gateway.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_gateway.py
@@ -37,6 +37,7 @@
 from vanillashore_gateway._limit_requests import RequestLimits
 from vanillashore_gateway._membership import Membership
 from vanillashore_gateway._metrics import GatewayMetrics
+from vanillashore_gateway._origin_store import OriginStore
 from vanillashore_gateway._platform_store import (
     Change,
     ConfigWritten,
@@ -47,6 +48,8 @@
     EntryRemoved,
     EntryWritten,
     Snapshot,
+    VersionRemoved,
+    VersionWritten,
 )
 from vanillashore_gateway._pool import ConnectionPool
 from vanillashore_gateway._prefill_estimator import PrefillEstimator
@@ -63,6 +66,7 @@
 from vanillashore_gateway._start_checks import StartChecks
 from vanillashore_gateway._statements import EndpointStatements
 from vanillashore_gateway._stream_origins import StreamOrigins
+from vanillashore_gateway._version_record import ServiceVersion, VersionRecord
 
 # In this time the list tells that an endpoint leaves, or that another start of it does not.
 CARRIED_LEAVING_S = 10.0
@@ -133,7 +137,14 @@
         self.parts = CrashingParts(cfg.node, now)
         self.crashes = CrashMonitor(cfg.node, now, parts=self.parts)
         self.origins = StreamOrigins(cfg.node, now)
-        self._resumption = Resumption(self.origins, self.membership, now)
+        self.origin_store = OriginStore(
+            cfg.node,
+            self.origins,
+            lambda rank_of: VersionRecord(self.membership, rank_of),
+            now,
+            rng,
+        )
+        self._resumption = Resumption(self.origins, self.origin_store, now)
         self._entries: dict[str, tuple[str, int]] = {}
         self._has_snapshot = False
         self._has_store_contact = False
@@ -169,6 +180,7 @@
             self.balancer,
             self.limits,
             self.origins,
+            self.origin_store,
             self.prefill_estimator,
             self.prefills,
             self.crashes,
@@ -197,6 +209,7 @@
             "vanillashore.endpoints.paused": lambda: self.limits.paused_endpoints,
             "vanillashore.endpoints.leaving": lambda: self.membership.stated_leaving,
             "vanillashore.entries": lambda: self.known_entries,
+            "vanillashore.origins.unwritten": lambda: len(self.origin_store),
             "vanillashore.config_version": lambda: self.config_version,
         }
         self.metrics = GatewayMetrics(cfg.node, cfg.data_centre, gauges)
@@ -271,9 +284,14 @@
         self._entries = entries
         self._has_snapshot = True
         self.duty.clear_holder()
+        versions = [c for c in snapshot.items if isinstance(c, VersionWritten)]
+        self.origin_store.versions.replace_all(
+            (ServiceVersion(c.service, c.software) for c in versions), now()
+        )
         for change in snapshot.items:
             if isinstance(change, ConfigWritten | DutyWritten):
                 self.apply_change(change)
+        self.origin_store.record_change()
         self._update_entries()
         for name in set(self._entries) - set(known):
             self._greet(name)
@@ -305,6 +323,11 @@
             case EntryRemoved(name):
                 self._entries.pop(name, None)
                 self._update_entries()
+            case VersionWritten(service, software):
+                self.origin_store.versions.put(ServiceVersion(service, software), now())
+            case VersionRemoved(service, software):
+                self.origin_store.versions.remove(ServiceVersion(service, software))
+        self.origin_store.record_change()
 
     def record_sync(self) -> None:
         """Record that the state is up to date with the store."""
@@ -429,6 +452,9 @@
             return
         before = self.config_version
         self._table = RouteTable(config)
+        self.origin_store.services = frozenset(
+            target.service for r in config.routes if r.is_resumable for target in r.targets
+        )
         self.front.limits = config.limits
         self.quotas.update_workspaces(
             {workspace.name: workspace for workspace in config.workspaces}
@@ -446,6 +472,7 @@
         count = max(self.cfg.expected_entries, len(self._entries))
         for handler in self.peer_handlers:
             handler.update_entries(self._entries)
+        self.origin_store.update_entries(self._entries)
         self._budgets.resize(self.cfg.retry_slack * BUDGET_SHARE / count)
 
     def _greet(self, entry: str) -> None:
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_generation.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_generation.py
@@ -15,6 +15,7 @@
 from vanillashore_gateway._http_client import LinkError, LinkFailure
 from vanillashore_gateway._http_messages import end_to_end
 from vanillashore_gateway._job import Job, Tools
+from vanillashore_gateway._origin_store import MAX_FIRST_EVENT_DELAY_S
 from vanillashore_gateway._prefill_estimator import Prompt
 from vanillashore_gateway._prefill_scheduler import PrefillAssignment
 from vanillashore_gateway._sending import Sending
@@ -80,7 +81,7 @@
         self._stream.splitter.last_id = job.req.last_event_id
         self._stream.software = job.origin.software if job.origin is not None else None
         self._announced: StreamOrigin | None = None
-        self._announcement: asyncio.Future[None] | None = None
+        self._announcement: asyncio.Future[list[None]] | None = None
         self._reason = ""
         self._next_hold: Hold | None = None
         self._prompt_sent_at: float | None = None
@@ -154,7 +155,7 @@
         return hold
 
     def _announce_origin(self, endpoint: Endpoint) -> None:
-        """Notify other entries of the version that is about to begin a resumable stream."""
+        """Tell other entries and the store which version is about to begin a resumable stream."""
         job = self._job
         origin = StreamOrigin(endpoint.service, endpoint.software)
         if not job.route.is_resumable or self._stream.software is not None:
@@ -162,14 +163,16 @@
         if origin != self._announced:
             left_s = job.req.deadline - self._tools.clock()
             self._announced = origin
-            self._announcement = self._tools.origins.begin(job.req.log_id, origin, left_s)
+            notified = self._tools.origins.begin(job.req.log_id, origin, left_s)
+            written = self._tools.origin_store.begin(job.req.log_id, origin, left_s)
+            self._announcement = asyncio.gather(notified, written)
 
     async def _record_origin(self, endpoint: Endpoint) -> None:
-        """Fix the stream's version, once another entry knows of it, before the first event."""
+        """Fix the stream's version, once others can find it, before the first event."""
         if self._stream.software is not None:
             return
         if self._announcement is not None:
-            await self._announcement
+            await asyncio.wait([self._announcement], timeout=MAX_FIRST_EVENT_DELAY_S)
         self._stream.software = endpoint.software
 
     def _hold_usable_until(self, hold: Hold) -> float:
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_job.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_job.py
@@ -21,6 +21,7 @@
 from vanillashore_gateway._errors import ErrorCode, RefusalError, Refused, refusal
 from vanillashore_gateway._limit_requests import RequestLimits
 from vanillashore_gateway._membership import Membership
+from vanillashore_gateway._origin_store import OriginStore
 from vanillashore_gateway._prefill_estimator import PrefillEstimator
 from vanillashore_gateway._prefill_scheduler import PrefillScheduler
 from vanillashore_gateway._sending import Sender
@@ -66,6 +67,7 @@
     balancer: Balancer
     limits: RequestLimits
     origins: StreamOrigins
+    origin_store: OriginStore
     prefill_estimator: PrefillEstimator
     prefills: PrefillScheduler
     crashes: CrashMonitor
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_platform_store.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_platform_store.py
@@ -1,10 +1,12 @@
 """Interface to the platform's store: changes, calls and errors."""
 
+from collections.abc import Mapping
 from typing import Protocol
 
 import attrs
 
 from vanillashore_gateway._domain import Endpoint, ServingConfig
+from vanillashore_gateway._stream_origins import StreamOrigin
 
 
 class StoreUnavailableError(Exception):
@@ -86,6 +88,22 @@
     name: str
 
 
+@attrs.frozen
+class VersionWritten:
+    """An entry has written that a service has a software version, or had it lately."""
+
+    service: str
+    software: str
+
+
+@attrs.frozen
+class VersionRemoved:
+    """The record of a service's software version has expired."""
+
+    service: str
+    software: str
+
+
 Change = (
     ConfigWritten
     | EndpointWritten
@@ -94,6 +112,8 @@
     | EntryRemoved
     | DutyWritten
     | DutyRemoved
+    | VersionWritten
+    | VersionRemoved
 )
 
 
@@ -163,3 +183,22 @@
     async def withdraw(self, lease: int) -> None:
         """End a lease, and remove what was written under it."""
         ...
+
+    async def grant_lease(self, ttl_s: float) -> int:
+        """Return a new lease."""
+        ...
+
+    async def write_version(self, service: str, software: str, lease: int) -> None:
+        """Record a software version of a service for as long as a lease lasts."""
+        ...
+
+    async def write_origins(self, origins: Mapping[str, StreamOrigin], lease: int) -> None:
+        """Write the origins of streams, by request id, in one transaction.
+
+        Raises LeaseExpiredError if the lease has ended.
+        """
+        ...
+
+    async def read_origin(self, request_id: str) -> StreamOrigin | None:
+        """Return the origin of a stream, ``None`` if the store does not have it."""
+        ...
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_process.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_process.py
@@ -58,7 +58,9 @@
             rng,
             cfg.order_handover_s,
         )
+        gateway.origin_store.store = store
         gateway.restore_listeners += [
+            gateway.origin_store.record_restore,
             self._registration.record_restore,
             self._roles.record_restore,
         ]
@@ -109,6 +111,7 @@
         self._start_task(self._follower.run())
         self._start_task(self._registration.run())
         self._start_task(self._roles.run())
+        self._start_task(self.gateway.origin_store.run())
         self._start_task(self.gateway.metrics.load())
         log.bind(front=self._cfg.front, data_centre=self._cfg.data_centre).info("started")
 
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_stream_origins.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_stream_origins.py
@@ -8,7 +8,7 @@
 
 import asyncio
 from collections import OrderedDict
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterator, Mapping
 from functools import lru_cache
 from typing import Any
 
@@ -202,6 +202,18 @@
                 break
             self._origins.popitem(last=False)
 
+    def own(self) -> Iterator[tuple[str, StreamOrigin, float]]:
+        """Return the streams at this entry that may be in progress, and until when."""
+        now = self._clock()
+        for request_id, kept in self._origins.items():
+            if kept.is_own and kept.expires_at > now:
+                yield request_id, kept.origin, kept.expires_at
+
+    def get(self, request_id: str) -> StreamOrigin | None:
+        """Return an origin that this entry keeps."""
+        kept = self._get(request_id)
+        return None if kept is None else kept.origin
+
     def greet(self, entry: str) -> None:
         """Notify an entry that has registered of the origins that it should keep."""
         now = self._clock()
--- a/tests/gateway/test_resumption.py
+++ b/tests/gateway/test_resumption.py
@@ -1,5 +1,7 @@
 """Where a stream that its caller takes up again may go on."""
 
+import asyncio
+import random
 from typing import Any
 
 import attrs
@@ -7,6 +9,7 @@
 
 from vanillashore_gateway import CallerRequest, Endpoint, RefusalError, Route, RouteKind, Target
 from vanillashore_gateway._membership import Membership
+from vanillashore_gateway._origin_store import OriginStore
 from vanillashore_gateway._resumption import Resumption
 from vanillashore_gateway._stream_origins import (
     MAX_KEPT_S,
@@ -14,6 +17,7 @@
     StreamOrigin,
     StreamOrigins,
 )
+from vanillashore_gateway._version_record import ServiceVersion, VersionRecord
 
 ROUTE = Route("r", "h", "/", RouteKind.STREAMING, (Target("llm"),), 14.0, 0.9, is_resumable=True)
 REQUEST = CallerRequest(
@@ -31,14 +35,21 @@
         self.asked: list[str] = []
         for number, version in enumerate(versions):
             self.membership.put(self.endpoint(f"i-{number}", version), 0.0)
-        origins = StreamOrigins("e0", lambda: self.now)
+        origins = self.origins = StreamOrigins("e0", lambda: self.now)
 
         async def find(request_id: str) -> OriginLookup:
             self.asked.append(request_id)
             return lookup or OriginLookup(None)
 
         origins.find = find
-        self.resumption = Resumption(origins, self.membership, lambda: self.now)
+        self.store = OriginStore(
+            "e0",
+            origins,
+            lambda rank_of: VersionRecord(self.membership, rank_of),
+            lambda: self.now,
+            random.Random(1),
+        )
+        self.resumption = Resumption(origins, self.store, lambda: self.now)
 
     @staticmethod
     def endpoint(name: str, version: str) -> Endpoint:
@@ -107,3 +118,26 @@
     lookup = OriginLookup(StreamOrigin("another", "v1"))
     with pytest.raises(RefusalError):
         await Rig("v1", "v2", lookup=lookup).origin()
+
+
+async def test_version_that_only_the_store_remembers_counts_at_an_entry_that_starts() -> None:
+    """Guards against joining two versions when the old one left before all entries were killed."""
+    rig = Rig("v2", "v2")
+    rig.store.versions.replace_all([ServiceVersion("llm", "v1"), ServiceVersion("llm", "v2")], 0.0)
+    with pytest.raises(RefusalError) as caught:
+        await rig.origin()
+    assert caught.value.refused.ran == "no"
+
+
+async def test_stored_origin_is_used_before_the_other_entries_have_answered() -> None:
+    """Guards against a take-up that waits for entries that were killed."""
+    rig = Rig("v1", "v2")
+
+    async def never(request_id: str) -> OriginLookup:
+        return await asyncio.get_running_loop().create_future()
+
+    async def find(request_id: str) -> OriginLookup:
+        return OriginLookup(V2)
+
+    rig.origins.find, rig.store.find = never, find
+    assert await rig.origin() == V2
--- a/tests/gateway/test_stream_versions.py
+++ b/tests/gateway/test_stream_versions.py
@@ -1,9 +1,7 @@
 """Streams while endpoints of several software versions serve side by side."""
 
 import asyncio
-import contextlib
-import re
-from typing import Any, Self
+from typing import Any
 
 import attrs
 import pytest
@@ -13,6 +11,7 @@
 from vanillashore_standins import wait_until
 from vanillashore_standins.platform_endpoint import EndpointStandIn, EngineOptions, Fault
 from vanillashore_standins.platform_rig import PlatformRig, fail_first
+from vanillashore_standins.platform_stream import Stream
 
 
 async def test_logs_tell_which_stream_is_taken_up_and_at_which_version(
@@ -26,8 +25,6 @@
     assert reserved["software"] == "v1"
 
 
-EVENT = re.compile(rb"id: (\d+)\ndata: piece \d+ of (\S+)\n\n")
-SIZE = {"X_Token_Count": "1000,500", "X_Length_Hint": "50"}
 ENGINE = EngineOptions(events=30, pause_s=0.02)
 REPORT = ("GET", "/-/report")
 
@@ -46,35 +43,6 @@
     monkeypatch.setattr("vanillashore_gateway._http_client.DEFAULT_IDLE_LIMIT_S", 60.0)
 
 
-@attrs.define
-class Stream:
-    """A caller's connection for one stream, and the events that it has received."""
-
-    reader: asyncio.StreamReader
-    writer: asyncio.StreamWriter
-    received: bytes = b""
-
-    @classmethod
-    async def open(cls, rig: PlatformRig, request_id: str, entry: int, **headers: str) -> Self:
-        address = rig.processes[entry].front_address
-        stream = cls(*await asyncio.open_connection(*address))
-        data = rig.encode("POST", "/quote/1", request_id, b"prompt", **(SIZE | headers))
-        stream.writer.write(data)
-        return stream
-
-    @property
-    def events(self) -> list[tuple[int, bytes]]:
-        return [(int(number), version) for number, version in EVENT.findall(self.received)]
-
-    async def read(self, events: int) -> None:
-        with contextlib.suppress(ConnectionError):
-            while len(self.events) < events and (data := await self.reader.read(65_536)):
-                self.received += data
-
-    def close(self) -> None:
-        self.writer.transport.abort()
-
-
 async def _take_up(rig: PlatformRig, number: int, begun: Stream) -> Stream:
     last_id, _ = begun.events[-1]
     stream = await Stream.open(
