Evacuate data centres that the store names

Entries ignored the key op/evacuate/ZONE, so requests went on reaching endpoints in a data centre that operators wanted to empty.

Membership keeps the set of evacuated data centres; usable() and all_usable() leave their endpoints out, so that placement, prefills and the role plan do not count them. EndpointStatements.check asks again right before the first byte of each request, prefill and call. The watch ends early enough for bounds.evacuation_ms.

--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_gateway.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_gateway.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import attrs
 from loguru import logger as log
@@ -46,6 +46,8 @@
     EndpointWritten,
     EntryRemoved,
     EntryWritten,
+    EvacuationRequested,
+    EvacuationWithdrawn,
     Snapshot,
 )
 from vanillashore_gateway._pool import ConnectionPool
@@ -196,6 +198,8 @@
             "vanillashore.endpoints.limited": lambda: self.limits.limited_endpoints,
             "vanillashore.endpoints.paused": lambda: self.limits.paused_endpoints,
             "vanillashore.endpoints.leaving": lambda: self.membership.stated_leaving,
+            "vanillashore.endpoints.evacuated": lambda: self.membership.evacuated_endpoints,
+            "vanillashore.data_centres.evacuated": lambda: len(self.membership.evacuated),
             "vanillashore.entries": lambda: self.known_entries,
             "vanillashore.config_version": lambda: self.config_version,
         }
@@ -260,14 +264,18 @@
         endpoints = [c.endpoint for c in snapshot.items if isinstance(c, EndpointWritten)]
         entries = {c.name: c.address for c in snapshot.items if isinstance(c, EntryWritten)}
         known = dict(self._entries)
+        evacuated = {c.data_centre for c in snapshot.items if isinstance(c, EvacuationRequested)}
         if self._snapshots_to_settle == SNAPSHOTS_TO_SETTLE and self._has_snapshot:
             self.membership.merge_restored(endpoints, now())
             self._expire_later()
             entries = known | entries
+            # An evacuation that was requested after the copy is in force until the store settles.
+            evacuated |= self.membership.evacuated
         else:
             for removed in self.membership.replace_all(endpoints, now()):
                 self._forget_endpoint(removed)
         self._snapshots_to_settle = max(0, self._snapshots_to_settle - 1)
+        self._set_evacuated(evacuated)
         self._entries = entries
         self._has_snapshot = True
         self.duty.clear_holder()
@@ -305,6 +313,10 @@
             case EntryRemoved(name):
                 self._entries.pop(name, None)
                 self._update_entries()
+            case EvacuationRequested(data_centre):
+                self._set_evacuated(self.membership.evacuated | {data_centre})
+            case EvacuationWithdrawn(data_centre):
+                self._set_evacuated(self.membership.evacuated - {data_centre})
 
     def record_sync(self) -> None:
         """Record that the state is up to date with the store."""
@@ -468,6 +480,19 @@
         is_settled = self._has_store_contact and self._snapshots_to_settle == 0
         return not is_settled or now() - self._synced_at > STALE_LIST_S
 
+    def _set_evacuated(self, data_centres: Iterable[str]) -> None:
+        before = self.membership.evacuated
+        self.membership.set_evacuated(data_centres)
+        after = self.membership.evacuated
+        if after == before:
+            return
+        log.bind(
+            added=sorted(after - before),
+            withdrawn=sorted(before - after),
+            evacuated=sorted(after),
+            endpoints=self.membership.evacuated_endpoints,
+        ).warning("the evacuated data centres have changed")
+
     def _expire_later(self) -> None:
         asyncio.get_running_loop().call_later(EXPIRY_CHECK_DELAY_S, self._expire_endpoints)
 
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_membership.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_membership.py
@@ -32,6 +32,9 @@
     A statement may also be of a start whose record is read a little later. It is then carried over
     to that start for a while, in which the list comes to tell it if it was.
 
+    A data centre may be evacuated: its endpoints stay listed, but are not usable until then. That
+    holds for endpoints that are listed later too, and through outages of the store.
+
     ``is_changing`` tells whether an engine is changing its role, and ``on_new_start`` is called
     with the earlier and the later start of an endpoint that has started again.
     """
@@ -50,6 +53,7 @@
         self.on_new_start: Callable[[EndpointStart, EndpointStart], None] = lambda old, new: None
         # The versions of endpoints that have left or changed theirs, and when they did.
         self._left_versions: dict[tuple[str, str], float] = {}
+        self._evacuated: set[str] = set()
 
     def record_store_return(self, now: float) -> None:
         """Start the grace time: the store is back after an outage."""
@@ -119,7 +123,7 @@
     def usable(self, service: str, role: EndpointRole | None = None) -> list[Endpoint]:
         """Return the endpoints of a service that accept new requests."""
         endpoints = self.listed(service, role)
-        return [e for e in endpoints if not self.is_leaving(e) and not self.is_changing(e)]
+        return [e for e in endpoints if self.accepts(e) and not self.is_changing(e)]
 
     def listed(self, service: str, role: EndpointRole | None = None) -> list[Endpoint]:
         """Return the endpoints of a service, those that are leaving included."""
@@ -131,7 +135,29 @@
 
     def all_usable(self) -> list[Endpoint]:
         """Return the endpoints of all services that accept new requests."""
-        return [endpoint for endpoint in self._endpoints.values() if not self.is_leaving(endpoint)]
+        return [endpoint for endpoint in self._endpoints.values() if self.accepts(endpoint)]
+
+    def accepts(self, endpoint: Endpoint) -> bool:
+        """Whether an endpoint is neither leaving nor in an evacuated data centre."""
+        return not self.is_leaving(endpoint) and not self.is_evacuated(endpoint)
+
+    def is_evacuated(self, endpoint: Endpoint) -> bool:
+        """Whether an endpoint is in an evacuated data centre."""
+        return endpoint.data_centre in self._evacuated
+
+    @property
+    def evacuated(self) -> frozenset[str]:
+        """The names of the evacuated data centres, which need not have any endpoint."""
+        return frozenset(self._evacuated)
+
+    @property
+    def evacuated_endpoints(self) -> int:
+        """How many listed endpoints are in evacuated data centres."""
+        return sum(self.is_evacuated(endpoint) for endpoint in self._endpoints.values())
+
+    def set_evacuated(self, data_centres: Iterable[str]) -> None:
+        """Replace the set of evacuated data centres."""
+        self._evacuated = set(data_centres)
 
     def is_leaving(self, endpoint: Endpoint) -> bool:
         """Whether an endpoint's record or one of its answers tells that it is leaving."""
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_platform_store.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_platform_store.py
@@ -86,6 +86,20 @@
     name: str
 
 
+@attrs.frozen
+class EvacuationRequested:
+    """Nothing more is to be sent to the endpoints of a data centre."""
+
+    data_centre: str
+
+
+@attrs.frozen
+class EvacuationWithdrawn:
+    """The endpoints of a data centre may be used again."""
+
+    data_centre: str
+
+
 Change = (
     ConfigWritten
     | EndpointWritten
@@ -94,6 +108,8 @@
     | EntryRemoved
     | DutyWritten
     | DutyRemoved
+    | EvacuationRequested
+    | EvacuationWithdrawn
 )
 
 
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_slot_finder.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_slot_finder.py
@@ -313,8 +313,8 @@
                 "an engine did not respond to a reservation"
             )
             return None
-        if self._membership.is_leaving(endpoint):
-            return None  # The answer says so; what it reserved expires.
+        if not self._membership.accepts(endpoint):
+            return None  # What it reserved expires.
         if hold is None:
             self._balancer.record_full(endpoint, now)
             return None
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_statements.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_statements.py
@@ -43,6 +43,8 @@
 
     def check(self, endpoint: Endpoint) -> None:
         """Raise WithheldError if an endpoint is not to get any request or call now."""
+        if self._membership.is_evacuated(endpoint):
+            raise WithheldError(f"{endpoint.instance} is in an evacuated data centre")
         if self._membership.is_leaving(endpoint):
             raise WithheldError(f"{endpoint.instance} is leaving")
         if pause_s := self._limits.pause_s(endpoint.start):
--- a/packages/vanillashore-standins/src/vanillashore_standins/platform_endpoint.py
+++ b/packages/vanillashore-standins/src/vanillashore_standins/platform_endpoint.py
@@ -137,6 +137,7 @@
     def __init__(self, instance: str, service: str, engine: EngineOptions | None = None) -> None:
         self.instance = instance
         self.service = service
+        self.data_centre = "dc-a"
         self.engine = engine
         self.faults: deque[Fault] = deque()
         self.control_fault = Fault.NONE
@@ -188,7 +189,7 @@
         entry: dict[str, Any] = {
             "service": self.service,
             "address": self.address,
-            "zone": "dc-a",
+            "zone": self.data_centre,
             "version": self.version,
             "slots": 8,
             "state": "ready",
--- a/packages/vanillashore-standins/src/vanillashore_standins/platform_rig.py
+++ b/packages/vanillashore-standins/src/vanillashore_standins/platform_rig.py
@@ -90,6 +90,8 @@
 class PlatformRig:
     """A store, endpoints and one gateway, or several that know each other.
 
+    The endpoints of each kind are spread over ``data_centres``, of which the first is dc-a.
+
     Example::
 
         async with PlatformRig(services=2) as rig:
@@ -104,6 +106,7 @@
         engine: EngineOptions | None = None,
         quota: QuotaSettings | None = None,
         entries: int = 1,
+        data_centres: int = 1,
     ) -> None:
         options = engine or EngineOptions()
         self.store = PlatformStoreStandIn()
@@ -115,6 +118,9 @@
         self.decodes = [
             EndpointStandIn(f"d{i}", MODELS, attrs.evolve(options)) for i in range(decodes)
         ]
+        for endpoints in (self.services, self.prefills, self.decodes):
+            for number, endpoint in enumerate(endpoints):
+                endpoint.data_centre = f"dc-{'abcd'[number % data_centres]}"
         self.processes: list[GatewayProcess] = []
         self._entries = entries
         self._quota = quota or QuotaSettings()
@@ -153,6 +159,21 @@
         await wait_until(lambda: gateway.metrics.render() is not None)
         return process
 
+    async def evacuate(self, *data_centres: str) -> None:
+        """Request the evacuation of these data centres only, and wait until all gateways know."""
+        wanted = {f"op/evacuate/{name}" for name in data_centres}
+        requested = {key for key in self.store.items if key.startswith("op/evacuate/")}
+        for key in requested - wanted:
+            self.store.remove(key)
+        for key in wanted - requested:
+            self.store.put(key, b"")
+        await wait_until(lambda: self.evacuated == [frozenset(data_centres)] * len(self.processes))
+
+    @property
+    def evacuated(self) -> list[frozenset[str]]:
+        """The evacuated data centres, as each gateway knows them."""
+        return [process.gateway.membership.evacuated for process in self.processes]
+
     def kill_entry(self, entry: int) -> None:
         """End a gateway and its connections at once; its registration stays in the store."""
         process = self.processes.pop(entry)
--- a/tests/adapter/test_main.py
+++ b/tests/adapter/test_main.py
@@ -5,7 +5,7 @@
 import pytest
 
 from vanillashore_adapter import HttpStore, main, parse_settings
-from vanillashore_adapter._main import reload_settings
+from vanillashore_adapter._main import _gateway_settings, reload_settings
 
 SETTINGS = """node_name=edge-a-1
 zone=alex-a
@@ -31,6 +31,15 @@
     assert main(["entry", "--settings", str(tmp_path / "none"), "--check"]) == 2
 
 
+@pytest.mark.parametrize(("evacuation_ms", "watch_s"), [(5_000, 2.25), (2_000, 0.9)])
+def test_watch_ends_early_enough_to_see_an_evacuation_in_time(
+    evacuation_ms: int, watch_s: float
+) -> None:
+    """Guards against a silent connection to the store that hides an evacuation for too long."""
+    settings = parse_settings(f"{SETTINGS}\nbounds.evacuation_ms={evacuation_ms}\n")
+    assert _gateway_settings(settings).watch_s == pytest.approx(watch_s)
+
+
 def test_reload_switches_the_store_and_ignores_an_invalid_file(
     tmp_path: Path,
 ) -> None:
--- a/tests/adapter/test_store.py
+++ b/tests/adapter/test_store.py
@@ -5,7 +5,12 @@
 import pytest
 
 from vanillashore_adapter import HttpStore
-from vanillashore_gateway import EntryWritten, StoreUnavailableError
+from vanillashore_gateway import (
+    EntryWritten,
+    EvacuationRequested,
+    EvacuationWithdrawn,
+    StoreUnavailableError,
+)
 from vanillashore_standins.slow_link import SlowLink, StoreCall
 from vanillashore_standins.virtual_time import run_in_virtual_time
 
@@ -75,6 +80,23 @@
     assert snapshot.items == (EntryWritten("a", ("10.0.0.1", 1)),)
 
 
+@pytest.mark.parametrize("value", ["", "not base64", "e30="])
+def test_key_of_an_evacuation_counts_whatever_its_value(
+    monkeypatch: pytest.MonkeyPatch, value: str
+) -> None:
+    """Guards against a request that is ignored because of what the operator wrote."""
+    row = f'{{"key":"op/evacuate/dc-a","value":"{value}","revision":3}}'
+    store = _store_answering(monkeypatch, f'{{"items":[{row}],"at":7}}')
+    assert run_in_virtual_time(store.snapshot()).items == (EvacuationRequested("dc-a"),)
+
+
+def test_removed_key_of_an_evacuation_withdraws_it(monkeypatch: pytest.MonkeyPatch) -> None:
+    row = '{"key":"op/evacuate/dc-a","revision":9,"deleted":true}'
+    store = _store_answering(monkeypatch, f'{{"events":[{row}],"at":9}}')
+    changes = run_in_virtual_time(store.changes(1, 0.0, 1_000_000))
+    assert changes.items == (EvacuationWithdrawn("dc-a"),)
+
+
 def _store_answering(monkeypatch: pytest.MonkeyPatch, body: str) -> HttpStore:
     async def answer(call: StoreCall) -> bytes:
         return body.encode()
