Keep the rate of cold endpoints for all entries together

A cold endpoint crashes if it gets many requests, but entries neither read cold_remaining_ms, X-Cold-Ms and cold_per_s nor spaced requests to it.

The cold rate is a second source of the request limit: the smaller of the two holds, with the same home, substitutes and pacing. ColdRates tells which rate holds when, by records, answers and the entries that ask for a permit. A slot reserved before its engine turned cold needs another permit right before the send. Cold endpoints count as slower in placement and in prefill estimates. bounds.cold_overage and bounds.cold_slack lower what is permitted. Services without cold_per_s see no change.

--- a/packages/vanillashore-gateway/src/vanillashore_gateway/__init__.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/__init__.py
@@ -1,6 +1,7 @@
 """The entry: routes, admits and forwards callers' requests to endpoints."""
 
 from vanillashore_gateway._clock import now
+from vanillashore_gateway._cold_rates import ColdBounds
 from vanillashore_gateway._dialect import Dialect, OutboundRequest
 from vanillashore_gateway._domain import (
     DEFAULT_RANK,
@@ -73,6 +74,7 @@
     "CallerRequest",
     "Change",
     "Changes",
+    "ColdBounds",
     "ConfigWritten",
     "Dialect",
     "DutyRemoved",
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_balancing.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_balancing.py
@@ -6,7 +6,7 @@
 
 import random
 from collections import defaultdict
-from collections.abc import Collection, Sequence
+from collections.abc import Callable, Collection, Sequence
 
 import attrs
 
@@ -16,6 +16,9 @@
 FULL_TTL_S = 0.1  # A full endpoint may have room again after this.
 LOAD_TTL_S = 1.0  # A load that an endpoint reported is outdated after this.
 FAILURE_WEIGHT = 2.0  # Load added to an endpoint that always fails; less for fewer failures.
+# Load added to a cold endpoint. How much slower it is nobody states; with half, it is chosen once
+# the others are half full, within its rate.
+COLD_WEIGHT = 0.5
 REMOTE_WEIGHT = 0.2  # Load added to an idle endpoint in another data centre, as traffic costs.
 
 
@@ -46,6 +49,7 @@
         self._rng = rng
         self._work: dict[str, _Work] = defaultdict(_Work)
         self.breaker = Breaker()
+        self.is_cold: Callable[[Endpoint], bool] = lambda endpoint: False
 
     def choose(
         self, endpoints: Sequence[Endpoint], tried: Collection[str], now: float, share: float
@@ -119,6 +123,8 @@
     def _score(self, endpoint: Endpoint, now: float, share: float) -> float:
         pressure = self.pressure(endpoint, now, share)
         failing = FAILURE_WEIGHT * self.breaker.failure_share(endpoint.instance)
+        if self.is_cold(endpoint):
+            failing += COLD_WEIGHT
         if endpoint.data_centre == self._data_centre:
             return pressure + failing
         # Distance counts less on a fuller endpoint, so that near endpoints are not overloaded.
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_domain.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_domain.py
@@ -68,13 +68,17 @@
     """A group of interchangeable endpoints.
 
     ``kv_tokens`` is an engine's memory, 0 for none. An engine keeps a prefilled cache for
-    ``kv_hold_s``, and a reservation for ``hold_s`` at most.
+    ``kv_hold_s``, and a reservation for ``hold_s`` at most. A cold endpoint accepts ``cold_per_s``
+    requests per second from all entries together, 0 for any; a new one is cold for
+    ``cold_start_s``.
     """
 
     name: str
     kv_tokens: int = 0
     kv_hold_s: float = 0.0
     hold_s: float = 0.0
+    cold_start_s: float = 0.0
+    cold_per_s: float = 0.0
 
 
 @attrs.frozen
@@ -128,7 +132,8 @@
 
     ``started_ms`` is the time of the start by the endpoint's own clock, which only serves to tell
     two starts under the same name apart. ``software`` is the version of the endpoint's software;
-    versions have no order.
+    versions have no order. ``cold_s`` is how long the endpoint stays cold from when the record was
+    written; ``None`` if it does not tell.
     """
 
     instance: str
@@ -141,6 +146,8 @@
     is_leaving: bool = False
     started_ms: int = 0
     software: str = ""
+    # Records that differ in this only describe the same endpoint.
+    cold_s: float | None = attrs.field(default=None, eq=False)
 
     @property
     def start(self) -> EndpointStart:
@@ -226,7 +233,8 @@
     its answers. ``was_not_run`` is the endpoint's statement that it did not and will not run the
     request. ``limit_per_s`` is the number of requests per second that the endpoint accepts from all
     entries together; ``None`` is no limit. ``is_leaving`` states that the endpoint is to stop soon.
-    An endpoint that turns a request away may want nothing from this entry for ``pause_s``.
+    An endpoint that turns a request away may want nothing from this entry for ``pause_s``. One that
+    is cold states for how long with ``cold_s``.
     """
 
     status: int
@@ -238,6 +246,7 @@
     limit_per_s: float | None = None
     is_leaving: bool = False
     pause_s: float = 0.0
+    cold_s: float = 0.0
 
 
 @attrs.frozen
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_gateway.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_gateway.py
@@ -10,6 +10,7 @@
 from vanillashore_gateway._balancing import Balancer
 from vanillashore_gateway._calls import CallForwarder
 from vanillashore_gateway._clock import now
+from vanillashore_gateway._cold_rates import ColdBounds
 from vanillashore_gateway._crash_evidence import traits_of
 from vanillashore_gateway._crashes import CrashMonitor, fingerprint_of
 from vanillashore_gateway._crashing_parts import CrashingParts
@@ -105,6 +106,7 @@
     retry_ratio: float = 0.2
     retry_slack: float = 50.0
     quota: QuotaSettings = attrs.field(factory=QuotaSettings)
+    cold: ColdBounds = attrs.field(factory=ColdBounds)
 
 
 class Gateway:
@@ -118,7 +120,8 @@
             self.membership.record_connection_lost, self.membership.record_unobserved
         )
         self.balancer = Balancer(cfg.data_centre, rng)
-        self.limits = RequestLimits(cfg.node, now)
+        self.limits = RequestLimits(cfg.node, now, cfg.cold)
+        self.balancer.is_cold = self._is_cold
         statements = EndpointStatements(self.membership, self.limits, now)
         self.membership.on_new_start = self._carry_statements
         self.role_changes = RoleChanges(cfg.node, now)
@@ -145,6 +148,7 @@
         self._budgets = RetryBudgets(cfg.retry_ratio * BUDGET_SHARE, cfg.retry_slack * BUDGET_SHARE)
         sender = Sender(dialect, self.pool, self.balancer, statements, now)
         self.prefill_estimator = PrefillEstimator(rng)
+        self.prefill_estimator.is_cold = self._is_cold
         self.prefills = PrefillScheduler(
             cfg.node,
             self.prefill_estimator,
@@ -198,6 +202,7 @@
             "vanillashore.endpoints.limited": lambda: self.limits.limited_endpoints,
             "vanillashore.endpoints.paused": lambda: self.limits.paused_endpoints,
             "vanillashore.endpoints.leaving": lambda: self.membership.stated_leaving,
+            "vanillashore.endpoints.cold": lambda: self.limits.cold.cold_endpoints,
             "vanillashore.endpoints.evacuated": lambda: self.membership.evacuated_endpoints,
             "vanillashore.data_centres.evacuated": lambda: len(self.membership.evacuated),
             "vanillashore.entries": lambda: self.known_entries,
@@ -275,6 +280,8 @@
             for removed in self.membership.replace_all(endpoints, now()):
                 self._forget_endpoint(removed)
         self._snapshots_to_settle = max(0, self._snapshots_to_settle - 1)
+        for endpoint in endpoints:
+            self.limits.cold.record_listed(endpoint)
         self._set_evacuated(evacuated)
         self._entries = entries
         self._has_snapshot = True
@@ -297,6 +304,7 @@
             case EndpointWritten(endpoint):
                 self._log_endpoint(change)
                 self.membership.put(endpoint, now())
+                self._record_cold(endpoint)
                 if endpoint.is_leaving:
                     self.pool.forget(endpoint.instance)
             case EndpointRemoved(instance):
@@ -442,6 +450,7 @@
         before = self.config_version
         self._table = RouteTable(config)
         self.front.limits = config.limits
+        self.limits.cold.update_services(config.services)
         self.quotas.update_workspaces(
             {workspace.name: workspace for workspace in config.workspaces}
         )
@@ -480,6 +489,21 @@
         is_settled = self._has_store_contact and self._snapshots_to_settle == 0
         return not is_settled or now() - self._synced_at > STALE_LIST_S
 
+    def _is_cold(self, endpoint: Endpoint) -> bool:
+        return self.limits.cold.rate_per_s(endpoint.start) is not None
+
+    def _record_cold(self, endpoint: Endpoint) -> None:
+        was_cold = self._is_cold(endpoint)
+        self.limits.cold.record_written(endpoint)
+        if self._is_cold(endpoint) != was_cold:
+            log.bind(
+                endpoint=endpoint.instance,
+                service=endpoint.service,
+                is_cold=not was_cold,
+                cold_s=endpoint.cold_s,
+                per_s=self.limits.cold.rate_per_s(endpoint.start),
+            ).info("an endpoint has turned cold or warm")
+
     def _set_evacuated(self, data_centres: Iterable[str]) -> None:
         before = self.membership.evacuated
         self.membership.set_evacuated(data_centres)
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_generation.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_generation.py
@@ -82,6 +82,7 @@
         self._announced: StreamOrigin | None = None
         self._announcement: asyncio.Future[None] | None = None
         self._reason = ""
+        self._permitted_at = 0.0
         self._next_hold: Hold | None = None
         self._prompt_sent_at: float | None = None
 
@@ -102,6 +103,7 @@
         for attempt in range(1, MAX_DECODES + 1):
             hold = await self._acquire_hold()
             endpoint = hold.endpoint
+            self._permitted_at = hold.taken_at
             is_used = False
             try:
                 self._job.check_crashes(self._tools)
@@ -295,6 +297,11 @@
             resume_after=resume_after,
             rank=job.rank,
         )
+        # The slot's permit may have been granted before the engine turned cold.
+        has_turned_cold = tools.limits.cold.was_learnt_after(endpoint.start, self._permitted_at)
+        if has_turned_cold and not await job.acquire_permit(tools, endpoint):
+            self._reason = f"{endpoint.instance} has turned cold"
+            return _Outcome.WITHHELD
         reads_prompt = handle is None and job.req.generation_size is not None
         self._prompt_sent_at = tools.clock() if reads_prompt else None
         had_run, job.may_have_run = job.may_have_run, True
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_limit_requests.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_limit_requests.py
@@ -13,6 +13,7 @@
 import orjson
 from loguru import logger as log
 
+from vanillashore_gateway._cold_rates import MAX_BURST, ColdBounds, ColdRates
 from vanillashore_gateway._domain import Endpoint, EndpointStart
 from vanillashore_gateway._home_ranking import Address, rank_homes
 from vanillashore_gateway._membership import RECORD_LAG_S
@@ -64,17 +65,24 @@
 
 @attrs.frozen
 class PermitRequest:
-    """Asks for permission to send one request; the answer has the same number."""
+    """Asks for permission to send one request; the answer has the same number.
+
+    A home that has not yet learnt that the endpoint is cold learns it from ``cold_s``, and the rate
+    from ``cold_per_s``.
+    """
 
     number: int
     start: EndpointStart
     limit: NamedLimit
     max_wait_s: float
+    cold_s: float = 0.0
+    cold_per_s: float = 0.0
 
     def encode(self) -> bytes:
         """Return the datagram."""
         row = _row(self.start, self.limit)
-        return orjson.dumps(["limit ask", self.number, row, self.max_wait_s])
+        cold = (self.cold_s, self.cold_per_s) if self.cold_s else ()
+        return orjson.dumps(["limit ask", self.number, row, self.max_wait_s, *cold])
 
     def numbered(self, number: int) -> bytes:
         """Return the datagram with another number."""
@@ -104,8 +112,11 @@
     match orjson.loads(data):
         case ["limit", [*row], *_]:
             return LimitNotice(*_decode_row(row))
-        case ["limit ask", int(number), [*row], float(max_wait_s) | int(max_wait_s), *_]:
-            return PermitRequest(number, *_decode_row(row), float(max_wait_s))
+        case ["limit ask", int(number), [*row], float(max_wait_s) | int(max_wait_s), *rest]:
+            cold = rest[:2] if len(rest) > 1 else [0.0, 0.0]
+            if not all(isinstance(value, int | float) for value in cold):
+                raise ValueError("malformed cold period in a request for a limit")
+            return PermitRequest(number, *_decode_row(row), float(max_wait_s), *map(float, cold))
         case ["limit permit", int(n), [*row], bool(granted), float(wait_s) | int(wait_s), *_]:
             return PermitAnswer(n, *_decode_row(row), Permit(granted, float(wait_s)))
     raise ValueError("not a message about a limit")
@@ -134,8 +145,14 @@
 
     PREFIX = b'["limit'
 
-    def __init__(self, node: str, clock: Callable[[], float]) -> None:
+    def __init__(
+        self,
+        node: str,
+        clock: Callable[[], float],
+        cold_bounds: ColdBounds | None = None,
+    ) -> None:
         self._node = node
+        self.cold = ColdRates(clock, cold_bounds or ColdBounds())
         self._clock = clock
         self._requests: PeerRequests[PermitAnswer] = PeerRequests(clock, ASK_TIMEOUT_S)
         self._table = LimitTable(node)
@@ -208,13 +225,13 @@
                 return pause_s
             await asyncio.sleep(pause_s)
             max_wait_s -= pause_s
-        if self._table.get(start).limit_per_s is None:
+        if self._rate_per_s(start) is None:
             return None
         closed_s = self._closed_s(start)
         if closed_s > max_wait_s:
             return closed_s
         permit = await self._request_permit(start, max_wait_s)
-        if self._table.get(start).limit_per_s is None:
+        if self._rate_per_s(start) is None:
             return None
         if not permit.is_granted:
             wait_s = permit.wait_s + RETRY_PAUSE_S
@@ -242,7 +259,7 @@
         if not endpoints or self.open_endpoints(endpoints):
             return 0.0
         _, first_s = self.first_open(endpoints)
-        limits = [self._table.get(endpoint.start).limit_per_s for endpoint in endpoints]
+        limits = [self._rate_per_s(endpoint.start) for endpoint in endpoints]
         if None in limits:
             return first_s
         rate_per_s = max(MIN_RATE_PER_S, sum(limits))
@@ -263,6 +280,7 @@
     def forget(self, instance: str) -> None:
         """Drop the limit and the pause of an endpoint that has left."""
         self._table.forget(instance)
+        self.cold.forget(instance)
         for known in (self._closed_until, self._pauses):
             for start in [start for start in known if start.instance == instance]:
                 del known[start]
@@ -286,6 +304,8 @@
         if isinstance(message, PermitAnswer):
             self._requests.resolve(message.number, message)
         elif isinstance(message, PermitRequest):
+            if message.cold_s > 0 and message.cold_per_s > 0:
+                self.cold.record_peer(message.start, message.cold_s, message.cold_per_s)
             permit = self._permit(message.start, min(message.max_wait_s, MAX_WAIT_S))
             limit = self._table.get(message.start)
             answer = PermitAnswer(message.number, message.start, limit, permit)
@@ -295,7 +315,8 @@
         for home in self._homes(start):
             if home == self._node:
                 return self._permit(start, max_wait_s)
-            request = PermitRequest(0, start, self._table.get(start), max_wait_s)
+            told = self.cold.told(start)
+            request = PermitRequest(0, start, self._table.get(start), max_wait_s, *told)
             answer = await self._requests.ask(home, request.numbered)
             if answer is not None:
                 return answer.permit
@@ -305,7 +326,7 @@
 
     def _permit(self, start: EndpointStart, max_wait_s: float) -> Permit:
         """Permit a request as the endpoint's home or, at a smaller rate, as a substitute."""
-        limit_per_s = self._table.get(start).limit_per_s
+        limit_per_s = self._rate_per_s(start)
         if limit_per_s is None:
             return Permit(True, 0.0)
         share, burst = 1.0, HOME_BURST
@@ -314,9 +335,16 @@
             share, burst = SUBSTITUTE_SHARE, 1
         elif not self.is_registered():
             share, burst = UNREGISTERED_SHARE, 1
+        if self.cold.rate_per_s(start) is not None and self.cold.bounds.slack < MAX_BURST:
+            burst = 1
         rate_per_s = max(limit_per_s, MIN_RATE_PER_S) * share
         return self._pacer.take(start, rate_per_s, burst, max_wait_s, self._clock())
 
+    def _rate_per_s(self, start: EndpointStart) -> float | None:
+        """Return the smaller of an endpoint's named limit and its cold rate, if it has any."""
+        rates = (self._table.get(start).limit_per_s, self.cold.rate_per_s(start))
+        return min((rate for rate in rates if rate is not None), default=None)
+
     def _closed_s(self, start: EndpointStart) -> float:
         """Return the seconds until an endpoint may accept another request."""
         pause_s = self.pause_s(start)
@@ -324,7 +352,7 @@
         if until is None:
             return pause_s
         left_s = until - self._clock()
-        if left_s <= 0 or self._table.get(start).limit_per_s is None:
+        if left_s <= 0 or self._rate_per_s(start) is None:
             del self._closed_until[start]
             return pause_s
         return max(left_s, pause_s)
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_prefill_estimator.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_prefill_estimator.py
@@ -9,7 +9,7 @@
 import itertools
 import random
 from collections import defaultdict, deque
-from collections.abc import Collection, Sequence
+from collections.abc import Callable, Collection, Sequence
 
 import attrs
 
@@ -33,6 +33,9 @@
 # Added if the prefill engine is in another data centre than the decode engine, as fetching the
 # cache then costs up to three times as much.
 REMOTE_PENALTY_S = 0.04
+# A cold engine's time per token, as a multiple of the learnt one. How much slower it is nobody
+# states; twice makes it the choice only if the others have as much work waiting.
+COLD_SLOWDOWN = 2.0
 FIRST_EVENT_S = 0.1  # From the end of the prefill to the first event at the caller.
 # Time-out, as a share of the target, of a prefill that the decode engine could not repeat in time.
 TIMEOUT_SHARE = 0.6
@@ -118,6 +121,7 @@
 
     def __init__(self, rng: random.Random) -> None:
         self._rng = rng
+        self.is_cold: Callable[[Endpoint], bool] = lambda endpoint: False
         self._engines: dict[str, _EngineState] = defaultdict(_EngineState)
         self._decode_per_token_s = INITIAL_DECODE_S
         self._mean_tokens = float(INITIAL_PROMPT_TOKENS)
@@ -157,7 +161,8 @@
     def expected_s(self, engine: Endpoint, tokens: int, now: float) -> float:
         """Return how long a prefill engine would take for a prompt that is sent now."""
         state = self._engines[engine.instance]
-        return state.wait_s(now) + tokens * state.per_token_s
+        slowdown = COLD_SLOWDOWN if self.is_cold(engine) else 1.0
+        return state.wait_s(now) + tokens * state.per_token_s * slowdown
 
     def decode_s(self, tokens: int) -> float:
         """Return how long a decode engine takes to prefill a prompt."""
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_statements.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_statements.py
@@ -69,5 +69,7 @@
             log.bind(request=request_id, endpoint=endpoint.instance).info(
                 "an endpoint says that it is leaving"
             )
+        if head.cold_s:
+            self._limits.cold.record_answer(endpoint, head.cold_s)
         if head.pause_s:
             self._limits.record_pause(endpoint, head.pause_s, request_id)
--- a/packages/vanillashore-standins/src/vanillashore_standins/platform_endpoint.py
+++ b/packages/vanillashore-standins/src/vanillashore_standins/platform_endpoint.py
@@ -129,6 +129,8 @@
     streams pause. While ``retry_after`` is set, requests are turned away with it, and holds too
     unless ``grants_holds``.
 
+    The record states ``cold_ms``, and answers state ``states_cold_ms`` if it is not 0.
+
     A generation with one of ``crash_parts`` in its prompt, the last part apart, crashes the
     endpoint as the answer begins; the endpoint is back ``down_s`` later and calls ``on_restart``.
     ``broken_requests`` are those that failed here, or ran when the endpoint ended.
@@ -138,6 +140,8 @@
         self.instance = instance
         self.service = service
         self.data_centre = "dc-a"
+        self.cold_ms = 0
+        self.states_cold_ms = 0
         self.engine = engine
         self.faults: deque[Fault] = deque()
         self.control_fault = Fault.NONE
@@ -193,7 +197,7 @@
             "version": self.version,
             "slots": 8,
             "state": "ready",
-            "cold_remaining_ms": 0,
+            "cold_remaining_ms": self.cold_ms,
             "sequence": 0,
             "born": self.started_ms,
         }
@@ -322,7 +326,8 @@
     def _statements(self) -> dict[str, str]:
         """Return the headers in which the endpoint says how it is."""
         limit = {} if self.limit_per_s is None else {"Server-Limit": f"{self.limit_per_s:g}"}
-        return limit | self._leaving_headers()
+        cold = {"X-Cold-Ms": str(self.states_cold_ms)} if self.states_cold_ms else {}
+        return limit | cold | self._leaving_headers()
 
     def _leaving_headers(self) -> dict[str, str]:
         return {"Server-Leaving": "1"} if self.says_leaving else {}
--- a/tests/adapter/test_decoding.py
+++ b/tests/adapter/test_decoding.py
@@ -124,6 +124,30 @@
         decode_endpoint("i-1", orjson.dumps(ENDPOINT | change))
 
 
+@pytest.mark.parametrize(("cold_ms", "cold_s"), [(2500, 2.5), (0, 0.0), (None, None), (-1, None)])
+def test_cold_time_of_an_endpoint(cold_ms: int | None, cold_s: float | None) -> None:
+    record = ENDPOINT | ({} if cold_ms is None else {"cold_remaining_ms": cold_ms})
+    assert decode_endpoint("i-1", orjson.dumps(record)).cold_s == cold_s
+
+
+def test_cold_rate_of_a_service() -> None:
+    service = {"name": "a", "cold_start_s": 8, "cold_per_s": 2.5}
+    found = decode_config(orjson.dumps(CONFIG | {"services": [service]})).services[0]
+    assert (found.cold_start_s, found.cold_per_s) == (8.0, 2.5)
+    without = decode_config(orjson.dumps(CONFIG | {"services": [{"name": "a"}]})).services[0]
+    assert (without.cold_start_s, without.cold_per_s) == (0.0, 0.0)
+
+
+@pytest.mark.parametrize(
+    ("value", "cold_s"),
+    [(b"2500", 2.5), (b"0", 0.0), (None, 0.0), (b"soon", 0.0), (b"-5", 0.0), (b"999999999", 600.0)],
+)
+def test_cold_time_in_an_answer(value: bytes | None, cold_s: float) -> None:
+    headers = () if value is None else ((b"X-Cold-Ms", value),)
+    answer = PlatformDialect().decode_answer(ResponseHead(200, b"OK", headers))
+    assert answer.cold_s == cold_s
+
+
 def test_settings_are_parsed() -> None:
     settings = parse_settings(SETTINGS)
     assert (settings.node, settings.front, settings.store) == (
