--- a/packages/vanillashore-standins/src/vanillashore_standins/soak/__main__.py
+++ b/packages/vanillashore-standins/src/vanillashore_standins/soak/__main__.py
@@ -24,6 +24,9 @@
     parser.add_argument(
         "--parts", action="store_true", help="let engines crash on parts of prompts"
     )
+    parser.add_argument(
+        "--zones", action="store_true", help="evacuate data centres, and let endpoints turn cold"
+    )
     parser.add_argument("--logs", type=Path, help="folder in which to keep the entries' logs")
     args = parser.parse_args()
     broken = 0
@@ -36,6 +39,7 @@
             mutant=args.mutant,
             stops=args.stops,
             parts=args.parts,
+            zones=args.zones,
             folder=folder,
         )
         report = asyncio.run(run_soak(plan))
--- a/packages/vanillashore-standins/src/vanillashore_standins/soak/_mutants.py
+++ b/packages/vanillashore-standins/src/vanillashore_standins/soak/_mutants.py
@@ -20,6 +20,7 @@
     _http_client,
     _slot_finder,
 )
+from vanillashore_gateway._cold_rates import ColdRates
 from vanillashore_gateway._crashes import CrashMonitor
 from vanillashore_gateway._limit_requests import RequestLimits
 from vanillashore_gateway._membership import Membership
@@ -144,6 +145,16 @@
     CrashMonitor.is_refused = lambda self, *args, **kwargs: False
 
 
+def _ignore_evacuations() -> None:
+    """Go on sending to evacuated data centres."""
+    Membership.is_evacuated = lambda self, endpoint: False
+
+
+def _ignore_cold_rates() -> None:
+    """Send to cold endpoints as to warm ones."""
+    ColdRates.rate_per_s = lambda self, start: None
+
+
 MUTANTS: dict[str, Callable[[], None]] = {
     "resend-unclear-calls": _resend_unclear_calls,
     "rerun-broken-streams": _rerun_broken_streams,
@@ -161,6 +172,8 @@
     "ignore-crashes": _ignore_crashes,
     "ignore-leaving-in-answers": _ignore_leaving_in_answers,
     "ignore-pauses": _ignore_pauses,
+    "ignore-evacuations": _ignore_evacuations,
+    "ignore-cold-rates": _ignore_cold_rates,
 }
 
 if __name__ == "__main__":
