--- a/packages/vanillashore-gateway/src/vanillashore_gateway/__init__.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/__init__.py
@@ -1,6 +1,7 @@
 """The entry: routes, admits and forwards callers' requests to endpoints."""
 
 from vanillashore_gateway._clock import now
+from vanillashore_gateway._cold_rates import ColdBounds
 from vanillashore_gateway._dialect import Dialect, OutboundRequest
 from vanillashore_gateway._domain import (
     DEFAULT_RANK,
@@ -51,6 +52,8 @@
     EndpointWritten,
     EntryRemoved,
     EntryWritten,
+    EvacuationRequested,
+    EvacuationWithdrawn,
     HistoryCompactedError,
     LeaseExpiredError,
     PlatformStore,
@@ -74,6 +77,7 @@
     "CallerRequest",
     "Change",
     "Changes",
+    "ColdBounds",
     "ConfigWritten",
     "Dialect",
     "DutyRemoved",
@@ -84,6 +88,8 @@
     "EndpointWritten",
     "EntryRemoved",
     "EntryWritten",
+    "EvacuationRequested",
+    "EvacuationWithdrawn",
     "ErrorCode",
     "Gateway",
     "GatewayProcess",
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_balancing.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_balancing.py
@@ -6,7 +6,7 @@
 
 import random
 from collections import defaultdict
-from collections.abc import Collection, Sequence
+from collections.abc import Callable, Collection, Sequence
 
 import attrs
 
@@ -21,6 +21,9 @@
 # failed probe; at half a minute, an endpoint would stay unused long after it is sound again.
 MAX_EXCLUSION_S = 4.0
 MIN_CHOICES = 2  # Endpoints that are compared, at random, while speeds differ; else all are.
+# Load added to a cold endpoint. How much slower it is nobody states; with half, it is chosen once
+# the others are half full, within its rate.
+COLD_WEIGHT = 0.5
 REMOTE_WEIGHT = 0.2  # Load added to an idle endpoint in another data centre, as traffic costs.
 
 
@@ -52,6 +55,7 @@
         self._work: dict[str, _Work] = defaultdict(_Work)
         self.speeds = EndpointSpeeds()
         self.breaker = Breaker(MAX_EXCLUSION_S)
+        self.is_cold: Callable[[Endpoint], bool] = lambda endpoint: False
 
     def choose(
         self, endpoints: Sequence[Endpoint], tried: Collection[str], now: float, share: float
@@ -143,6 +147,8 @@
         # in use at usual speed, and that of an endpoint with as much delay at another speed.
         delay = self.speeds.slowness(endpoint, now) * (1.0 + pressure) - 1.0
         delay += FAILURE_WEIGHT * self.breaker.failure_share(endpoint.instance, now)
+        if self.is_cold(endpoint):
+            delay += COLD_WEIGHT
         if endpoint.data_centre == self._data_centre:
             return delay
         # Distance counts less on a fuller endpoint, so that near endpoints are not overloaded.
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_gateway.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_gateway.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import attrs
 from loguru import logger as log
@@ -10,6 +10,7 @@
 from vanillashore_gateway._balancing import Balancer
 from vanillashore_gateway._calls import CallForwarder
 from vanillashore_gateway._clock import now
+from vanillashore_gateway._cold_rates import ColdBounds
 from vanillashore_gateway._crash_evidence import traits_of
 from vanillashore_gateway._crashes import CrashMonitor, fingerprint_of
 from vanillashore_gateway._crashing_parts import CrashingParts
@@ -47,6 +48,8 @@
     EndpointWritten,
     EntryRemoved,
     EntryWritten,
+    EvacuationRequested,
+    EvacuationWithdrawn,
     Snapshot,
     VersionRemoved,
     VersionWritten,
@@ -110,6 +113,7 @@
     retry_ratio: float = 0.2
     retry_slack: float = 50.0
     quota: QuotaSettings = attrs.field(factory=QuotaSettings)
+    cold: ColdBounds = attrs.field(factory=ColdBounds)
 
 
 class Gateway:
@@ -123,7 +127,8 @@
             self.membership.record_connection_lost, self.membership.record_unobserved
         )
         self.balancer = Balancer(cfg.data_centre, rng)
-        self.limits = RequestLimits(cfg.node, now)
+        self.limits = RequestLimits(cfg.node, now, cfg.cold)
+        self.balancer.is_cold = self._is_cold
         statements = EndpointStatements(self.membership, self.limits, now)
         self.membership.on_new_start = self._carry_statements
         self.role_changes = RoleChanges(cfg.node, now)
@@ -158,6 +163,7 @@
         self.budgets = RetryBudgets(cfg.node, retries, cfg.expected_entries, now)
         sender = Sender(dialect, self.pool, self.balancer, statements, now)
         self.prefill_estimator = PrefillEstimator(rng)
+        self.prefill_estimator.is_cold = self._is_cold
         self.prefills = PrefillScheduler(
             cfg.node,
             self.prefill_estimator,
@@ -220,6 +226,9 @@
             "vanillashore.endpoints.leaving": lambda: self.membership.stated_leaving,
             "vanillashore.retries.borrowed": lambda: self.budgets.borrowed,
             "vanillashore.retries.denied": lambda: self.budgets.denied,
+            "vanillashore.endpoints.cold": lambda: self.limits.cold.cold_endpoints,
+            "vanillashore.endpoints.evacuated": lambda: self.membership.evacuated_endpoints,
+            "vanillashore.data_centres.evacuated": lambda: len(self.membership.evacuated),
             "vanillashore.entries": lambda: self.known_entries,
             "vanillashore.slots.waiting": lambda: self.slot_requests.waiting,
             "vanillashore.slots.granted": lambda: self.slot_requests.granted,
@@ -287,14 +296,20 @@
         endpoints = [c.endpoint for c in snapshot.items if isinstance(c, EndpointWritten)]
         entries = {c.name: c.address for c in snapshot.items if isinstance(c, EntryWritten)}
         known = dict(self._entries)
+        evacuated = {c.data_centre for c in snapshot.items if isinstance(c, EvacuationRequested)}
         if self._snapshots_to_settle == SNAPSHOTS_TO_SETTLE and self._has_snapshot:
             self.membership.merge_restored(endpoints, now())
             self._expire_later()
             entries = known | entries
+            # An evacuation that was requested after the copy is in force until the store settles.
+            evacuated |= self.membership.evacuated
         else:
             for removed in self.membership.replace_all(endpoints, now()):
                 self._forget_endpoint(removed)
         self._snapshots_to_settle = max(0, self._snapshots_to_settle - 1)
+        for endpoint in endpoints:
+            self.limits.cold.record_listed(endpoint)
+        self._set_evacuated(evacuated)
         self._entries = entries
         self._has_snapshot = True
         self.duty.clear_holder()
@@ -321,6 +336,7 @@
             case EndpointWritten(endpoint):
                 self._log_endpoint(change)
                 self.membership.put(endpoint, now())
+                self._record_cold(endpoint)
                 if endpoint.is_leaving:
                     self.pool.forget(endpoint.instance)
             case EndpointRemoved(instance):
@@ -341,6 +357,10 @@
                 self.origin_store.versions.put(ServiceVersion(service, software), now())
             case VersionRemoved(service, software):
                 self.origin_store.versions.remove(ServiceVersion(service, software))
+            case EvacuationRequested(data_centre):
+                self._set_evacuated(self.membership.evacuated | {data_centre})
+            case EvacuationWithdrawn(data_centre):
+                self._set_evacuated(self.membership.evacuated - {data_centre})
         self.origin_store.record_change()
 
     def record_sync(self) -> None:
@@ -471,6 +491,7 @@
             target.service for r in config.routes if r.is_resumable for target in r.targets
         )
         self.front.limits = config.limits
+        self.limits.cold.update_services(config.services)
         self.quotas.update_workspaces(
             {workspace.name: workspace for workspace in config.workspaces}
         )
@@ -511,6 +532,34 @@
         is_settled = self._has_store_contact and self._snapshots_to_settle == 0
         return not is_settled or now() - self._synced_at > STALE_LIST_S
 
+    def _is_cold(self, endpoint: Endpoint) -> bool:
+        return self.limits.cold.rate_per_s(endpoint.start) is not None
+
+    def _record_cold(self, endpoint: Endpoint) -> None:
+        was_cold = self._is_cold(endpoint)
+        self.limits.cold.record_written(endpoint)
+        if self._is_cold(endpoint) != was_cold:
+            log.bind(
+                endpoint=endpoint.instance,
+                service=endpoint.service,
+                is_cold=not was_cold,
+                cold_s=endpoint.cold_s,
+                per_s=self.limits.cold.rate_per_s(endpoint.start),
+            ).info("an endpoint has turned cold or warm")
+
+    def _set_evacuated(self, data_centres: Iterable[str]) -> None:
+        before = self.membership.evacuated
+        self.membership.set_evacuated(data_centres)
+        after = self.membership.evacuated
+        if after == before:
+            return
+        log.bind(
+            added=sorted(after - before),
+            withdrawn=sorted(before - after),
+            evacuated=sorted(after),
+            endpoints=self.membership.evacuated_endpoints,
+        ).warning("the evacuated data centres have changed")
+
     def _expire_later(self) -> None:
         asyncio.get_running_loop().call_later(EXPIRY_CHECK_DELAY_S, self._expire_endpoints)
 
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_platform_store.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_platform_store.py
@@ -104,6 +104,19 @@
     software: str
 
 
+class EvacuationRequested:
+    """Nothing more is to be sent to the endpoints of a data centre."""
+
+    data_centre: str
+
+
+@attrs.frozen
+class EvacuationWithdrawn:
+    """The endpoints of a data centre may be used again."""
+
+    data_centre: str
+
+
 Change = (
     ConfigWritten
     | EndpointWritten
@@ -114,6 +127,8 @@
     | DutyRemoved
     | VersionWritten
     | VersionRemoved
+    | EvacuationRequested
+    | EvacuationWithdrawn
 )
 
 
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_prefill_estimator.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_prefill_estimator.py
@@ -9,7 +9,7 @@
 import itertools
 import random
 from collections import defaultdict, deque
-from collections.abc import Collection, Sequence
+from collections.abc import Callable, Collection, Sequence
 
 import attrs
 
@@ -38,6 +38,9 @@
 # Beyond it, the queue only delays later prompts, as a lasting burst overflows to the decode engines
 # anyway. The factor is an assumption: the cost to the streams was not measured.
 STREAM_COST = 3.0
+# A cold engine's time per token, as a multiple of the learnt one. How much slower it is nobody
+# states; twice makes it the choice only if the others have as much work waiting.
+COLD_SLOWDOWN = 2.0
 FIRST_EVENT_S = 0.1  # From the end of the prefill to the first event at the caller.
 # Time-out, as a share of the target, of a prefill that the decode engine could not repeat in time.
 TIMEOUT_SHARE = 0.6
@@ -123,6 +126,7 @@
 
     def __init__(self, rng: random.Random) -> None:
         self._rng = rng
+        self.is_cold: Callable[[Endpoint], bool] = lambda endpoint: False
         self._engines: dict[str, _EngineState] = defaultdict(_EngineState)
         self._decode_per_token_s = INITIAL_DECODE_S
         self._mean_tokens = float(INITIAL_PROMPT_TOKENS)
@@ -164,7 +168,8 @@
     def expected_s(self, engine: Endpoint, tokens: int, now: float) -> float:
         """Return how long a prefill engine would take for a prompt that is sent now."""
         state = self._engines[engine.instance]
-        return state.wait_s(now) + tokens * state.per_token_s
+        slowdown = COLD_SLOWDOWN if self.is_cold(engine) else 1.0
+        return state.wait_s(now) + tokens * state.per_token_s * slowdown
 
     def decode_s(self, tokens: int) -> float:
         """Return how long a decode engine takes to prefill a prompt."""
