Bound the bytes held for callers, and read answers on for slow readers

Cause: an entry stopped reading an answer as soon as its caller had 64 KB unread, so an endpoint aborted it; and bodies of 4 MiB from a few callers exceeded the memory of the smallest entry.

Change: with limits.memory_mb in the settings, the bytes of requests and unread answers are counted with a bound for each connection and one for all. A request is admitted with its declared length; without room a large body is refused with 503 and a small request waits. Answers are read on while there is room, then until the deadline. An endpoint is not blamed for a caller that does not read, and may read a long request until the request's time-out: the kernel's time-out for unacknowledged data, 2 s, also applies to a full receive buffer and broke such a request after 2.3 s.

--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_calls.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_calls.py
@@ -42,7 +42,7 @@
     """Result of one send attempt.
 
     A long answer ``is_relayed`` to the caller already. A request that was not sent ``is_withheld``
-    if the endpoint was not to get it.
+    if the endpoint was not to get it. An answer ``is_unread`` if its caller read it too slowly.
     """
 
     outcome: _Outcome
@@ -52,6 +52,7 @@
     is_broken: bool = False
     is_relayed: bool = False
     is_withheld: bool = False
+    is_unread: bool = False
 
 
 class CallForwarder:
@@ -109,7 +110,7 @@
         is_healthy = result.outcome in (_Outcome.ANSWERED, _Outcome.NOT_RUN) and not _is_failure(
             result
         )
-        if not result.is_withheld:
+        if not result.is_withheld and not result.is_unread:
             tools.balancer.record_result(endpoint, is_healthy, tools.clock())
         if result.is_broken:
             job.record_disconnect(tools, endpoint)
@@ -178,6 +179,9 @@
                     await self._relay(sent, body)
                     return _Result(_Outcome.ANSWERED, sent.head, is_relayed=True)
         except TimeoutError:
+            if self._responder.is_blocked:
+                reason = "the caller did not read its answer in time"
+                return _Result(_Outcome.UNCLEAR, reason=reason, is_unread=True)
             return _Result(_Outcome.UNCLEAR, reason="timed out")
         except LinkError as exc:
             if exc.failure is LinkFailure.NOT_SENT:
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_errors.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_errors.py
@@ -18,6 +18,7 @@
     HEADERS_TOO_LARGE = "headers_too_large"
     BODY_TOO_LARGE = "body_too_large"
     SLOW_CALLER = "slow_caller"
+    MEMORY_FULL = "memory_full"
     RATE_LIMITED = "rate_limited"
     NO_CONFIGURATION = "no_configuration"
     NO_ENDPOINT = "no_endpoint"
@@ -41,6 +42,7 @@
     ErrorCode.HEADERS_TOO_LARGE: 431,
     ErrorCode.INTERNAL: 500,
     ErrorCode.ENDPOINT_FAILED: 502,
+    ErrorCode.MEMORY_FULL: 503,
     ErrorCode.NO_CONFIGURATION: 503,
     ErrorCode.NO_ENDPOINT: 503,
     ErrorCode.ENDPOINTS_FULL: 503,
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_front.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_front.py
@@ -1,6 +1,7 @@
 """HTTP server for callers: requests on a connection are answered one at a time, in order."""
 
 import asyncio
+import random
 from collections import deque
 from collections.abc import Awaitable, Callable, Iterable
 
@@ -10,6 +11,7 @@
 
 from vanillashore_gateway._domain import CallerLimits, Header
 from vanillashore_gateway._errors import ErrorCode, RefusalError, Refused
+from vanillashore_gateway._held_bytes import Admission, CallerAccount, HeldBytes
 from vanillashore_gateway._http_messages import RequestHead, render_headers
 
 MAX_PIPELINED = 16  # Requests that may be queued on a connection.
@@ -17,6 +19,8 @@
 LINGER_S = 2.0  # For a caller to read the last answer and close.
 # At a stopping entry, for the next request of a caller whose answer did not announce the close.
 MAX_IDLE_AT_STOP_S = 0.5
+UNREAD_CHECK_S = (0.005, 0.25)  # First and longest interval at which an unread answer is checked.
+MEMORY_RETRY_AFTER_S = 1.0  # Bodies that take up the room are answered or timed out in seconds.
 REASON_PHRASES = {
     200: b"OK",
     400: b"Bad Request",
@@ -57,6 +61,7 @@
     handler: Handler
     clock: Callable[[], float]
     limits: CallerLimits = attrs.field(factory=CallerLimits)
+    held: HeldBytes = attrs.field(factory=HeldBytes)
     is_closing: bool = False
     connections: set["CallerConnection"] = attrs.field(factory=set)
     _all_closed: "asyncio.Future[None] | None" = None
@@ -84,6 +89,15 @@
         self.on_begin: Callable[[], None] = lambda: None
         self._is_chunked = False
 
+    @property
+    def is_blocked(self) -> bool:
+        """Whether the answer is held up by a caller who does not read it."""
+        return self._conn.is_blocked
+
+    def set_deadline(self, deadline: float) -> None:
+        """Set the time until which an unread answer is kept at least."""
+        self._conn.answer_deadline = deadline
+
     def begin(
         self, status: int, reason: bytes, headers: Iterable[Header], length: int | None
     ) -> None:
@@ -121,7 +135,10 @@
 
     def abort(self) -> None:
         """Abort the connection, so that a partial answer does not look complete."""
-        self._conn.abort()
+        if self._conn.is_blocked:
+            self._conn.abort_unread()
+        else:
+            self._conn.abort()
 
 
 class CallerConnection(asyncio.Protocol):
@@ -144,6 +161,9 @@
         self._is_failed = False
         self._is_lingering = False
         self._close_requested = False
+        self._account = CallerAccount(settings.held, self._on_room)
+        self.answer_deadline = 0.0
+        self.is_blocked = False
         self.has_announced_close = False
 
     @property
@@ -165,9 +185,59 @@
         self._transport.write(data)
 
     async def drain(self) -> None:
-        """Wait until the transport accepts more data."""
-        if self._drained is not None:
+        """Wait until the transport accepts more data.
+
+        With a bound on memory, an answer is read on into the transport's buffer while there is
+        room, because an endpoint aborts an answer that stays unread.
+        """
+        if self._drained is None:
+            return
+        if self._settings.held.limits is None:
             await self._drained
+            return
+        until = self._unread_until()
+        while self._drained is not None and not self._count_unread():
+            self.is_blocked = True
+            self._check_unread(until)
+            await asyncio.wait([self._drained], timeout=UNREAD_CHECK_S[1])
+        self.is_blocked = False
+
+    async def _flush(self) -> None:
+        """Wait until the answer has left the process; abort it if that takes too long."""
+        if self._settings.held.limits is None:
+            return
+        until = self._unread_until()
+        pause_s, max_pause_s = 0.0, UNREAD_CHECK_S[1]
+        while self._transport is not None and self._transport.get_write_buffer_size():
+            self._count_unread()
+            self._check_unread(until)
+            await asyncio.sleep(pause_s)
+            pause_s = min(max_pause_s, max(UNREAD_CHECK_S[0], pause_s * 2))
+        self._account.set_unread(0)
+
+    def _unread_until(self) -> float:
+        idle_s = self._settings.limits.idle_timeout_s
+        return max(self.answer_deadline, self._settings.clock() + idle_s)
+
+    def _count_unread(self) -> bool:
+        size = 0 if self._transport is None else self._transport.get_write_buffer_size()
+        return self._account.set_unread(size)
+
+    def _check_unread(self, until: float) -> None:
+        if self._settings.clock() >= until:
+            self.abort_unread()
+            raise CallerDisconnectedError
+
+    def abort_unread(self) -> None:
+        """Abort an answer that its caller reads too slowly."""
+        if self._transport is None or self._transport.is_closing():
+            return
+        self._account.record_unread_abort()
+        unread = self._transport.get_write_buffer_size()
+        log.bind(unread_bytes=unread, held_bytes=self._settings.held.held).warning(
+            "aborted an answer that its caller did not read in time"
+        )
+        self.abort()
 
     def abort(self) -> None:
         """Close at once, discarding unsent data."""
@@ -190,6 +260,7 @@
         """Cancel the active request: its caller has disconnected."""
         self._settings.forget_connection(self)
         self._transport = None
+        self._account.close()
         self._queue.clear()
         if self._timer is not None:
             self._timer.cancel()
@@ -239,17 +310,49 @@
 
     def on_headers_complete(self) -> None:
         """Send the interim answer that an ``Expect: 100-continue`` header asks for."""
+        if not self._is_failed:
+            self._admit()
         expects = [value.lower() for name, value in self._headers if name.lower() == b"expect"]
         if b"100-continue" in expects and not self._is_failed and self._task is None:
             self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
+    def _admit(self) -> None:
+        """Ask for room for the request; pause reading until there is some, or refuse."""
+        lengths = [value for name, value in self._headers if name.lower() == b"content-length"]
+        length = int(lengths[0]) if lengths else 0  # The parser has checked it.
+        admission = self._account.begin(min(length, self._settings.limits.body_bytes))
+        if admission is Admission.REFUSED:
+            self._refuse_for_memory()
+        elif admission is Admission.WAITS:
+            log.bind(held_bytes=self._settings.held.held).info(
+                "reading from a caller pauses until there is memory for its request"
+            )
+            self._transport.pause_reading()
+
+    def _on_room(self) -> None:
+        """Go on with requests that waited for memory."""
+        if self._transport is None or self._transport.is_closing():
+            return
+        self._transport.resume_reading()
+        if self._began_at is not None:
+            self._set_timer(self._settings.limits.header_timeout_s)
+        self._start_next()
+
+    def _refuse_for_memory(self) -> None:
+        after_s = MEMORY_RETRY_AFTER_S * (0.5 + random.random())
+        text = "this entry has no memory left for the request"
+        self._fail(ErrorCode.MEMORY_FULL, text, after_s)
+
     def on_body(self, body: bytes) -> None:
         """Collect bytes of the body."""
         self._body_bytes += len(body)
         if self._body_bytes > self._settings.limits.body_bytes:
             self._fail(ErrorCode.BODY_TOO_LARGE, "the body is too large")
-        else:
-            self._body.append(body)
+        elif not self._is_failed:
+            if self._account.grow(self._body_bytes):
+                self._body.append(body)
+            else:
+                self._refuse_for_memory()
 
     def on_message_complete(self) -> None:
         """Queue a complete request."""
@@ -261,28 +364,51 @@
         self._close_requested = not self._parser.should_keep_alive()
         self._target, self._headers, self._header_bytes = b"", [], 0
         self._body, self._body_bytes, self._began_at = [], 0, None
+        self._account.complete()
         self._cancel_timer()
         self._queue.append(inbound)
         if len(self._queue) > MAX_PIPELINED:
             self._fail(ErrorCode.BAD_REQUEST, "too many requests are pipelined")
         self._start_next()
 
-    def _fail(self, code: ErrorCode, text: str) -> None:
+    def _fail(self, code: ErrorCode, text: str, retry_after_s: float | None = None) -> None:
         if self._is_failed:
             return
         self._is_failed = True
-        self._queue.append(Refused(code, text))
+        self._body = []
+        self._account.drop_partial()
+        if self._account.is_waiting:
+            for _ in range(self._account.drop_waiting()):
+                self._queue.pop()
+            if not self._transport.is_closing():
+                self._transport.resume_reading()
+        self._queue.append(Refused(code, text, retry_after_s))
         self._start_next()
 
+    def _can_serve(self) -> bool:
+        """Whether the next request may be served: it is complete, and there is memory for it."""
+        if not self._queue:
+            return False
+        return isinstance(self._queue[0], Refused) or self._account.can_serve
+
     def _start_next(self) -> None:
-        if self._task is None and self._queue:
+        if self._task is None and self._queue and not self._can_serve():
+            self._set_timer(self._settings.limits.header_timeout_s)
+        elif self._task is None and self._queue:
             self._cancel_timer()
             self._task = asyncio.get_running_loop().create_task(self._serve())
 
     async def _serve(self) -> None:
         try:
-            while self._queue and self._transport is not None:
-                await self._serve_one(self._queue.popleft())
+            while self._transport is not None and self._can_serve():
+                inbound = self._queue.popleft()
+                try:
+                    await self._serve_one(inbound)
+                finally:
+                    if isinstance(inbound, Inbound):
+                        self._account.finish()
+                    del inbound
+                await self._flush()
         except (CallerDisconnectedError, asyncio.CancelledError):
             self.abort()
         finally:
@@ -291,7 +417,7 @@
             return
         if self.has_announced_close:
             self._linger()
-        elif self._began_at is not None:
+        elif self._began_at is not None or self._account.is_waiting:
             self._set_timer(self._settings.limits.header_timeout_s)
         else:
             idle_s = self._settings.limits.idle_timeout_s
@@ -348,7 +474,10 @@
     def _on_timer(self) -> None:
         if self._task is not None:
             return
-        if self._is_lingering or self._began_at is None:
+        if self._account.is_waiting:
+            self._account.record_refusal()
+            self._refuse_for_memory()
+        elif self._is_lingering or self._began_at is None:
             self.close()
         else:
             self._fail(ErrorCode.SLOW_CALLER, "the request did not arrive in time")
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_gateway.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_gateway.py
@@ -33,6 +33,7 @@
     Responder,
 )
 from vanillashore_gateway._generation import GenerationForwarder
+from vanillashore_gateway._held_bytes import HeldBytes, limits_for_memory
 from vanillashore_gateway._job import Job, RetryBudgets, Tools, crash_refusal, give_up_at
 from vanillashore_gateway._limit_requests import RequestLimits
 from vanillashore_gateway._membership import Membership
@@ -86,7 +87,8 @@
     excuses broken answers to requests sent up to 3 s after the signal, which may be handled late.
     The process is killed after ``grace_s``. A long poll of the store waits up to ``watch_s``, which
     limits how long a silent connection stays undetected. A new holder of the duty to give role
-    orders waits for ``order_handover_s`` before its first order.
+    orders waits for ``order_handover_s`` before its first order. With ``memory_mb``, the bytes held
+    for callers are bounded so that the process stays below it; 0 is no bound.
     """
 
     node: str
@@ -103,6 +105,7 @@
     retry_ratio: float = 0.2
     retry_slack: float = 50.0
     quota: QuotaSettings = attrs.field(factory=QuotaSettings)
+    memory_mb: float = 0.0
 
 
 class Gateway:
@@ -110,7 +113,8 @@
 
     def __init__(self, cfg: GatewaySettings, dialect: Dialect, rng: random.Random) -> None:
         self.cfg = cfg
-        self.front = ListenerState(self.handle, now)
+        self.held = HeldBytes(limits_for_memory(cfg.memory_mb))
+        self.front = ListenerState(self.handle, now, held=self.held)
         self.membership = Membership()
         self.pool = ConnectionPool(
             self.membership.record_connection_lost, self.membership.record_unobserved
@@ -141,7 +145,8 @@
         self.restore_listeners: list[Callable[[], None]] = []
         self._synced_at = now()
         self._budgets = RetryBudgets(cfg.retry_ratio * BUDGET_SHARE, cfg.retry_slack * BUDGET_SHARE)
-        sender = Sender(dialect, self.pool, self.balancer, statements, now)
+        has_limits = self.held.limits is not None
+        sender = Sender(dialect, self.pool, self.balancer, statements, now, has_limits)
         self.prefill_estimator = PrefillEstimator(rng)
         self.prefills = PrefillScheduler(
             cfg.node,
@@ -197,6 +202,10 @@
             "vanillashore.endpoints.paused": lambda: self.limits.paused_endpoints,
             "vanillashore.endpoints.leaving": lambda: self.membership.stated_leaving,
             "vanillashore.entries": lambda: self.known_entries,
+            "vanillashore.held_bytes": lambda: self.held.held,
+            "vanillashore.held_bytes.waiting": lambda: self.held.waiting,
+            "vanillashore.held_bytes.refused": lambda: self.held.refused,
+            "vanillashore.held_bytes.unread_aborts": lambda: self.held.unread_aborts,
             "vanillashore.config_version": lambda: self.config_version,
         }
         self.metrics = GatewayMetrics(cfg.node, cfg.data_centre, gauges)
@@ -227,6 +236,7 @@
             try:
                 req = self._dialect.decode_request(inbound.head, inbound.body, inbound.arrived)
                 log_id = req.log_id
+                responder.set_deadline(req.deadline)
                 async with self.shutdown.refuse_at_end() as release:
                     responder.on_begin = release
                     job = await self._admit(req, inbound.received)
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_http_client.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_http_client.py
@@ -14,6 +14,8 @@
 
 CONNECT_TIMEOUT_S = 0.25  # Many round trips between data centres, but well below any target.
 UNACKNOWLEDGED_TIMEOUT_MS = 2_000  # A live peer's kernel acknowledges in milliseconds.
+# The kernel applies the above to a peer with a full receive buffer, too. Shorter requests fit in it.
+LONG_REQUEST_BYTES = 4_096
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
@@ -83,6 +85,7 @@
         self._is_open = False
         self._may_reuse = True
         self._is_paused = False
+        self._is_patient = False
         self.on_lost: Callable[[], None] | None = None
         self.on_closed: Callable[[], None] | None = None
         self.idle_limit_s = DEFAULT_IDLE_LIMIT_S
@@ -103,18 +106,39 @@
         # An endpoint may answer before it has read all of a long request body.
         return self.is_open and self._transport.get_write_buffer_size() == 0
 
-    def send(self, data: bytes, matches: AnswerMatcher | None = None) -> None:
-        """Send a request; raise LinkError (not sent) if the connection is already closed."""
+    def send(
+        self,
+        data: bytes,
+        matches: AnswerMatcher | None = None,
+        max_read_s: float | None = None,
+    ) -> None:
+        """Send a request; raise LinkError (not sent) if the connection is already closed.
+
+        The peer may take ``max_read_s`` to read a long request, and the usual time if it is not
+        given.
+        """
         if not self.is_open or self._transport.is_closing():
             raise LinkError(LinkFailure.NOT_SENT, "the connection is closed")
         self._answer = _Answer(matches, asyncio.get_running_loop().create_future())
         self._parser = httptools.HttpResponseParser(self)
         self._overhead_bytes = 0
+        if max_read_s is not None and len(data) > LONG_REQUEST_BYTES:
+            self._is_patient = True
+            self._set_unacknowledged_timeout(max(UNACKNOWLEDGED_TIMEOUT_MS, int(max_read_s * 1e3)))
         self._transport.write(data)
 
     async def head(self) -> ResponseHead:
         """Wait for the head of the answer."""
-        return await self._answer.head
+        head = await self._answer.head
+        if self._is_patient and self._is_open:
+            self._is_patient = False
+            self._set_unacknowledged_timeout(UNACKNOWLEDGED_TIMEOUT_MS)
+        return head
+
+    def _set_unacknowledged_timeout(self, timeout_ms: int) -> None:
+        sock = self._transport.get_extra_info("socket")
+        with contextlib.suppress(OSError):  # Request time-outs still apply.
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_ms)
 
     async def read(self) -> bytes:
         """Return the next body bytes, ``b""`` at the end; raise LinkError if it is cut off."""
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_sending.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_sending.py
@@ -57,12 +57,15 @@
         balancer: Balancer,
         statements: EndpointStatements,
         clock: Callable[[], float],
+        is_patient: bool = False,
     ) -> None:
+        """Prepare to send; with ``is_patient``, an endpoint may read slowly until the time-out."""
         self._dialect = dialect
         self._pool = pool
         self._balancer = balancer
         self._statements = statements
         self._clock = clock
+        self._is_patient = is_patient
 
     @asynccontextmanager
     async def send(
@@ -90,6 +93,7 @@
             conn.send(
                 self._dialect.encode_outbound(outbound),
                 lambda head: self._dialect.answers_request(head, request_id),
+                head_timeout_s if self._is_patient else None,
             )
             async with asyncio.timeout(head_timeout_s):
                 head = self._dialect.decode_answer(await conn.head())
--- a/packages/vanillashore-standins/src/vanillashore_standins/platform_endpoint.py
+++ b/packages/vanillashore-standins/src/vanillashore_standins/platform_endpoint.py
@@ -16,6 +16,7 @@
 SEAL_PREFIX = "sealed-by-"
 ENDLESS_PAUSE_S = 0.002  # Between parts, so that other endpoints of the process keep working.
 CRASH_DELAY_S = 0.02  # From the head of the answer to the crash.
+SLOW_RECEIVE_BYTES = 4_096  # Receive buffer of an endpoint that reads slowly.
 VERSION = "v1"
 
 
@@ -127,7 +128,8 @@
     ``limit_per_s`` unless it is ``None``, and with ``says_leaving`` all answers say so. ``version``
     is that of the endpoint's software. While ``may_answer`` is not set, answers do not begin, and
     streams pause. While ``retry_after`` is set, requests are turned away with it, and holds too
-    unless ``grants_holds``.
+    unless ``grants_holds``. A plain answer that stays unread for ``unread_s`` is aborted and counted
+    in ``unread_aborts``. The bodies of requests are read only after ``read_delay_s``.
 
     A generation with one of ``crash_parts`` in its prompt, the last part apart, crashes the
     endpoint as the answer begins; the endpoint is back ``down_s`` later and calls ``on_restart``.
@@ -146,6 +148,9 @@
         self.says_leaving = False
         self.retry_after: str | None = None
         self.grants_holds = False
+        self.unread_s: float | None = None
+        self.unread_aborts = 0
+        self.read_delay_s = 0.0
         self.version = VERSION
         self.may_answer = asyncio.Event()
         self.may_answer.set()
@@ -203,6 +208,9 @@
     async def __aenter__(self) -> Self:
         """Start to listen."""
         self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        if self.read_delay_s:  # The kernel is not to read on behalf of the endpoint.
+            sock = self._server.sockets[0]
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SLOW_RECEIVE_BYTES)
         host, port = self._server.sockets[0].getsockname()[:2]
         self.address = f"{host}:{port}"
         return self
@@ -259,6 +267,10 @@
         headers = {
             name.lower(): value for name, value in (line.split(": ", 1) for line in header_lines)
         }
+        if self.read_delay_s and not target.startswith("/-/"):
+            writer.transport.pause_reading()
+            await asyncio.sleep(self.read_delay_s)
+            writer.transport.resume_reading()
         body = await reader.readexactly(int(headers.get("content-length", 0)))
         if target.startswith("/-/"):
             return await self._handle_control(writer, method, target, body)
@@ -402,7 +414,13 @@
                 await asyncio.sleep(0.02)
                 _reset(writer)
             return False
-        await _reply(writer, 200, server_headers, body)
+        try:
+            async with asyncio.timeout(self.unread_s):
+                await _reply(writer, 200, server_headers, body)
+        except TimeoutError:
+            self.unread_aborts += 1
+            _reset(writer)
+            return False
         if fault is Fault.EXTRA_ANSWER:
             await _reply(writer, 200, server_headers, b"the answer once more")
         return True
--- a/packages/vanillashore-standins/src/vanillashore_standins/platform_rig.py
+++ b/packages/vanillashore-standins/src/vanillashore_standins/platform_rig.py
@@ -104,6 +104,7 @@
         engine: EngineOptions | None = None,
         quota: QuotaSettings | None = None,
         entries: int = 1,
+        memory_mb: float = 0.0,
     ) -> None:
         options = engine or EngineOptions()
         self.store = PlatformStoreStandIn()
@@ -117,6 +118,7 @@
         ]
         self.processes: list[GatewayProcess] = []
         self._entries = entries
+        self._memory_mb = memory_mb
         self._quota = quota or QuotaSettings()
         self._stack = AsyncExitStack()
 
@@ -247,6 +249,7 @@
             grace_s=3.0,
             rotation_s=0.2,
             quota=self._quota,
+            memory_mb=self._memory_mb,
         )
 
 
--- a/packages/vanillashore-standins/src/vanillashore_standins/soak/_entries.py
+++ b/packages/vanillashore-standins/src/vanillashore_standins/soak/_entries.py
@@ -24,9 +24,14 @@
 
 
 class EntryProcess:
-    """One entry as a separate process that reaches the store through a proxy."""
+    """One entry as a separate process that reaches the store through a proxy.
 
-    def __init__(self, name: str, store_address: str, folder: Path, mutant: str) -> None:
+    With ``memory_mb`` its settings state a limit on its memory.
+    """
+
+    def __init__(
+        self, name: str, store_address: str, folder: Path, mutant: str, memory_mb: int = 0
+    ) -> None:
         self.name = name
         self.store_proxy = FaultProxy(store_address)
         self.address = ("127.0.0.1", 0)
@@ -34,6 +39,7 @@
         self._folder = folder
         self._log_path = folder / f"{name}.log"
         self._mutant = mutant
+        self._memory_mb = memory_mb
         self._interruptions: list[TimeSpan] = []
         self._process: asyncio.subprocess.Process | None = None
 
@@ -42,6 +48,13 @@
         """Whether the process has ended."""
         return self._process.returncode is not None
 
+    @property
+    def peak_memory_mib(self) -> float:
+        """Largest resident memory of the process so far."""
+        status = Path(f"/proc/{self._process.pid}/status").read_text(encoding="utf-8")
+        (line,) = [line for line in status.splitlines() if line.startswith("VmHWM:")]
+        return int(line.split()[1]) / 1_024
+
     @property
     def last_line(self) -> str:
         """Last line of the process's log."""
@@ -58,6 +71,8 @@
             f"platform.address={self.store_proxy.address}\nbounds.grace_s={GRACE_S}\n"
             "bounds.retry_slack=1000\nbounds.quota_slack=190000\n"
         )
+        if self._memory_mb:
+            settings += f"limits.memory_mb={self._memory_mb}\n"
         (self._folder / f"{self.name}.conf").write_text(settings)
         await self.start()
         return self
--- /dev/null
+++ b/tests/gateway/test_held_bytes.py
@@ -0,0 +1,154 @@
+"""Counting what an entry holds for its callers; no network."""
+
+import pytest
+
+from vanillashore_gateway._held_bytes import (
+    LARGE_BODY_BYTES,
+    MAX_WAITING,
+    MEMORY_PER_HELD_BYTE,
+    MIB,
+    REQUEST_BYTES,
+    Admission,
+    CallerAccount,
+    HeldBytes,
+    HeldLimits,
+    limits_for_memory,
+)
+
+MAX_BODY_BYTES = 4 * MIB
+SMALL = 1_000
+BODY = 10 * LARGE_BODY_BYTES
+
+
+def _held(bodies: int) -> HeldBytes:
+    """Return a counter with room for some requests that have large bodies."""
+    total = bodies * (REQUEST_BYTES + BODY)
+    return HeldBytes(HeldLimits(per_caller=2 * (REQUEST_BYTES + BODY), total=total))
+
+
+def _fill(held: HeldBytes, bodies: int) -> list[CallerAccount]:
+    accounts = [CallerAccount(held) for _ in range(bodies)]
+    for account in accounts:
+        assert account.begin(BODY) is Admission.ADMITTED
+        account.complete()
+    return accounts
+
+
+def test_limits_follow_from_the_memory_of_the_process() -> None:
+    assert limits_for_memory(0) is None
+    limits = limits_for_memory(128)
+    assert limits.total * MEMORY_PER_HELD_BYTE < 128 * MIB
+    assert limits.per_caller >= MAX_BODY_BYTES + REQUEST_BYTES
+    assert limits_for_memory(10).total > 0
+
+
+def test_without_limits_everything_is_admitted_and_counted() -> None:
+    held = HeldBytes()
+    accounts = [CallerAccount(held) for _ in range(1_000)]
+    assert all(a.begin(MAX_BODY_BYTES) is Admission.ADMITTED for a in accounts)
+    assert all(a.set_unread(MAX_BODY_BYTES) for a in accounts)
+    assert held.held == 1_000 * (2 * MAX_BODY_BYTES + REQUEST_BYTES)
+
+
+def test_large_body_over_the_bound_is_refused_and_fits_after_a_release() -> None:
+    held = _held(2)
+    first, _ = _fill(held, 2)
+    late = CallerAccount(held)
+    assert late.begin(BODY) is Admission.REFUSED
+    assert held.refused == 1
+    first.finish()
+    assert late.begin(BODY) is Admission.ADMITTED
+
+
+def test_small_requests_wait_in_order_and_are_not_overtaken() -> None:
+    held = _held(2)
+    first, _ = _fill(held, 2)
+    admitted: list[int] = []
+    waiting = [CallerAccount(held, lambda n=n: admitted.append(n)) for n in range(3)]
+    assert [a.begin(SMALL) for a in waiting] == [Admission.WAITS] * 3
+    assert not any(a.can_serve for a in waiting)
+    assert admitted == []
+    first.finish()
+    assert admitted == [0, 1, 2]
+    assert all(a.can_serve for a in waiting)
+
+
+def test_a_new_request_does_not_overtake_one_that_waits() -> None:
+    limits = HeldLimits(per_caller=10 * REQUEST_BYTES, total=10 * REQUEST_BYTES)
+    held = HeldBytes(limits)
+    occupant = CallerAccount(held)
+    assert occupant.begin(limits.total - 2 * REQUEST_BYTES) is Admission.ADMITTED
+    assert CallerAccount(held).begin(LARGE_BODY_BYTES) is Admission.WAITS
+    assert CallerAccount(held).begin(0) is Admission.WAITS
+
+
+def test_caller_over_its_own_bound_waits_for_its_earlier_requests_and_holds_up_no_other() -> None:
+    held = _held(8)
+    account = CallerAccount(held)
+    for _ in range(2):
+        assert account.begin(BODY) is Admission.ADMITTED
+        account.complete()
+    assert account.begin(BODY) is Admission.WAITS
+    account.complete()
+    assert CallerAccount(held).begin(BODY) is Admission.ADMITTED
+    assert account.can_serve
+    account.finish()
+    assert not account.is_waiting
+
+
+def test_only_a_bounded_number_of_callers_waits() -> None:
+    held = _held(1)
+    _fill(held, 1)
+    accounts = [CallerAccount(held) for _ in range(MAX_WAITING + 1)]
+    admissions = [a.begin(SMALL) for a in accounts]
+    assert admissions == [Admission.WAITS] * MAX_WAITING + [Admission.REFUSED]
+
+
+def test_body_of_unknown_length_is_admitted_in_steps_up_to_the_bound() -> None:
+    held = _held(1)
+    account = CallerAccount(held)
+    assert account.begin(0) is Admission.ADMITTED
+    received = 0
+    while account.grow(received):
+        received += 16_000
+        assert received < held.limits.total
+    assert held.held <= held.limits.total
+    account.drop_partial()
+    assert held.held == 0
+
+
+def test_unread_answer_stops_the_reading_at_the_bounds() -> None:
+    held = _held(4)
+    account = CallerAccount(held)
+    assert account.set_unread(held.limits.per_caller)
+    assert not account.set_unread(held.limits.per_caller + 1)
+    assert account.set_unread(held.limits.per_caller)
+    _fill(held, 2)
+    other = CallerAccount(held)
+    assert not other.set_unread(1)
+
+
+@pytest.mark.parametrize("is_partial", [False, True])
+def test_close_releases_everything_once(is_partial: bool) -> None:
+    held = _held(2)
+    account = CallerAccount(held)
+    account.begin(BODY)
+    if not is_partial:
+        account.complete()
+    account.set_unread(5)
+    account.close()
+    account.finish()
+    account.set_unread(0)
+    assert held.held == 0
+
+
+def test_requests_that_wait_in_vain_are_dropped_without_a_trace() -> None:
+    held = _held(1)
+    (first,) = _fill(held, 1)
+    account = CallerAccount(held)
+    account.begin(SMALL)
+    account.complete()
+    account.begin(SMALL)
+    assert account.drop_waiting() == 1
+    first.finish()
+    assert (held.held, held.waiting) == (0, 0)
