--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_calls.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_calls.py
@@ -45,7 +45,7 @@
     """Result of one send attempt.
 
     A long answer ``is_relayed`` to the caller already. A request that was not sent ``is_withheld``
-    if the endpoint was not to get it.
+    if the endpoint was not to get it. An answer ``is_unread`` if its caller read it too slowly.
     """
 
     outcome: _Outcome
@@ -55,6 +55,7 @@
     is_broken: bool = False
     is_relayed: bool = False
     is_withheld: bool = False
+    is_unread: bool = False
 
 
 class CallForwarder:
@@ -114,7 +115,7 @@
         if result.outcome is _Outcome.NOT_RUN:
             # The endpoint is full or paused, which is no failure; it has no room for the moment.
             tools.balancer.record_full(endpoint, tools.clock())
-        elif not result.is_withheld:
+        elif not result.is_withheld and not result.is_unread:
             is_healthy = result.outcome is _Outcome.ANSWERED and not _is_failure(result)
             tools.balancer.record_result(endpoint, is_healthy, tools.clock())
             # The time of a relayed answer depends on how fast the caller reads.
@@ -191,6 +192,9 @@
                     await self._relay(sent, body)
                     return _Result(_Outcome.ANSWERED, sent.head, is_relayed=True)
         except TimeoutError:
+            if self._responder.is_blocked:
+                reason = "the caller did not read its answer in time"
+                return _Result(_Outcome.UNCLEAR, reason=reason, is_unread=True)
             return _Result(_Outcome.UNCLEAR, reason="timed out")
         except LinkError as exc:
             if exc.failure is LinkFailure.NOT_SENT:
@@ -214,8 +218,10 @@
         head = sent.head
         self._responder.begin(head.status, head.reason, end_to_end(head.headers), None)
         await self._responder.write(body)
+        del body
         while data := await sent.read():
             await self._responder.write(data)
+            del data
         self._responder.finish()
 
     def _resend_after_share(self) -> float:
--- a/packages/vanillashore-standins/src/vanillashore_standins/platform_rig.py
+++ b/packages/vanillashore-standins/src/vanillashore_standins/platform_rig.py
@@ -107,6 +107,7 @@
         quota: QuotaSettings | None = None,
         entries: int = 1,
         data_centres: int = 1,
+        memory_mb: float = 0.0,
     ) -> None:
         options = engine or EngineOptions()
         self.store = PlatformStoreStandIn()
@@ -123,6 +124,7 @@
                 endpoint.data_centre = f"dc-{'abcd'[number % data_centres]}"
         self.processes: list[GatewayProcess] = []
         self._entries = entries
+        self._memory_mb = memory_mb
         self._quota = quota or QuotaSettings()
         self._stack = AsyncExitStack()
 
@@ -268,6 +270,7 @@
             grace_s=3.0,
             rotation_s=0.2,
             quota=self._quota,
+            memory_mb=self._memory_mb,
         )
 
 
