--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_platform_store.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_platform_store.py
@@ -104,6 +104,7 @@
     software: str
 
 
+@attrs.frozen
 class EvacuationRequested:
     """Nothing more is to be sent to the endpoints of a data centre."""
 
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_slot_requests.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_slot_requests.py
@@ -208,8 +208,7 @@
 
     def _answer(self, address: Address, service: Service, number: int, fields: list[Any]) -> None:
         try:
-            *known, avoided, is_repeated = fields[: len(attrs.fields(SlotAsk))]
-            ask = SlotAsk(*known, tuple(map(str, avoided)), bool(is_repeated))
+            ask = _decode_ask(fields)
         except (TypeError, ValueError) as exc:
             log.bind(sender=address, reason=str(exc)).warning("ignored a malformed datagram")
             return
@@ -290,3 +289,24 @@
     def _send_to(self, address: Address, row: list[Any]) -> None:
         if self._transport is not None:
             self._transport.sendto(orjson.dumps(row), address)
+
+
+def _decode_ask(fields: list[Any]) -> SlotAsk:
+    """Decode the fields of a request; raise TypeError or ValueError if they are malformed."""
+    rank, tokens, output_tokens, *times, data_centre, workspace, repeat_key, avoided, again = fields[
+        : len(attrs.fields(SlotAsk))
+    ]
+    on_time_s, wait_s, left_s = map(float, times)
+    return SlotAsk(
+        int(rank),
+        max(1, int(tokens)),
+        max(0, int(output_tokens)),
+        on_time_s,
+        wait_s,
+        left_s,
+        str(data_centre),
+        str(workspace),
+        str(repeat_key),
+        tuple(map(str, avoided)),
+        bool(again),
+    )
