--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_slot_requests.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_slot_requests.py
@@ -293,9 +293,8 @@
 
 def _decode_ask(fields: list[Any]) -> SlotAsk:
     """Decode the fields of a request; raise TypeError or ValueError if they are malformed."""
-    rank, tokens, output_tokens, *times, data_centre, workspace, repeat_key, avoided, again = fields[
-        : len(attrs.fields(SlotAsk))
-    ]
+    known = fields[: len(attrs.fields(SlotAsk))]
+    rank, tokens, output_tokens, *times, data_centre, workspace, repeat_key, avoided, again = known
     on_time_s, wait_s, left_s = map(float, times)
     return SlotAsk(
         int(rank),
