Count what generations hold on average, and refusals by rank and workspace

Change: the ledger counts a prompt and half of the answer; an answer's token counts ten times in the size. The counter of refusals and their log lines name rank and workspace.

--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_gateway.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_gateway.py
@@ -282,14 +282,14 @@
             except RefusalError as exc:
                 refused = exc.refused if job is None else job.state_run(exc.refused)
                 status = refused.status
-                self._refuse(inbound, responder, log_id, refused)
+                self._refuse(inbound, responder, log_id, refused, job)
             except CallerDisconnectedError:
                 raise
             except Exception as exc:
                 log.bind(request=log_id, error=repr(exc)).exception("a request failed unexpectedly")
                 refused = Refused(ErrorCode.INTERNAL, "the entry failed to handle the request")
                 status = refused.status
-                self._refuse(inbound, responder, log_id, refused)
+                self._refuse(inbound, responder, log_id, refused, job)
         except BaseException:
             bound = log.bind(request=log_id, route=route_name, begun=responder.has_begun)
             if self.shutdown.has_ended:
@@ -474,8 +474,15 @@
         return CallForwarder(self._tools, job)
 
     def _refuse(
-        self, inbound: Inbound, responder: Responder, log_id: str, refused: Refused
+        self,
+        inbound: Inbound,
+        responder: Responder,
+        log_id: str,
+        refused: Refused,
+        job: Job | None,
     ) -> None:
+        rank = None if job is None else job.rank
+        workspace = None if job is None else job.workspace
         log.bind(
             request=log_id,
             code=refused.code.value,
@@ -484,8 +491,10 @@
             config=self.config_version,
             held_s=round(now() - inbound.arrived, 4),
             begun=responder.has_begun,
+            rank=rank,
+            workspace=workspace,
         ).info("refused")
-        self.metrics.record_refusal(refused.code.value)
+        self.metrics.record_refusal(refused.code.value, rank, workspace)
         if responder.has_begun:
             responder.abort()
             return
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_instruments.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_instruments.py
@@ -40,9 +40,12 @@
         attributes = {"http.route": route, "http.response.status_code": status}
         self._duration.record(duration_s, attributes)
 
-    def record_refusal(self, code: str) -> None:
+    def record_refusal(self, code: str, rank: int | None, workspace: str | None) -> None:
         """Count a refusal."""
-        self._refusals.add(1, {"error.type": code})
+        attributes: dict[str, str | int] = {"error.type": code}
+        if rank is not None:
+            attributes |= {"vanillashore.rank": rank, "vanillashore.workspace": workspace or ""}
+        self._refusals.add(1, attributes)
 
     def record_ignored_datagram(self) -> None:
         """Count a datagram that was ignored."""
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_metrics.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_metrics.py
@@ -40,9 +40,12 @@
         """Record a completed request; ``status`` is 0 if the caller disconnected."""
         self._record(lambda instruments: instruments.record_request(route, status, duration_s))
 
-    def record_refusal(self, code: str) -> None:
-        """Count a request that the gateway refused or gave up."""
-        self._record(lambda instruments: instruments.record_refusal(code))
+    def record_refusal(self, code: str, rank: int | None, workspace: str | None) -> None:
+        """Count a request that the gateway refused or gave up.
+
+        One that was refused before it was admitted has no ``rank`` and no ``workspace``.
+        """
+        self._record(lambda instruments: instruments.record_refusal(code, rank, workspace))
 
     def record_ignored_datagram(self) -> None:
         """Count a datagram of another entry whose kind is unknown."""
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_slot_schedule.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_slot_schedule.py
@@ -18,9 +18,11 @@
 from vanillashore_gateway._domain import Endpoint
 from vanillashore_gateway._service_shares import ServiceShares
 
-# Share of the engines' memory that the expected final sizes of their generations may take. The
-# generations are at different stages, so what they hold at a moment is less.
-FILL_SHARE = 1.0
+# The part of an answer that counts as held in an engine's memory: its generations are at different
+# stages, and hold half of their answers on average.
+HELD_OUTPUT_SHARE = 0.5
+# An answer's token counts as much as this number of prompt tokens in the size of a generation.
+OUTPUT_WEIGHT = 10
 # The part of a generation's value that does not grow with its size.
 FIXED_VALUE = 0.3
 SMOOTHING = 0.05
@@ -66,6 +68,11 @@
     avoided: tuple[str, ...] = ()
     is_repeated: bool = False
 
+    @property
+    def held_tokens(self) -> int:
+        """The memory that the generation holds on average."""
+        return self.tokens - int(self.output_tokens * (1 - HELD_OUTPUT_SHARE))
+
 
 @attrs.frozen
 class Grant:
@@ -179,16 +186,15 @@
         usable = {engine.instance: engine for engine in engines}
         for name in [name for name in self._engines if name not in usable]:
             del self._engines[name]
-        capacity = int(kv_tokens * FILL_SHARE)
         for name, endpoint in usable.items():
             known = self._engines.get(name)
             if known is None:
-                known = _Engine(capacity, endpoint.slots, endpoint.data_centre)
+                known = _Engine(kv_tokens, endpoint.slots, endpoint.data_centre)
                 self._engines[name] = known
                 for key, grant in self._grants.items():
                     if grant.instance == name:
                         self._count(known, key, grant)
-            known.capacity, known.slots = capacity, endpoint.slots
+            known.capacity, known.slots = kv_tokens, endpoint.slots
 
     def ask(
         self, key: Hashable, ask: SlotAsk, decide: Callable[[Decision], None], now: float
@@ -201,12 +207,10 @@
             decide(Grant(grant.instance))
             return
         waiter = self._waiter(ask, decide, now)
-        if ask.is_repeated:
-            waiter.has_returned = True
-        else:
+        if not ask.is_repeated:
             self._record_asked(waiter.work, now)
             self._shares.record_asked(waiter.ask, now)
-        waiter.is_behind = self._shares.is_behind(ask)
+        waiter.is_behind = ask.is_repeated or self._shares.is_behind(ask)
         is_free = not self._waiters and self._choose(ask, now) is not None
         if not is_free and self._is_hopeless(waiter, self._work_ahead(waiter, now), now):
             self._turn_down(waiter, now)
@@ -252,11 +256,11 @@
             self._grant(key, waiter, name, now)
 
     def _waiter(self, ask: SlotAsk, decide: Callable[[Decision], None], now: float) -> _Waiter:
-        size = ask.tokens
+        size = ask.tokens + (OUTPUT_WEIGHT - 1) * ask.output_tokens
         self._mean_size = self._mean_size or size
         self._mean_size += SMOOTHING * (size - self._mean_size)
         value = FIXED_VALUE + (1 - FIXED_VALUE) * size / max(1.0, self._mean_size)
-        work = max(1, ask.tokens) * (START_S + ask.output_tokens * self._token_s)
+        work = max(1, ask.held_tokens) * (START_S + ask.output_tokens * self._token_s)
         told_at = self._told.pop(ask.repeat_key, None) if ask.repeat_key else None
         has_returned = told_at is not None and now - told_at < RETURN_S
         return _Waiter(ask, now, value, work, decide, next(self._numbers), has_returned)
@@ -340,7 +344,7 @@
     def _choose(self, ask: SlotAsk, now: float) -> str | None:
         best, best_free = None, -1.0
         for name, engine in self._engines.items():
-            if name in ask.avoided or not engine.fits(ask.tokens, now):
+            if name in ask.avoided or not engine.fits(ask.held_tokens, now):
                 continue
             free = 1 - engine.used / max(1, engine.capacity)
             free += REMOTE_SHARE * (engine.data_centre == ask.data_centre)
@@ -353,7 +357,7 @@
         ask = waiter.ask
         expected_s = START_S + ask.output_tokens * self._token_s
         expires_at = now + expected_s * LOST_FACTOR + LOST_MARGIN_S
-        grant = _Grant(name, ask.tokens, ask.output_tokens, now, expires_at)
+        grant = _Grant(name, ask.held_tokens, ask.output_tokens, now, expires_at)
         del self._waiters[key]
         self._grants[key] = grant
         self._count(self._engines[name], key, grant)
