--- a/review/3/case.py
+++ b/review/3/case.py
@@ -19,9 +19,9 @@
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 SERVICE, HOST, KEY = "baker-assistant", "shop.example", "k3y0001"
-PLAY_S = 64.0
+PLAY_S = 98.0
 DOSE = 0.03  # Share of the answers of the faulty engine, one of three, that are sent twice.
-FAULT_S, PAUSE_S = 5.0, 3.0  # Each disruption, and the pause between two.
+FAULT_S, PAUSE_S = 5.0, 2.0  # Each disruption, and the pause between two.
 TARGET_MS, DEADLINE_MS = 900, 14000
 SLOTS, STREAM_S = 4, 0.3
 CLIENTS = 11  # They send one request after the other; two decode engines run eight streams.
@@ -87,7 +87,7 @@
         if number != window[0]:
             window[:] = [int(number), faulty.answers, faulty.extras]
         copies, answered = faulty.extras - window[2], faulty.answers - window[1]
-        return rng.random() < DOSE and copies + 1 <= DOSE * answered
+        return rng.random() < 2 * DOSE and copies + 1 <= DOSE * answered
 
     faulty.sends_extra = sends_extra
     answers: dict[str, tuple[int, bool]] = {}
@@ -122,8 +122,6 @@
             await asyncio.sleep(1.0)
             if entry.process.poll() is not None:
                 raise RuntimeError(f"the entry has ended: {entry.log_tail()}")
-            if os.environ.get("KEEP_LOG"):
-                Path(os.environ["KEEP_LOG"]).write_text(entry.log_text(), encoding="utf-8")
         finally:
             entry.end()
     runs = Counter(run[1] for engine in engines for run in engine.runs)
