--- a/review/lib/reviewkit/plain.py
+++ b/review/lib/reviewkit/plain.py
@@ -32,6 +32,7 @@
         self.service = service
         self.address = ""
         self.runs: list[Run] = []
+        self.bodies: dict[str, bytes] = {}
         self.sends_extra: Callable[[int], bool] = lambda status: False
         self.answers = 0
         self.extras = 0
@@ -97,6 +98,7 @@
             async with self._free:
                 at = self._record.add(f"{self.instance}: runs {request_id}")
                 self.runs.append((at, request_id, self.instance, request.headers))
+                self.bodies[request_id] = request.body
                 await asyncio.sleep(random.uniform(*self._work_s))
             body = f"answer to {request_id} by {self.instance}\n".encode()
             seal = {"X-Server-Seal": f"{self.instance}.{request_id}"}
