--- a/review/lib/reviewkit/engine.py
+++ b/review/lib/reviewkit/engine.py
@@ -147,10 +147,9 @@
             await self._stream(request, writer, echoed | seal, gone)
         finally:
             self._running -= 1
-            if not gone.done():
-                gone.cancel()
-                with contextlib.suppress(asyncio.CancelledError):
-                    await gone
+            gone.cancel()
+            with contextlib.suppress(asyncio.CancelledError, OSError):
+                await gone
         return b""
 
     async def _stream(
