--- a/review/5/case.py
+++ b/review/5/case.py
@@ -24,8 +24,8 @@
 INPUT, OUTPUT = 3000, 66
 RATE, BURST = 47_000, 47_000
 WINDOW_S, OVERAGE, SLACK = 8.0, 0.1, 190_000
-USUAL_PER_S, HOT = 2.5, 6.0  # Requests a second at each entry, and the multiple while it presses.
-WARM_S, CUT_S, HOT_AFTER_S, HOT_S = 4.0, 12.0, 4.0, 10.0
+USUAL_PER_S, HOT = 3.0, 6.0  # Requests a second at each entry, and the multiple while it presses.
+WARM_S, CUT_S, HOT_AFTER_S, HOT_S = 4.0, 12.0, 5.0, 10.0
 
 
 def configuration() -> dict[str, object]:
