Log which connection an answer came over, and count extra answers

The logs could not tell a rejection from a late copy of it, nor either from a send that failed: a failed send named neither its connection nor an answer that was skipped there.

An answer that states "not run" is logged with its connection and the number of exchanges on it, and so are skipped answers and unsolicited data, which the metric vanillashore.endpoints.extra_answers counts. A connection reads an answer's id itself in place of a matching function per request; what it accepts is unchanged. The stand-in of an endpoint echoes the id in all answers to requests, as the platform's endpoints do, and can send late copies.

--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_dialect.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_dialect.py
@@ -57,18 +57,17 @@
         """Return the name of a prefilled KV cache; raise ValueError if the body has none."""
         ...
 
-    def answers_request(self, head: ResponseHead, request_id: bytes) -> bool:
-        """Whether an answer belongs to the request with that id."""
+    def answer_id(self, head: ResponseHead) -> bytes | None:
+        """Return the id of the request that an answer belongs to, ``None`` if it bears none.
+
+        Answers to a gateway's own calls bear none.
+        """
         ...
 
     def own_headers(self, request_id: bytes) -> Sequence[Header]:
         """Return the headers for an answer of the gateway itself."""
         ...
 
-    def answers_call(self, head: ResponseHead) -> bool:
-        """Whether an answer may belong to a gateway's own call."""
-        ...
-
     def encode_hold(self, endpoint: Endpoint, tokens: int, ttl_s: float) -> bytes:
         """Encode the call that reserves a slot and memory."""
         ...
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_engine_calls.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_engine_calls.py
@@ -96,7 +96,7 @@
                 self._statements.check(endpoint)
                 conn = await self._pool.acquire_connection(endpoint)
                 self._statements.check(endpoint)
-                conn.send(data, self._dialect.answers_call)
+                conn.send(data)
                 head = await conn.head()
                 self._statements.record_call(endpoint, self._dialect.decode_answer(head))
                 body = await conn.read_to_end(MAX_ANSWER_BYTES)
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_gateway.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_gateway.py
@@ -128,7 +128,9 @@
         self.front = ListenerState(self.handle, now, held=self.held)
         self.membership = Membership()
         self.pool = ConnectionPool(
-            self.membership.record_connection_lost, self.membership.record_unobserved
+            self.membership.record_connection_lost,
+            self.membership.record_unobserved,
+            dialect.answer_id,
         )
         self.balancer = Balancer(cfg.data_centre, rng)
         self.limits = RequestLimits(cfg.node, now, cfg.cold)
@@ -231,6 +233,7 @@
             "vanillashore.endpoints.leaving": lambda: self.membership.stated_leaving,
             "vanillashore.retries.borrowed": lambda: self.budgets.borrowed,
             "vanillashore.retries.denied": lambda: self.budgets.denied,
+            "vanillashore.endpoints.extra_answers": lambda: self.pool.extra_answers,
             "vanillashore.endpoints.cold": lambda: self.limits.cold.cold_endpoints,
             "vanillashore.endpoints.evacuated": lambda: self.membership.evacuated_endpoints,
             "vanillashore.data_centres.evacuated": lambda: len(self.membership.evacuated),
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_http_client.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_http_client.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import itertools
 import socket
 from collections import deque
 from collections.abc import Callable
@@ -9,6 +10,7 @@
 
 import attrs
 import httptools
+from loguru import logger as log
 
 from vanillashore_gateway._http_messages import ResponseHead
 
@@ -27,7 +29,9 @@
 # other requests. Larger than one read from the socket, which may contain a whole answer.
 MAX_OVERHEAD_BYTES = 524_288
 
-AnswerMatcher = Callable[[ResponseHead], bool]
+UNSOLICITED = "closing a connection on which a peer sent more than its answer"
+
+AnswerIdReader = Callable[[ResponseHead], bytes | None]
 
 
 class LinkFailure(StrEnum):
@@ -50,7 +54,7 @@
 class _Answer:
     """The current answer; ``ends_with_connection`` if no header states its length."""
 
-    matches: AnswerMatcher | None
+    exchange_id: bytes
     head: "asyncio.Future[ResponseHead]"
     chunks: deque[bytes] = attrs.field(factory=deque)
     buffered: int = 0
@@ -64,17 +68,25 @@
 class HttpConnection(asyncio.Protocol):
     """One client connection.
 
-    ``matches`` checks whether an answer belongs to the request; other answers are skipped. A
+    With a reader of ``answer_id``, answers that bear the id of another exchange are skipped. A
     connection on which unsolicited data arrives is closed::
 
         conn = await open_connection("127.0.0.1", 8080)
-        conn.send(data, matches=None)
+        conn.answer_id = lambda head: head.first(b"x-request-id")
+        conn.send(data, b"request-1")
         head = await conn.head()
         while chunk := await conn.read():
             ...
+
+    ``number`` identifies the connection in the logs, and ``uses`` counts its exchanges.
     """
 
+    _numbers = itertools.count(1)
+
     def __init__(self) -> None:
+        self.number = next(self._numbers)
+        self.uses = 0
+        self.answer_id: AnswerIdReader | None = None
         self._transport: asyncio.Transport | None = None
         self._parser: httptools.HttpResponseParser | None = None
         self._answer: _Answer | None = None
@@ -86,6 +98,7 @@
         self._may_reuse = True
         self._is_paused = False
         self._is_patient = False
+        self.on_extra_answer: Callable[[], None] | None = None
         self.on_lost: Callable[[], None] | None = None
         self.on_closed: Callable[[], None] | None = None
         self.idle_limit_s = DEFAULT_IDLE_LIMIT_S
@@ -109,17 +122,18 @@
     def send(
         self,
         data: bytes,
-        matches: AnswerMatcher | None = None,
+        exchange_id: bytes = b"",
         max_read_s: float | None = None,
     ) -> None:
         """Send a request; raise LinkError (not sent) if the connection is already closed.
 
-        The peer may take ``max_read_s`` to read a long request, and the usual time if it is not
-        given.
+        The answer bears ``exchange_id``, or no id. The peer may take ``max_read_s`` to read a long
+        request, and the usual time if it is not given.
         """
         if not self.is_open or self._transport.is_closing():
             raise LinkError(LinkFailure.NOT_SENT, "the connection is closed")
-        self._answer = _Answer(matches, asyncio.get_running_loop().create_future())
+        self.uses += 1
+        self._answer = _Answer(exchange_id, asyncio.get_running_loop().create_future())
         self._parser = httptools.HttpResponseParser(self)
         self._overhead_bytes = 0
         if max_read_s is not None and len(data) > LONG_REQUEST_BYTES:
@@ -210,6 +224,7 @@
     def data_received(self, data: bytes) -> None:
         """Parse received bytes."""
         if self._answer is None or self._answer.is_complete or self._answer.error is not None:
+            self._record_extra(UNSOLICITED)
             self.abort()
             return
         self._overhead_bytes += len(data)
@@ -231,6 +246,7 @@
         self._head_bytes = 0
         self._reason = b""
         if self._answer.is_complete:
+            self._record_extra(UNSOLICITED)
             self._may_reuse = False
 
     def on_status(self, status: bytes) -> None:
@@ -248,9 +264,7 @@
         answer = self._answer
         status = self._parser.get_status_code()
         head = ResponseHead(status, self._reason, tuple(self._headers))
-        answer.is_skipped = status < 200 or (
-            answer.matches is not None and not answer.matches(head)
-        )
+        answer.is_skipped = status < 200 or not self._belongs(head)
         if answer.is_complete or answer.is_skipped:
             return
         if not self._parser.should_keep_alive():
@@ -264,6 +278,27 @@
         if not answer.head.done():
             answer.head.set_result(head)
 
+    def _belongs(self, head: ResponseHead) -> bool:
+        """Whether an answer may belong to the current exchange."""
+        answer_id = None if self.answer_id is None else self.answer_id(head)
+        if answer_id in (None, self._answer.exchange_id):
+            return True
+        self._record_extra("skipped an answer to another request", head.status, answer_id)
+        return False
+
+    def _record_extra(self, text: str, status: int = 0, answer_id: bytes = b"") -> None:
+        """Record what belongs to no request in progress; a ``status`` of 0 is unknown."""
+        exchange_id = b"" if self._answer is None else self._answer.exchange_id
+        log.bind(
+            link=self.number,
+            use=self.uses,
+            request=exchange_id.decode("latin-1"),
+            status=status,
+            answer_id=answer_id.decode("latin-1"),
+        ).warning(text)
+        if self.on_extra_answer is not None:
+            self.on_extra_answer()
+
     def on_body(self, body: bytes) -> None:
         """Queue bytes of the body."""
         answer = self._answer
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_pool.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_pool.py
@@ -6,7 +6,12 @@
 from functools import partial
 
 from vanillashore_gateway._domain import Endpoint
-from vanillashore_gateway._http_client import HttpConnection, LinkError, open_connection
+from vanillashore_gateway._http_client import (
+    AnswerIdReader,
+    HttpConnection,
+    LinkError,
+    open_connection,
+)
 
 MAX_IDLE_PER_ENDPOINT = 8  # Usual rates need no more, and all endpoints share a limit.
 # Longest idle time of a connection for a request that must not run twice: the endpoint may be
@@ -19,16 +24,22 @@
 
     ``record_lost`` is called with the instance of an endpoint that has ended a connection by
     itself, or does not accept one; ``record_unobserved`` when no connection to it is left.
+    ``answer_id`` reads the id of an answer.
     """
 
     def __init__(
-        self, record_lost: Callable[[str], None], record_unobserved: Callable[[str], None]
+        self,
+        record_lost: Callable[[str], None],
+        record_unobserved: Callable[[str], None],
+        answer_id: AnswerIdReader | None = None,
     ) -> None:
         self._record_lost = record_lost
         self._record_unobserved = record_unobserved
+        self._answer_id = answer_id
         self._open: Counter[str] = Counter()
         self._idle: dict[str, list[HttpConnection]] = defaultdict(list)
         self.opened = 0
+        self.extra_answers = 0
 
     async def acquire_connection(
         self, endpoint: Endpoint, must_be_fresh: bool = False
@@ -51,6 +62,8 @@
         except LinkError:
             self._record_lost(endpoint.instance)
             raise
+        conn.answer_id = self._answer_id
+        conn.on_extra_answer = self._count_extra_answer
         conn.on_lost = partial(self._record_lost, endpoint.instance)
         if conn.is_open:  # The endpoint may have reset it already.
             conn.on_closed = partial(self._record_closed, endpoint.instance)
@@ -74,6 +87,9 @@
         for conn in self._idle.pop(instance, []):
             conn.abort()
 
+    def _count_extra_answer(self) -> None:
+        self.extra_answers += 1
+
     def _record_closed(self, instance: str) -> None:
         self._open[instance] -= 1
         if not self._open[instance]:
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_sending.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_sending.py
@@ -6,6 +6,7 @@
 from contextlib import asynccontextmanager
 
 import attrs
+from loguru import logger as log
 
 from vanillashore_gateway._balancing import Balancer
 from vanillashore_gateway._dialect import Dialect, OutboundRequest
@@ -89,15 +90,16 @@
             self._statements.check(endpoint)
             conn = await self._connect(endpoint, must_be_fresh)
             self._statements.check(endpoint)
-            request_id = outbound.req.request_id
             conn.send(
                 self._dialect.encode_outbound(outbound),
-                lambda head: self._dialect.answers_request(head, request_id),
+                outbound.req.request_id,
                 head_timeout_s if self._is_patient else None,
             )
             async with asyncio.timeout(head_timeout_s):
                 head = self._dialect.decode_answer(await conn.head())
             self._statements.record_answer(endpoint, head, known_limit, outbound.req.log_id)
+            if head.was_not_run:
+                _log_not_run(outbound, head, conn)
             if 200 <= head.status < 300 and not head.is_sealed and not outbound.is_prefill:
                 raise LinkError(
                     LinkFailure.GARBLED, "the successful answer does not carry an endpoint's seal"
@@ -119,3 +121,9 @@
             if exc.failure is LinkFailure.NOT_SENT:
                 self._balancer.record_unreachable(endpoint, self._clock())
             raise
+
+
+def _log_not_run(outbound: OutboundRequest, head: AnswerHead, conn: HttpConnection) -> None:
+    log.bind(request=outbound.req.log_id, endpoint=outbound.endpoint.instance).bind(
+        status=head.status, link=conn.number, use=conn.uses
+    ).info("an endpoint states that it has not run the request")
--- a/packages/vanillashore-standins/src/vanillashore_standins/platform_endpoint.py
+++ b/packages/vanillashore-standins/src/vanillashore_standins/platform_endpoint.py
@@ -120,6 +120,25 @@
     trickle_s: float = 0.2
 
 
+class _Recorder:
+    """Passes on to a stream writer, and keeps the answer to the current request."""
+
+    def __init__(self, writer: asyncio.StreamWriter) -> None:
+        self._writer = writer
+        self.target = ""
+        self.answer = bytearray()
+
+    def write(self, data: bytes) -> None:
+        self.answer += data
+        self._writer.write(data)
+
+    def write_unrecorded(self, data: bytes) -> None:
+        self._writer.write(data)
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self._writer, name)
+
+
 class EndpointStandIn:
     """Serves one instance on a loopback port.
 
@@ -131,6 +150,9 @@
     unless ``grants_holds``. A plain answer that stays unread for ``unread_s`` is aborted, which
     ``unread_aborts`` counts. The bodies of requests are read only after ``read_delay_s``.
 
+    After an answer for which ``copies_late``, called with the request's target and the answer, is
+    true, a copy of it arrives with the answer to the next request on the connection.
+
     The record states ``cold_ms``, and answers state ``states_cold_ms`` if it is not 0.
 
     A generation with one of ``crash_parts`` in its prompt, the last part apart, crashes the
@@ -170,6 +192,8 @@
         self.dropped_holds: list[str] = []
         self.disconnected_requests: list[str] = []
         self.broken_requests: set[str] = set()
+        self.copies_late: Callable[[str, bytes], bool] | None = None
+        self.late_copies = 0
         self.connections = 0
         self.address = ""
         self._writers: set[asyncio.StreamWriter] = set()
@@ -260,12 +284,13 @@
         # At the end of a test the loop cancels connections that are still open.
         expected_errors = (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError)
         with contextlib.suppress(*expected_errors):
-            while await self._serve_one(reader, writer):
+            recorder = _Recorder(writer)
+            while await self._serve_one(reader, recorder):
                 pass
         self._writers.discard(writer)
         writer.close()
 
-    async def _serve_one(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> bool:
+    async def _serve_one(self, reader: asyncio.StreamReader, writer: "_Recorder") -> bool:
         head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
         request_line, *header_lines = head.strip().split("\r\n")
         method, target, _ = request_line.split(" ")
@@ -277,6 +302,8 @@
             await asyncio.sleep(self.read_delay_s)
             writer.transport.resume_reading()
         body = await reader.readexactly(int(headers.get("content-length", 0)))
+        if self.copies_late is not None:
+            self._send_late_copy(writer, target)
         if target.startswith("/-/"):
             return await self._handle_control(writer, method, target, body)
         fault = self.faults.popleft() if self.faults else Fault.NONE
@@ -305,6 +332,14 @@
         finally:
             self._active.discard(request_id)
 
+    def _send_late_copy(self, writer: "_Recorder", target: str) -> None:
+        """Send the answer before once more, if it is to be copied, and record the next one."""
+        before, answer = writer.target, bytes(writer.answer)
+        writer.target, writer.answer = target, bytearray()
+        if answer and self.copies_late(before, answer):
+            self.late_copies += 1
+            writer.write_unrecorded(answer)
+
     async def _answer_or_leave(
         self,
         reader: asyncio.StreamReader,
@@ -346,9 +381,10 @@
 
     async def _answer(self, writer: asyncio.StreamWriter, arrival: Arrival, fault: Fault) -> bool:
         await self.may_answer.wait()
-        statements = self._statements()
+        statements = self._statements() | {"X-Request-Id": arrival.request_id}
         if not self._is_meant(fault, arrival.headers):
-            return await _reply(writer, 421, {"X-Instance-Id": "another"}, b"")
+            another = {"X-Instance-Id": "another", "X-Request-Id": arrival.request_id}
+            return await _reply(writer, 421, another, b"")
         if arrival.retry_after is not None:
             headers = {"X-Not-Executed": "1", "Retry-After": arrival.retry_after}
             return await _reply(writer, 503, headers | statements, b"")
@@ -363,7 +399,6 @@
             writer.write(b"\x00\x01 this is no answer\r\n\r\n")
             return True
         server_headers = statements | {
-            "X-Request-Id": arrival.request_id,
             "X-Server-Seal": SEAL_PREFIX + self.instance,
             "X-Server-Load": "1,0,8",
         }
