Tell answers apart by the exchanges that a connection has carried

What callers saw: a payment ran twice (TWICE), or was refused as not run and ran (REFUSED). Streams were refused in the same way, and two callers with the same request id could get each other's answer.

Cause: an endpoint may write an earlier answer once more on a kept connection, with the answer to the next request. An answer was matched by its request id alone, or by having none. But a call that all endpoints had rejected was sent again with the same id over the connection that had carried the rejection, and the entry's own calls (reservations, reports, orders) have no id and shared connections with requests, whose answers were accepted without an id. A late copy of a rejection then said "not run" for a request that ran.

Class: an identity that is used again while answers to its earlier use may still arrive. A connection now carries an exchange only if no earlier one had the same id, and a call only if it has not carried another call; an answer without an id is accepted for a request only where no earlier answer can have had none, and ends the reuse of the connection. Nothing depends on the kind of call, so generations, prefills, reservations, releases, reports and orders are covered. Ids are kept for 256 exchanges per connection.

--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_engine_calls.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_engine_calls.py
@@ -7,7 +7,7 @@
 
 from vanillashore_gateway._dialect import Dialect
 from vanillashore_gateway._domain import Endpoint, Hold, OrderAnswer, RoleOrder
-from vanillashore_gateway._http_client import LinkError
+from vanillashore_gateway._http_client import NO_ID, LinkError
 from vanillashore_gateway._pool import ConnectionPool
 from vanillashore_gateway._statements import EndpointStatements, WithheldError
 
@@ -94,9 +94,9 @@
         try:
             async with asyncio.timeout(timeout_s):
                 self._statements.check(endpoint)
-                conn = await self._pool.acquire_connection(endpoint)
+                conn = await self._pool.acquire_connection(endpoint, NO_ID)
                 self._statements.check(endpoint)
-                conn.send(data)
+                conn.send(data, NO_ID)
                 head = await conn.head()
                 self._statements.record_call(endpoint, self._dialect.decode_answer(head))
                 body = await conn.read_to_end(MAX_ANSWER_BYTES)
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_http_client.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_http_client.py
@@ -31,6 +31,9 @@
 
 UNSOLICITED = "closing a connection on which a peer sent more than its answer"
 
+NO_ID = b""  # Id of an exchange whose answer bears none.
+MAX_EXCHANGES = 256  # On one connection, which keeps their ids.
+
 AnswerIdReader = Callable[[ResponseHead], bytes | None]
 
 
@@ -68,8 +71,10 @@
 class HttpConnection(asyncio.Protocol):
     """One client connection.
 
-    With a reader of ``answer_id``, answers that bear the id of another exchange are skipped. A
-    connection on which unsolicited data arrives is closed::
+    With a reader of ``answer_id``, an answer that bears the id of another exchange is skipped, and
+    so is one without an id if an earlier answer may have had none. A copy of an earlier answer may
+    arrive with any later one, so an id identifies an answer only while ``can_carry`` was true as it
+    was sent. A connection on which unsolicited data arrives is closed::
 
         conn = await open_connection("127.0.0.1", 8080)
         conn.answer_id = lambda head: head.first(b"x-request-id")
@@ -86,6 +91,8 @@
     def __init__(self) -> None:
         self.number = next(self._numbers)
         self.uses = 0
+        self._carried: set[bytes] = set()
+        self._had_unnamed = False
         self.answer_id: AnswerIdReader | None = None
         self._transport: asyncio.Transport | None = None
         self._parser: httptools.HttpResponseParser | None = None
@@ -116,13 +123,19 @@
         answer = self._answer
         if answer is None or not answer.is_complete or answer.ends_with_connection:
             return False
+        if self.uses >= MAX_EXCHANGES:
+            return False
         # An endpoint may answer before it has read all of a long request body.
         return self.is_open and self._transport.get_write_buffer_size() == 0
 
+    def can_carry(self, exchange_id: bytes) -> bool:
+        """Whether no answer of an earlier exchange can be taken for the answer to this one."""
+        return exchange_id not in self._carried
+
     def send(
         self,
         data: bytes,
-        exchange_id: bytes = b"",
+        exchange_id: bytes = NO_ID,
         max_read_s: float | None = None,
     ) -> None:
         """Send a request; raise LinkError (not sent) if the connection is already closed.
@@ -133,6 +146,8 @@
         if not self.is_open or self._transport.is_closing():
             raise LinkError(LinkFailure.NOT_SENT, "the connection is closed")
         self.uses += 1
+        self._had_unnamed = NO_ID in self._carried
+        self._carried.add(exchange_id)
         self._answer = _Answer(exchange_id, asyncio.get_running_loop().create_future())
         self._parser = httptools.HttpResponseParser(self)
         self._overhead_bytes = 0
@@ -280,15 +295,21 @@
 
     def _belongs(self, head: ResponseHead) -> bool:
         """Whether an answer may belong to the current exchange."""
-        answer_id = None if self.answer_id is None else self.answer_id(head)
-        if answer_id in (None, self._answer.exchange_id):
+        if self.answer_id is None:
+            return True
+        answer_id = self.answer_id(head) or NO_ID
+        if answer_id == self._answer.exchange_id:
+            return True
+        if answer_id == NO_ID and not self._had_unnamed:
+            # The endpoint names no ids, so no later answer could be told from a copy of this one.
+            self._may_reuse = False
             return True
         self._record_extra("skipped an answer to another request", head.status, answer_id)
         return False
 
-    def _record_extra(self, text: str, status: int = 0, answer_id: bytes = b"") -> None:
+    def _record_extra(self, text: str, status: int = 0, answer_id: bytes = NO_ID) -> None:
         """Record what belongs to no request in progress; a ``status`` of 0 is unknown."""
-        exchange_id = b"" if self._answer is None else self._answer.exchange_id
+        exchange_id = NO_ID if self._answer is None else self._answer.exchange_id
         log.bind(
             link=self.number,
             use=self.uses,
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_pool.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_pool.py
@@ -42,20 +42,15 @@
         self.extra_answers = 0
 
     async def acquire_connection(
-        self, endpoint: Endpoint, must_be_fresh: bool = False
+        self, endpoint: Endpoint, exchange_id: bytes, must_be_fresh: bool = False
     ) -> HttpConnection:
-        """Return a connection to an endpoint; raise LinkError if none can be opened.
+        """Return a connection for an exchange; raise LinkError if none can be opened.
 
         ``must_be_fresh`` skips connections that the endpoint may have closed unnoticed.
         """
-        idle = self._idle.get(endpoint.instance, [])
-        time = asyncio.get_running_loop().time()
-        while idle:
-            conn = idle.pop()
-            is_fresh = time < conn.idle_since + FRESH_IDLE_S
-            if conn.is_open and time < conn.idle_until and (is_fresh or not must_be_fresh):
-                return conn
-            conn.abort()
+        conn = self._take_idle(endpoint.instance, exchange_id, must_be_fresh)
+        if conn is not None:
+            return conn
         self.opened += 1
         try:
             conn = await open_connection(endpoint.host, endpoint.port)
@@ -70,6 +65,22 @@
             self._open[endpoint.instance] += 1
         return conn
 
+    def _take_idle(
+        self, instance: str, exchange_id: bytes, must_be_fresh: bool
+    ) -> HttpConnection | None:
+        """Remove and return the connection used last that is usable for an exchange."""
+        time = asyncio.get_running_loop().time()
+        idle = self._idle.get(instance, [])
+        for conn in reversed(idle.copy()):
+            is_fresh = not must_be_fresh or time < conn.idle_since + FRESH_IDLE_S
+            if not conn.is_open or time >= conn.idle_until or not is_fresh:
+                idle.remove(conn)
+                conn.abort()
+            elif conn.can_carry(exchange_id):
+                idle.remove(conn)
+                return conn
+        return None
+
     def release_connection(self, endpoint: Endpoint, conn: HttpConnection) -> None:
         """Keep a connection whose answer has been read completely, or close it if it has no use."""
         idle = self._idle[endpoint.instance]
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_sending.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_sending.py
@@ -88,7 +88,7 @@
         self._balancer.begin(endpoint, share)
         try:
             self._statements.check(endpoint)
-            conn = await self._connect(endpoint, must_be_fresh)
+            conn = await self._connect(endpoint, outbound.req.request_id, must_be_fresh)
             self._statements.check(endpoint)
             conn.send(
                 self._dialect.encode_outbound(outbound),
@@ -114,9 +114,11 @@
             if conn is not None:
                 conn.abort()
 
-    async def _connect(self, endpoint: Endpoint, must_be_fresh: bool) -> HttpConnection:
+    async def _connect(
+        self, endpoint: Endpoint, request_id: bytes, must_be_fresh: bool
+    ) -> HttpConnection:
         try:
-            return await self._pool.acquire_connection(endpoint, must_be_fresh)
+            return await self._pool.acquire_connection(endpoint, request_id, must_be_fresh)
         except LinkError as exc:
             if exc.failure is LinkFailure.NOT_SENT:
                 self._balancer.record_unreachable(endpoint, self._clock())
--- a/tests/gateway/test_pool.py
+++ b/tests/gateway/test_pool.py
@@ -7,7 +7,7 @@
 
 from vanillashore_gateway import Endpoint
 from vanillashore_gateway import _pool as pool_module
-from vanillashore_gateway._http_client import HttpConnection, open_connection
+from vanillashore_gateway._http_client import NO_ID, HttpConnection, open_connection
 from vanillashore_gateway._pool import ConnectionPool
 from vanillashore_standins import wait_until
 from vanillashore_standins.platform_endpoint import EndpointStandIn
@@ -33,7 +33,7 @@
 async def test_endpoint_is_unobserved_once_its_last_connection_has_closed(
     endpoint: Endpoint, pool: ConnectionPool, unobserved: list[str]
 ) -> None:
-    first, second = [await pool.acquire_connection(endpoint) for _ in range(2)]
+    first, second = [await pool.acquire_connection(endpoint, NO_ID) for _ in range(2)]
     first.abort()
     await wait_until(lambda: not first.is_open)
     await asyncio.sleep(0)
@@ -56,6 +56,6 @@
 
     with monkeypatch.context() as patch:
         patch.setattr(pool_module, "open_connection", open_and_reset)
-        await pool.acquire_connection(endpoint)
-    (await pool.acquire_connection(endpoint)).abort()
+        await pool.acquire_connection(endpoint, NO_ID)
+    (await pool.acquire_connection(endpoint, NO_ID)).abort()
     await wait_until(lambda: unobserved == ["s0"])
