Drop answers to requests of an earlier start of the process

An entry numbered its requests to other entries from 1 at each start, so after a quick restart a late answer to the earlier process resolved another request with the same number: tokens of a rate, a retry or a permit that were granted for something else. The same class as the late copies of endpoints' answers: a number identifies an answer only while it is not given twice.

--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_peer_requests.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_peer_requests.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+import random
 from collections.abc import Callable, Mapping
 from typing import Generic, TypeVar
 
@@ -9,6 +10,7 @@
 
 from vanillashore_gateway._home_ranking import Address
 
+NUMBER_BITS = 48  # JSON numbers are exact up to 53 bits.
 UNRESPONSIVE_S = 1.0  # An entry that did not answer is skipped for this time.
 
 T = TypeVar("T")
@@ -28,7 +30,8 @@
         self._clock = clock
         self._timeout_s = timeout_s
         self._entries: Mapping[str, Address] = {}
-        self._numbers = itertools.count(1)
+        # An answer to an earlier start of this process must not resolve a request of this one.
+        self._numbers = itertools.count(random.getrandbits(NUMBER_BITS))
         self._pending: dict[int, asyncio.Future[T]] = {}
         self._unresponsive_until: dict[str, float] = {}
         self.transport: asyncio.DatagramTransport | None = None
