Write one answer per request, and end it as broken if it breaks off

What callers saw: inside the chunked body of a success, where the next chunk was due, the head of another endpoint's error; or, in a stream, the text of a success that is no stream.

Cause: an idempotent request was answered 500 by one endpoint and sent to a second one, whose long answer was relayed as it arrived. When that broke off, the 500 that had been kept was written as the answer, although one had begun. A resumed stream was checked for status 200 only.

Class: what is decided about an answer without asking how much of it the caller has. A responder now refuses a second head, and a body longer or shorter than its length, and such an answer is aborted, whatever the code above decides; after the first byte a broken relay ends as broken, and a stream is joined only with an answer of the same media type.

--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_calls.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_calls.py
@@ -259,6 +259,10 @@
         return is_paid or await self._budget.spend()
 
     def _give_up(self, result: _Result) -> _Result:
+        """Return an earlier endpoint's error, if the answer has not begun; else raise."""
+        if self._responder.has_begun:
+            text = f"the relayed answer broke off: {result.reason}"
+            raise refusal(ErrorCode.ENDPOINT_FAILED, text)
         if self._error_answer is not None:
             return self._error_answer
         job = self._job
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_front.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_front.py
@@ -51,6 +51,10 @@
     """The caller closed its connection before the answer was complete."""
 
 
+class AnswerFramingError(Exception):
+    """A second answer to one request, or a body of another length than its head states."""
+
+
 Handler = Callable[[Inbound, "Responder"], Awaitable[None]]
 
 
@@ -88,6 +92,7 @@
         self.is_complete = False
         self.on_begin: Callable[[], None] = lambda: None
         self._is_chunked = False
+        self._left = 0
 
     @property
     def is_blocked(self) -> bool:
@@ -101,10 +106,16 @@
     def begin(
         self, status: int, reason: bytes, headers: Iterable[Header], length: int | None
     ) -> None:
-        """Send the head; a body without a ``length`` is sent chunked."""
+        """Send the head; a body without a ``length`` is sent chunked.
+
+        Raises AnswerFramingError if an answer has begun already.
+        """
+        if self.has_begun:
+            raise AnswerFramingError("an answer to this request has begun already")
         framing = b"Transfer-Encoding: chunked\r\n"
         self._is_chunked = length is None
         if length is not None:
+            self._left = length
             framing = b"Content-Length: %d\r\n" % length
         closing = b""
         if self._conn.closes_after_answer:
@@ -118,21 +129,32 @@
     async def write(self, data: bytes) -> None:
         """Send bytes of the body, and wait while the write buffer is full."""
         if data:
+            self._count(data)
             self._conn.write(b"%x\r\n%b\r\n" % (len(data), data) if self._is_chunked else data)
             await self._conn.drain()
 
     def finish(self) -> None:
-        """End the body."""
+        """End the body; raise AnswerFramingError if a part of its stated length is missing."""
         if self._is_chunked:
             self._conn.write(b"0\r\n\r\n")
+        elif self._left:
+            raise AnswerFramingError(f"{self._left} bytes of the body are missing")
         self.is_complete = True
 
     def answer(self, status: int, headers: Iterable[Header], body: bytes) -> None:
         """Send a complete answer."""
         self.begin(status, REASON_PHRASES.get(status, b""), headers, len(body))
+        self._count(body)
         self._conn.write(body)
         self.is_complete = True
 
+    def _count(self, data: bytes) -> None:
+        if self._is_chunked:
+            return
+        if len(data) > self._left:
+            raise AnswerFramingError("the body is longer than its head states")
+        self._left -= len(data)
+
     def abort(self) -> None:
         """Abort the connection, so that a partial answer does not look complete."""
         if self._conn.is_blocked:
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_generation.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_generation.py
@@ -8,7 +8,7 @@
 import attrs
 
 from vanillashore_gateway._dialect import OutboundRequest
-from vanillashore_gateway._domain import Endpoint, Hold, PrefillHandle
+from vanillashore_gateway._domain import AnswerHead, Endpoint, Hold, PrefillHandle
 from vanillashore_gateway._endpoint_speeds import StepTimer
 from vanillashore_gateway._engine_calls import EngineUnreachableError
 from vanillashore_gateway._errors import ErrorCode, RefusalError, refusal
@@ -60,13 +60,15 @@
     """Events passed to the caller, and how many endpoints may have run the request.
 
     ``software`` is the version that made the events; ``None`` while the caller has none. The
-    present run began after ``events_before`` events.
+    present run began after ``events_before`` events. ``media_type`` is that of the head that the
+    caller has.
     """
 
     splitter: EventSplitter = attrs.field(factory=EventSplitter)
     runs: int = 0
     software: str | None = None
     events_before: int = 0
+    media_type: bytes | None = None
 
     @property
     def run_events(self) -> int:
@@ -399,9 +401,11 @@
                 responder.begin(head.status, head.reason, end_to_end(head.headers), len(body))
                 await responder.write(body)
                 return
+            self._stream.media_type = _media_type(head)
             responder.begin(head.status, head.reason, end_to_end(head.headers), None)
-        elif not is_stream:
-            raise LinkError(LinkFailure.BROKEN, f"the resumed stream has status {head.status}")
+        elif not is_stream or _media_type(head) != self._stream.media_type:
+            text = f"the answer does not resume the stream: status {head.status}"
+            raise LinkError(LinkFailure.BROKEN, f"{text}, media type {_media_type(head)}")
         splitter = self._stream.splitter
         # Until the next whole event: an engine in trouble may still send a byte now and then.
         self._event_due_at = event_due_at
@@ -543,3 +547,11 @@
         self._job.log_decision(
             "answered", runs=stream.runs, events=stream.splitter.events, took_s=took_s
         )
+
+
+def _media_type(head: AnswerHead) -> bytes | None:
+    """Return the media type of an answer in lower case, without its parameters."""
+    for name, value in head.headers:
+        if name.lower() == b"content-type":
+            return value.partition(b";")[0].strip().lower()
+    return None
--- a/packages/vanillashore-standins/src/vanillashore_standins/platform_endpoint.py
+++ b/packages/vanillashore-standins/src/vanillashore_standins/platform_endpoint.py
@@ -34,7 +34,8 @@
 class Fault(StrEnum):
     """Fault that an endpoint injects into one request.
 
-    Those named ``ENDLESS`` send bytes until the caller closes the connection.
+    With ``NO_STREAM`` an engine answers with a success that is no stream. Those named ``ENDLESS``
+    send bytes until the caller closes the connection.
     """
 
     NONE = auto()
@@ -47,6 +48,7 @@
     GARBAGE = auto()
     EXTRA_ANSWER = auto()
     UNSEALED = auto()
+    NO_STREAM = auto()
     UNFRAMED = auto()
     UNFRAMED_RESET = auto()
     SILENT = auto()
@@ -408,6 +410,9 @@
             del server_headers["X-Server-Seal"]
         if fault is Fault.ERROR:
             return await _reply(writer, 500, server_headers, b"failed")
+        if fault is Fault.NO_STREAM:
+            json_headers = server_headers | {"Content-Type": "application/json"}
+            return await _reply(writer, 200, json_headers, b'{"error":"overloaded"}\n\n')
         if arrival.headers.get("x-stage") == "prefill":
             handle = {"kv_handle": f"kv{next(self._ids)}", "tokens": 1, "version": 1}
             return await _reply(writer, 200, server_headers, orjson.dumps(handle))
