--- a/packages/vanillashore-standins/src/vanillashore_standins/soak/_mutants.py
+++ b/packages/vanillashore-standins/src/vanillashore_standins/soak/_mutants.py
@@ -155,6 +155,11 @@
     ColdRates.rate_per_s = lambda self, start: None
 
 
+def _reuse_ids() -> None:
+    """Use a connection again for the same request and for calls."""
+    HttpConnection.can_carry = lambda self, exchange_id: True
+
+
 MUTANTS: dict[str, Callable[[], None]] = {
     "resend-unclear-calls": _resend_unclear_calls,
     "rerun-broken-streams": _rerun_broken_streams,
@@ -174,6 +179,7 @@
     "ignore-pauses": _ignore_pauses,
     "ignore-evacuations": _ignore_evacuations,
     "ignore-cold-rates": _ignore_cold_rates,
+    "reuse-ids": _reuse_ids,
 }
 
 if __name__ == "__main__":
