Bound the numbers and names that callers and endpoints state

A name of a reservation with a line break was sent on in a header, and one nested 1,000 levels deep ended in a RecursionError.

--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_http_client.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_http_client.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import itertools
+import re
 import socket
 from collections import deque
 from collections.abc import Callable
@@ -22,6 +23,7 @@
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
 DEFAULT_IDLE_LIMIT_S = 2.0  # For peers that do not state how long they keep idle connections.
+IDLE_SECONDS = re.compile(rb"\s*\d{1,9}\s*")
 IDLE_SHARE = 0.5  # Of the peer's idle time-out, so that no request is sent as the peer closes.
 MAX_BUFFERED_BYTES = 65_536  # Of an answer whose caller reads slowly.
 MAX_HEAD_BYTES = 32_768  # Header lines of an answer; far more than any endpoint sends.
@@ -353,7 +355,7 @@
         value = head.first(b"keep-alive") or b""
         for part in value.split(b","):
             name, _, seconds = part.strip().partition(b"=")
-            if name.lower() == b"timeout" and seconds.strip().isdigit():
+            if name.lower() == b"timeout" and IDLE_SECONDS.fullmatch(seconds) is not None:
                 self.idle_limit_s = min(DEFAULT_IDLE_LIMIT_S, int(seconds) * IDLE_SHARE)
 
     def _fail(self, error: LinkError) -> None:
--- a/packages/vanillashore-standins/src/vanillashore_standins/platform_endpoint.py
+++ b/packages/vanillashore-standins/src/vanillashore_standins/platform_endpoint.py
@@ -146,11 +146,12 @@
 
     Each request consumes one of ``faults``; requests after the last one succeed, and each control
     call has the ``control_fault``. Plain answers have ``body``, or name the request. Answers name
-    ``limit_per_s`` unless it is ``None``, and with ``says_leaving`` all answers say so. ``version``
-    is that of the endpoint's software. While ``may_answer`` is not set, answers do not begin, and
-    streams pause. While ``retry_after`` is set, requests are turned away with it, and holds too
-    unless ``grants_holds``. A plain answer that stays unread for ``unread_s`` is aborted, which
-    ``unread_aborts`` counts. The bodies of requests are read only after ``read_delay_s``.
+    ``limit_per_s`` unless it is ``None``, and with ``says_leaving`` all answers say so; successes
+    bear ``extra_headers``. ``version`` is that of the endpoint's software. While ``may_answer`` is
+    not set, answers do not begin, and streams pause. While ``retry_after`` is set, requests are
+    turned away with it, and holds too unless ``grants_holds``. A plain answer that stays unread for
+    ``unread_s`` is aborted, which ``unread_aborts`` counts. The bodies of requests are read only
+    after ``read_delay_s``.
 
     After an answer for which ``copies_late``, called with the request's target and the answer, is
     true, a copy of it arrives with the answer to the next request on the connection.
@@ -175,6 +176,7 @@
         self.body = b""
         self.limit_per_s: float | None = None
         self.says_leaving = False
+        self.extra_headers: dict[str, str] = {}
         self.retry_after: str | None = None
         self.grants_holds = False
         self.unread_s: float | None = None
@@ -400,10 +402,14 @@
         if fault is Fault.GARBAGE:
             writer.write(b"\x00\x01 this is no answer\r\n\r\n")
             return True
-        server_headers = statements | {
-            "X-Server-Seal": SEAL_PREFIX + self.instance,
-            "X-Server-Load": "1,0,8",
-        }
+        server_headers = (
+            statements
+            | {
+                "X-Server-Seal": SEAL_PREFIX + self.instance,
+                "X-Server-Load": "1,0,8",
+            }
+            | self.extra_headers
+        )
         if fault.name.startswith("ENDLESS"):
             return await self._send_endlessly(writer, fault, server_headers)
         if fault is Fault.UNSEALED:
--- a/tests/adapter/test_decoding.py
+++ b/tests/adapter/test_decoding.py
@@ -322,3 +322,62 @@
     sent = PlatformDialect().encode_outbound(OutboundRequest(req, endpoint, "", 1.0, rank=2))
     assert sent.count(b"X-Request-Priority") == 1
     assert b"X-Request-Priority: 2\r\n" in sent
+
+
+DIGITS = b"9" * 5_000  # Python refuses to convert more than 4,300.
+
+
+@pytest.mark.parametrize(
+    "header",
+    [
+        (b"X-Deadline-Ms", DIGITS),
+        (b"X-Deadline-Ms", b"9" * 400),
+        (b"Last-Event-Id", DIGITS),
+        (b"X-Token-Count", DIGITS + b",1"),
+        (b"X-Token-Count", b"1," + b"9" * 20),
+    ],
+    ids=range(5),
+)
+def test_number_of_a_caller_that_is_too_large_is_refused(header: tuple[bytes, bytes]) -> None:
+    with pytest.raises(RefusalError) as caught:
+        PlatformDialect().decode_request(_head(header), b"", 0.0)
+    assert caught.value.refused.status == 400
+
+
+def test_length_hint_that_is_too_large_is_ignored() -> None:
+    head = _head((b"X-Token-Count", b"10,20"), (b"X-Length-Hint", DIGITS))
+    assert PlatformDialect().decode_request(head, b"", 0.0).generation_size.max_output_tokens == 20
+
+
+@pytest.mark.parametrize(
+    "header",
+    [
+        (b"X-Server-Load", DIGITS + b",0,8"),
+        (b"X-Server-Load", b"1,0," + b"9" * 400),
+        (b"Server-Limit", DIGITS),
+        (b"Retry-After", b"9" * 400),
+        (b"X-Cold-Ms", DIGITS),
+    ],
+    ids=range(5),
+)
+def test_number_of_an_endpoint_that_is_too_large_spoils_no_answer(
+    header: tuple[bytes, bytes],
+) -> None:
+    answer = PlatformDialect().decode_answer(ResponseHead(503, b"Status", (header,)))
+    assert answer.load is None
+    assert answer.limit_per_s is None
+    assert answer.pause_s <= 86_400.0
+
+
+@pytest.mark.parametrize("hold", [b'"' + b"h" * 300 + b'"', b'"h\\r\\nX-Tenant: b"', b"[7]", b'""'])
+def test_reservation_with_an_odd_name_is_an_error(hold: bytes) -> None:
+    with pytest.raises(ValueError, match="hold"):
+        PlatformDialect().decode_hold(200, b'{"hold":' + hold + b"}")
+
+
+def test_deeply_nested_names_are_errors() -> None:
+    nested = b"[" * 1_000 + b"]" * 1_000
+    with pytest.raises(ValueError, match="hold"):
+        PlatformDialect().decode_hold(200, b'{"hold":' + nested + b"}")
+    with pytest.raises(ValueError, match="cache"):
+        PlatformDialect().decode_handle(b'{"kv_handle":' + nested + b"}")
--- a/tests/gateway/test_calls.py
+++ b/tests/gateway/test_calls.py
@@ -253,3 +253,13 @@
                 gateway.balancer.begin(endpoint, 1 / endpoint.slots)
         assert (await pending).status == 504
         assert len(rig.arrivals("id-1")) == 1
+
+
+async def test_endless_number_in_an_answer_does_not_spoil_it() -> None:
+    async with PlatformRig(services=1) as rig:
+        rig.services[0].extra_headers = {
+            "Keep-Alive": f"timeout={'9' * 5_000}",
+            "X-Server-Load": f"{'9' * 5_000},0,8",
+        }
+        answer = await rig.ask("POST", "/pay/1", "id-1", b"pay")
+        assert (answer.status, answer.body) == (200, b"answer to id-1")
