Serve nobody, not everybody, once the last key is gone

Cause: a key was asked for only if some key was in force. Class: an empty set that is read as "no condition". Now the configuration states whether it has workspaces at all, and then each request needs the key of one, also while none has a key, or the list is empty. Routes and endpoints were right: without any, requests get 404 and 503 (tests).

--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_domain.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_domain.py
@@ -109,13 +109,17 @@
 
 @attrs.frozen
 class ServingConfig:
-    """A configuration; a new version replaces the old one completely."""
+    """A configuration; a new version replaces the old one completely.
+
+    If it ``requires_keys``, a request needs the key of a workspace, also while none has a key.
+    """
 
     version: int
     routes: tuple[Route, ...]
     services: tuple[Service, ...]
     workspaces: tuple[Workspace, ...]
     limits: CallerLimits
+    requires_keys: bool
 
 
 @attrs.frozen
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_routing.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_routing.py
@@ -55,7 +55,7 @@
         Raises RefusalError if a key is required but missing or unknown.
         """
         found = self._by_key.get(req.key) if req.key is not None else None
-        if found is None and self._by_key and not route.is_open:
+        if found is None and self.config.requires_keys and not route.is_open:
             raise refusal(ErrorCode.KEY_INVALID, "the key is missing or unknown")
         return None if route.is_open else found
 
