Answer each request that waits for memory in vain

Cause: as the wait ended, the request that had begun was dropped first and then counted as a complete one that waits. Class: one request in two counts that are dropped one after the other. There is one call now that drops what has begun and what waits.

The wait also lasted for the whole time in which a caller may send its head (3 s on the platform), and again after the last byte, though callers abandon a request that is not read within a second. It is bounded by 0.8 s from the head on, whatever part has arrived.

--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_front.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_front.py
@@ -20,6 +20,7 @@
 # At a stopping entry, for the next request of a caller whose answer did not announce the close.
 MAX_IDLE_AT_STOP_S = 0.5
 UNREAD_CHECK_S = (0.005, 0.25)  # First and longest interval at which an unread answer is checked.
+MAX_MEMORY_WAIT_S = 0.8  # Callers abandon a request that is not read within a second.
 MEMORY_RETRY_AFTER_S = 1.0  # Bodies that take up the room are answered or timed out in seconds.
 REASON_PHRASES = {
     200: b"OK",
@@ -350,6 +351,13 @@
                 "reading from a caller pauses until there is memory for its request"
             )
             self._transport.pause_reading()
+            self._limit_arrival()
+
+    def _limit_arrival(self) -> None:
+        """Limit the time until the request that has begun is received, or has room."""
+        header_s = self._settings.limits.header_timeout_s
+        is_waiting = self._account.is_waiting
+        self._set_timer(min(MAX_MEMORY_WAIT_S, header_s) if is_waiting else header_s)
 
     def _on_room(self) -> None:
         """Go on with requests that waited for memory."""
@@ -357,7 +365,7 @@
             return
         self._transport.resume_reading()
         if self._began_at is not None:
-            self._set_timer(self._settings.limits.header_timeout_s)
+            self._limit_arrival()
         self._start_next()
 
     def _refuse_for_memory(self) -> None:
@@ -398,12 +406,11 @@
             return
         self._is_failed = True
         self._body = []
-        self._account.drop_partial()
-        if self._account.is_waiting:
-            for _ in range(self._account.drop_waiting()):
-                self._queue.pop()
-            if not self._transport.is_closing():
-                self._transport.resume_reading()
+        was_waiting = self._account.is_waiting
+        for _ in range(self._account.drop_newest()):
+            self._queue.pop()
+        if was_waiting and not self._transport.is_closing():
+            self._transport.resume_reading()
         self._queue.append(Refused(code, text, retry_after_s))
         self._start_next()
 
@@ -415,7 +422,7 @@
 
     def _start_next(self) -> None:
         if self._task is None and self._queue and not self._can_serve():
-            self._set_timer(self._settings.limits.header_timeout_s)
+            self._limit_arrival()
         elif self._task is None and self._queue:
             self._cancel_timer()
             self._task = asyncio.get_running_loop().create_task(self._serve())
@@ -440,7 +447,7 @@
         if self.has_announced_close:
             self._linger()
         elif self._began_at is not None or self._account.is_waiting:
-            self._set_timer(self._settings.limits.header_timeout_s)
+            self._limit_arrival()
         else:
             idle_s = self._settings.limits.idle_timeout_s
             self._set_timer(
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_held_bytes.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_held_bytes.py
@@ -177,18 +177,19 @@
         self._complete.append(self._partial)
         self._partial = 0
 
-    def drop_partial(self) -> None:
-        """Release the request that has begun, if it was admitted."""
-        size, self._partial = self._partial, 0
-        if size and not self.is_waiting:
-            self._add(-size)
-
-    def drop_waiting(self) -> int:
-        """Drop the requests that wait; return how many of them were complete."""
+    def drop_newest(self) -> int:
+        """Drop the request that has begun and those that wait; return how many were complete.
+
+        While requests wait, one that has begun waits as well.
+        """
+        partial, self._partial = self._partial, 0
+        if not self.is_waiting:
+            if partial:
+                self._add(-partial)
+            return 0
         count, self._waiting_requests, self.needed = self._waiting_requests, 0, 0
         self._held.cancel_wait(self)
-        if count and self._partial:
-            self._partial = 0
+        if partial:
             count -= 1
         for _ in range(count):
             self._complete.pop()
--- a/packages/vanillashore-standins/src/vanillashore_standins/platform_rig.py
+++ b/packages/vanillashore-standins/src/vanillashore_standins/platform_rig.py
@@ -90,7 +90,8 @@
 class PlatformRig:
     """A store, endpoints and one gateway, or several that know each other.
 
-    The endpoints of each kind are spread over ``data_centres``, of which the first is dc-a.
+    The endpoints of each kind are spread over ``data_centres``, of which the first is dc-a. Set
+    before the start, ``config_changes`` replace parts of the configuration.
 
     Example::
 
@@ -122,6 +123,7 @@
         for endpoints in (self.services, self.prefills, self.decodes):
             for number, endpoint in enumerate(endpoints):
                 endpoint.data_centre = f"dc-{'abcd'[number % data_centres]}"
+        self.config_changes: dict[str, Any] = {}
         self.processes: list[GatewayProcess] = []
         self._entries = entries
         self._memory_mb = memory_mb
@@ -140,7 +142,7 @@
 
     async def __aenter__(self) -> Self:
         """Start the store, the endpoints and the gateways, and wait until these are ready."""
-        self.store.put("op/config", configuration())
+        self.store.put("op/config", configuration(**self.config_changes))
         for endpoint in self.endpoints:
             await self._stack.enter_async_context(endpoint)
             self.store.put(f"servers/{endpoint.instance}", endpoint.entry())
--- a/tests/gateway/test_held_bytes.py
+++ b/tests/gateway/test_held_bytes.py
@@ -113,7 +113,7 @@
         received += 16_000
         assert received < held.limits.total
     assert held.held <= held.limits.total
-    account.drop_partial()
+    assert account.drop_newest() == 0
     assert held.held == 0
 
 
@@ -149,6 +149,6 @@
     account.begin(SMALL)
     account.complete()
     account.begin(SMALL)
-    assert account.drop_waiting() == 1
+    assert account.drop_newest() == 1
     first.finish()
     assert (held.held, held.waiting) == (0, 0)
