Drop requests whose callers left while they waited for memory

Cause: while a request waits for memory, nothing is read from its caller, so the end of the connection is not seen; once there was room, an idle connection to an endpoint took the request before the next read. The socket is now asked whether the caller has closed it, as the wait ends.

--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_front.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_front.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import select
 from collections import deque
 from collections.abc import Awaitable, Callable, Iterable
 
@@ -363,11 +364,20 @@
         """Go on with requests that waited for memory."""
         if self._transport is None or self._transport.is_closing():
             return
+        if self._has_caller_left():
+            self.abort()
+            return
         self._transport.resume_reading()
         if self._began_at is not None:
             self._limit_arrival()
         self._start_next()
 
+    def _has_caller_left(self) -> bool:
+        """Whether the caller has closed its connection, from which nothing is read at present."""
+        poll = select.poll()
+        poll.register(self._transport.get_extra_info("socket").fileno(), select.POLLRDHUP)
+        return bool(poll.poll(0))
+
     def _refuse_for_memory(self) -> None:
         after_s = MEMORY_RETRY_AFTER_S * (0.5 + random.random())
         text = "this entry has no memory left for the request"
--- a/tests/gateway/test_waiting_for_memory.py
+++ b/tests/gateway/test_waiting_for_memory.py
@@ -64,6 +64,31 @@
         writer.close()
 
 
+@pytest.mark.parametrize("arrival", ["whole", "head, then body", "two at once"])
+@pytest.mark.parametrize("is_reset", [False, True])
+async def test_request_whose_caller_left_while_it_waited_reaches_no_endpoint(
+    arrival: str, is_reset: bool
+) -> None:
+    async with _rig() as rig:
+        await rig.ask("POST", "/pay/1", "id-0", b"pay")  # Leaves an idle connection.
+        size = _fill_memory(rig)
+        first, rest = ARRIVALS[arrival]
+        _, writer = await asyncio.open_connection(*rig.process.front_address)
+        writer.write(first)
+        await wait_until(lambda: rig.process.gateway.held.waiting == 1)
+        writer.write(rest)
+        await writer.drain()
+        if is_reset:
+            writer.transport.abort()
+        else:
+            writer.close()
+        await asyncio.sleep(0.05)
+        rig.process.gateway.held.add(-size)
+        assert (await rig.ask("POST", "/pay/2", "id-3", b"pay")).status == 200
+        await wait_until(lambda: not rig.process.gateway.front.connections)
+        assert [a.request_id for a in rig.services[0].arrivals] == ["id-0", "id-3"]
+
+
 async def test_request_that_waited_for_memory_is_served_once_there_is_room() -> None:
     async with _rig() as rig:
         size = _fill_memory(rig)
