Serve requests that offer an upgrade over HTTP/1.1, with their bodies

Cause: the parser ends a request that offers another protocol with its head, and what had been read so far was queued as a complete request. A server may ignore such an offer; the parser now gets the head once more without it, and then the body. CONNECT is refused as before.

--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_front.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_front.py
@@ -13,7 +13,12 @@
 from vanillashore_gateway._domain import CallerLimits, Header
 from vanillashore_gateway._errors import ErrorCode, RefusalError, Refused
 from vanillashore_gateway._held_bytes import RELAY_BYTES, Admission, CallerAccount, HeldBytes
-from vanillashore_gateway._http_messages import RequestHead, render_headers
+from vanillashore_gateway._http_messages import (
+    RequestHead,
+    render_headers,
+    render_request_head,
+    without_upgrade,
+)
 
 MAX_PIPELINED = 16  # Requests that may be queued on a connection.
 HEADER_LINE_OVERHEAD_BYTES = 4  # Colon, space, CR and LF.
@@ -310,12 +315,29 @@
             self._began_at = self._settings.clock()
             self._set_timer(self._settings.limits.header_timeout_s)
         try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            self._fail(ErrorCode.BAD_REQUEST, "protocol upgrades are not supported")
+            self._parse(data)
         except httptools.HttpParserError as exc:
             self._fail(ErrorCode.BAD_REQUEST, f"the request is not valid HTTP/1.1: {exc}")
 
+    def _parse(self, data: bytes) -> None:
+        """Parse received bytes, leaving out offers of another protocol."""
+        while data:
+            try:
+                self._parser.feed_data(data)
+            except httptools.HttpParserUpgrade as exc:
+                method = self._parser.get_method()
+                if method == b"CONNECT":
+                    self._fail(ErrorCode.BAD_REQUEST, "tunnels are not supported")
+                    return
+                # The parser ends such a request with its head; it gets a head without the offer.
+                offer = exc.args[0]
+                head = without_upgrade(RequestHead(method, self._target, tuple(self._headers)))
+                self._target, self._headers, self._header_bytes = b"", [], 0
+                self._parser = httptools.HttpRequestParser(self)
+                data = render_request_head(head) + data[offer:]
+            else:
+                return
+
     def on_message_begin(self) -> None:
         """Note when a request began that was received together with the one before it."""
         if self._began_at is None:
@@ -334,6 +356,8 @@
 
     def on_headers_complete(self) -> None:
         """Send the interim answer that an ``Expect: 100-continue`` header asks for."""
+        if self._parser.should_upgrade():
+            return
         if not self._is_failed:
             self._admit()
         expects = [value.lower() for name, value in self._headers if name.lower() == b"expect"]
@@ -396,7 +420,7 @@
 
     def on_message_complete(self) -> None:
         """Queue a complete request."""
-        if self._is_failed:
+        if self._is_failed or self._parser.should_upgrade():
             return
         head = RequestHead(self._parser.get_method(), self._target, tuple(self._headers))
         received = self._settings.clock()
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_http_messages.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_http_messages.py
@@ -71,3 +71,21 @@
 def render_headers(headers: Iterable[Header]) -> bytes:
     """Return the header lines, without the final empty line."""
     return b"".join(b"%b: %b\r\n" % header for header in headers)
+
+
+def render_request_head(head: RequestHead) -> bytes:
+    """Return the head of an HTTP/1.1 request."""
+    return b"%b %b HTTP/1.1\r\n%b\r\n" % (head.method, head.target, render_headers(head.headers))
+
+
+def without_upgrade(head: RequestHead) -> RequestHead:
+    """Return a head without the offer of another protocol, which a server may ignore."""
+    headers: list[Header] = []
+    for name, value in head.headers:
+        if name.lower() == b"upgrade":
+            continue
+        if name.lower() == b"connection":
+            tokens = [token.strip() for token in value.split(b",")]
+            value = b", ".join(token for token in tokens if token.lower() != b"upgrade")
+        headers.append((name, value))
+    return attrs.evolve(head, headers=tuple(headers))
