Tell entries that start which requests crash endpoints

Cause: the list of refused requests is kept in memory, and an entry that registers was greeted with limits, origins, parts and role changes, but not with it. Class: a table between entries that a new process begins empty. The entries that rank first for a refused request now tell the new one of it, with the time that is left, so that restarts do not prolong a refusal.

--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_crashes.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_crashes.py
@@ -27,6 +27,7 @@
 REFUSAL_TTL_S = 600.0  # Far longer than a caller keeps retrying one request.
 MAX_FINGERPRINTS = 10_000  # Some hundred bytes each.
 HOMES_NOTIFIED = 2  # The home and its substitute.
+HOMES_GREETING = 4  # Of which some may have just started themselves.
 DOWN_CHECK_DELAY_S = 0.05  # After a broken connection; a crashing process is down sooner.
 
 
@@ -99,9 +100,9 @@
             self._suspects.popitem(last=False)
         return suspect
 
-    def refuse(self, fingerprint: str, now: float) -> None:
-        """Refuse a request for ``REFUSAL_TTL_S``."""
-        self._refused[fingerprint] = now + REFUSAL_TTL_S
+    def refuse(self, fingerprint: str, now: float, ttl_s: float = REFUSAL_TTL_S) -> None:
+        """Refuse a request for ``ttl_s``."""
+        self._refused[fingerprint] = now + ttl_s
         while len(self._refused) > MAX_FINGERPRINTS:
             self._refused.popitem(last=False)
 
@@ -109,6 +110,10 @@
         """Whether a request is refused."""
         return self._refused.get(fingerprint, now) > now
 
+    def refusals(self, now: float) -> list[tuple[str, float]]:
+        """Return the refused requests, and for how much longer each is refused."""
+        return [(name, until - now) for name, until in self._refused.items() if until > now]
+
 
 @attrs.frozen
 class CrashReport:
@@ -146,13 +151,18 @@
 
 @attrs.frozen
 class RefusalNotice:
-    """Notifies all entries to refuse a request that crashes endpoints."""
+    """Notifies entries to refuse a request that crashes endpoints.
+
+    It is refused for ``left_s``, or as long as any other if that is ``None``.
+    """
 
     fingerprint: str
+    left_s: float | None = None
 
     def encode(self) -> bytes:
         """Return the datagram."""
-        return orjson.dumps(["crash refuse", self.fingerprint])
+        left = () if self.left_s is None else (self.left_s,)
+        return orjson.dumps(["crash refuse", self.fingerprint, *left])
 
 
 CrashMessage = CrashReport | SuspectNotice | CrashCleared | RefusalNotice
@@ -167,6 +177,8 @@
             return SuspectNotice(fingerprint)
         case ["crash over", str(fingerprint), *_]:
             return CrashCleared(fingerprint)
+        case ["crash refuse", str(fingerprint), float(left_s) | int(left_s), *_]:
+            return RefusalNotice(fingerprint, min(float(left_s), REFUSAL_TTL_S))
         case ["crash refuse", str(fingerprint), *_]:
             return RefusalNotice(fingerprint)
     raise ValueError("not a crash message")
@@ -236,6 +248,13 @@
             self._tracker.record_success(fingerprint)
             self._notify_homes(CrashCleared(fingerprint))
 
+    def greet(self, entry: str) -> None:
+        """Notify an entry that has registered of the requests whose homes are here."""
+        others = tuple(name for name in self._entries if name != entry)
+        for fingerprint, left_s in self._tracker.refusals(self._clock()):
+            if self._node in rank_homes(fingerprint, others)[:HOMES_GREETING]:
+                self._send(RefusalNotice(fingerprint, left_s), [entry])
+
     def update_entries(self, entries: Mapping[str, Address]) -> None:
         """Set the list of entries with their addresses."""
         self._entries = dict(entries)
@@ -262,9 +281,9 @@
                 self._tracker.mark_suspect(fingerprint, now)
             case CrashCleared(fingerprint):
                 self._tracker.record_success(fingerprint)
-            case RefusalNotice(fingerprint):
+            case RefusalNotice(fingerprint, left_s):
                 if not self._tracker.is_refused(fingerprint, now):
-                    self._refuse(fingerprint)
+                    self._refuse(fingerprint, REFUSAL_TTL_S if left_s is None else left_s)
 
     def _apply_crash_count(self, fingerprint: str, crashes: int) -> None:
         if crashes >= CRASHES_TO_REFUSE:
@@ -274,8 +293,8 @@
         elif crashes == CRASHES_TO_REFUSE - 1:
             self._send(SuspectNotice(fingerprint), self._entries)
 
-    def _refuse(self, fingerprint: str) -> None:
-        self._tracker.refuse(fingerprint, self._clock())
+    def _refuse(self, fingerprint: str, ttl_s: float = REFUSAL_TTL_S) -> None:
+        self._tracker.refuse(fingerprint, self._clock(), ttl_s)
         log.bind(fingerprint=fingerprint).warning("refusing a request that crashes endpoints")
 
     def _notify_homes(self, message: CrashMessage) -> None:
@@ -284,7 +303,8 @@
 
     def _send(self, message: CrashMessage, names: "Mapping[str, Address] | list[str]") -> None:
         for name in names:
-            if name != self._node and self._transport is not None:
+            is_other = name != self._node and name in self._entries
+            if is_other and self._transport is not None:
                 self._transport.sendto(message.encode(), self._entries[name])
 
 
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_gateway.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_gateway.py
@@ -532,7 +532,7 @@
 
     def _greet(self, entry: str) -> None:
         """Tell an entry that has registered what it cannot know."""
-        for handler in (self.limits, self.origins, self.parts, self.role_changes):
+        for handler in (self.limits, self.origins, self.crashes, self.parts, self.role_changes):
             handler.greet(entry)
 
     def _prefill_engines(self, service: str) -> list[Endpoint]:
--- a/tests/gateway/test_crashes.py
+++ b/tests/gateway/test_crashes.py
@@ -216,3 +216,57 @@
         is_down_check = rig.process.gateway.crashes._is_down
         assert not await is_down_check(endpoint)
         assert await is_down_check(attrs.evolve(endpoint, port=1))
+
+
+def _restart(fleet: Fleet, name: str) -> None:
+    """Replace an entry by a new process, which the others greet as it registers."""
+    restarted = CrashMonitor(name, lambda: fleet.now)
+    fleet.crashes[name] = restarted
+    restarted.connection_made(_Transport(fleet))
+    restarted.update_entries(fleet.entries)
+    for other, crashes in fleet.crashes.items():
+        if other != name:
+            crashes.greet(name)
+
+
+@pytest.mark.parametrize("size", [2, 4, 28])
+def test_restarted_entries_refuse_what_crashed_endpoints_before(size: int) -> None:
+    fleet = Fleet(size)
+    for number in range(3):
+        fleet.crash("e0", f"i{number}")
+    for name in fleet.entries:
+        _restart(fleet, name)
+        assert name in fleet.refusing_entries()
+
+
+def test_refusal_ends_in_time_although_entries_restart_again_and_again() -> None:
+    fleet = Fleet(4)
+    for number in range(3):
+        fleet.crash("e0", f"i{number}")
+    for _ in range(7):
+        fleet.now += 100.0
+        for name in fleet.entries:
+            _restart(fleet, name)
+    assert not fleet.refusing_entries()
+
+
+def test_restarted_entry_is_told_of_each_refusal_by_a_few_entries() -> None:
+    fleet = Fleet(28)
+    for number in range(3):
+        fleet.crash("e0", f"i{number}")
+    sent = 0
+    for other, crashes in fleet.crashes.items():
+        transport = _Counter()
+        crashes.connection_made(transport)
+        if other != "e5":
+            crashes.greet("e5")
+        sent += transport.count
+    assert 1 <= sent <= 4
+
+
+class _Counter:
+    def __init__(self) -> None:
+        self.count = 0
+
+    def sendto(self, data: bytes, address: tuple[str, int]) -> None:
+        self.count += 1
