Refuse requests that crash engines just after their first event

Cause: any event acquitted a request, of that crash and of all before. A run begins with its first token, so a crash in the same moment says nothing in its favour. A run that has brought its first event within the last 0.25 s is suspect like one that has brought none, and clears its request only after that time. What several requests share is still found among those without any event.

--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_crashes.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_crashes.py
@@ -3,8 +3,8 @@
 Handles a request that is sent again and again, through any entry, and crashes an endpoint each
 time. A broken connection alone does not count as a crash, as only the answer may have been lost:
 the endpoint must also refuse connections. All requests that had brought no event on a crashed
-endpoint are suspect, so one is refused only after several crashes in which none of the same
-requests has begun to be answered.
+endpoint, or the first one just before, are suspect, so one is refused only after several crashes
+between which none of the same requests was answered for longer.
 """
 
 import asyncio
@@ -44,12 +44,16 @@
 
 @attrs.frozen
 class LostRun:
-    """A run of a request whose connection broke after ``events`` events."""
+    """A run of a request whose connection broke after ``events`` events.
+
+    One that ``is_early``, with no event or with its first one just before, may have been the cause.
+    """
 
     request_id: str
     fingerprint: str
     endpoint: Endpoint
     events: int = 0
+    is_early: bool = True
     prompt_parts: tuple[str, ...] = ()
     traits: tuple[str, ...] = ()
 
@@ -230,11 +234,12 @@
                 parts=run.prompt_parts,
                 traits=run.traits,
             ).info("an endpoint crashed while it ran a request")
-            if run.events:
-                return  # The cause lets no request begin.
+            if not run.is_early:
+                return
             endpoint = run.endpoint
             self.record_crash(run.fingerprint, endpoint.instance)
-            if self._parts is not None and run.traits:
+            # What requests share is found among those that had not begun.
+            if self._parts is not None and run.traits and not run.events:
                 self._parts.record_crash(endpoint.service, endpoint.instance, run.traits)
 
     def record_crash(self, fingerprint: str, instance: str) -> None:
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_generation.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_generation.py
@@ -35,6 +35,8 @@
 SILENCE_CHECK_S = 0.25  # Between two attempts to reserve another endpoint for a silent one.
 HANDLE_MARGIN_S = 0.1  # A handle this close to its expiry is not worth a transfer.
 HOLD_MARGIN_S = 0.2  # A hold this close to its expiry may expire in transit.
+# A run that ends sooner after its first event may have crashed its engine by beginning.
+EARLY_RUN_S = 0.25
 PREFILL_TOKENS = 16_384  # Prompt tokens that count as a full engine: half a second of work.
 MAX_PREFILLS = 2
 MAX_DECODES = 4  # Includes attempts that the endpoint did not run.
@@ -60,14 +62,15 @@
     """Events passed to the caller, and how many endpoints may have run the request.
 
     ``software`` is the version that made the events; ``None`` while the caller has none. The
-    present run began after ``events_before`` events. ``media_type`` is that of the head that the
-    caller has.
+    present run began after ``events_before`` events, and brought its first one at ``began_at``.
+    ``media_type`` is that of the head that the caller has.
     """
 
     splitter: EventSplitter = attrs.field(factory=EventSplitter)
     runs: int = 0
     software: str | None = None
     events_before: int = 0
+    began_at: float | None = None
     media_type: bytes | None = None
 
     @property
@@ -350,6 +353,7 @@
         must_be_fresh = not self._job.route.is_resumable
         sender, stream = self._tools.sender, self._stream
         stream.events_before = stream.splitter.events
+        stream.began_at = None
         if not await self._is_current(outbound.endpoint):
             self._reason = "the engine has started again"
             return _Outcome.NOT_SENT
@@ -379,7 +383,9 @@
             if exc.failure is LinkFailure.NOT_SENT:
                 return _Outcome.NOT_SENT
             if exc.failure is LinkFailure.BROKEN:
-                self._job.record_disconnect(self._tools, outbound.endpoint, stream.run_events)
+                self._job.record_disconnect(
+                    self._tools, outbound.endpoint, stream.run_events, self._is_run_early()
+                )
         return _Outcome.BROKEN
 
     async def _is_current(self, endpoint: Endpoint) -> bool:
@@ -413,16 +419,17 @@
         while data := await self._read_or_move(sent):
             read_at, events_before = self._tools.clock(), splitter.events
             self._record_prompt_read(splitter.events)
-            is_first = not self._stream.run_events
+            is_first = self._stream.began_at is None
             try:
                 events = splitter.feed(data)
             except OversizedEventError as exc:
                 raise LinkError(LinkFailure.GARBLED, str(exc)) from exc
             if events:
                 if is_first:
-                    job = self._job
-                    self._tools.parts.record_event(job.service.name, job.traits)
-                    self._tools.crashes.record_success(job.fingerprint)
+                    self._stream.began_at = read_at
+                    self._tools.parts.record_event(self._job.service.name, self._job.traits)
+                elif not self._is_run_early():
+                    self._tools.crashes.record_success(self._job.fingerprint)
                 await self._record_origin(sent.endpoint)
                 timer.record_events(splitter.events - events_before, read_at)
             write_at = self._tools.clock()
@@ -435,6 +442,11 @@
         if timer.step_s is not None:
             self._tools.balancer.record_time(sent.endpoint, timer.step_s, self._tools.clock())
 
+    def _is_run_early(self) -> bool:
+        """Whether the present run has brought no event, or its first one just now."""
+        began_at = self._stream.began_at
+        return began_at is None or self._tools.clock() < began_at + EARLY_RUN_S
+
     def _record_prompt_read(self, events_before: int) -> None:
         """Record how long the decode engine took to read the prompt, if it had to."""
         sent_at, self._prompt_sent_at = self._prompt_sent_at, None
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_job.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_job.py
@@ -169,10 +169,23 @@
         tools.parts.begin_trial(self.traits, self.req.log_id)
         self.on_trial = True
 
-    def record_disconnect(self, tools: Tools, endpoint: Endpoint, events: int = 0) -> None:
-        """Record that a connection broke, ``events`` events after it got the request."""
+    def record_disconnect(
+        self, tools: Tools, endpoint: Endpoint, events: int = 0, is_early: bool = True
+    ) -> None:
+        """Record that a connection broke, ``events`` events after it got the request.
+
+        A run that ``is_early`` may be the cause.
+        """
         req = self.req
-        run = LostRun(req.log_id, self.fingerprint, endpoint, events, req.prompt_parts, self.traits)
+        run = LostRun(
+            req.log_id,
+            self.fingerprint,
+            endpoint,
+            events,
+            is_early,
+            req.prompt_parts,
+            self.traits,
+        )
         tools.crashes.record_disconnect(run)
 
     def log_decision(self, decision: str, **inputs: object) -> None:
