Drop removed endpoints in time although watches are cut

Cause: a cut watch is taken for an outage of the store, and each return began a grace time of 1.9 s for all endpoints, those too that were known to be missing. Class: a grace time that whatever happens meanwhile begins anew. Each endpoint that is missing has a time of its own now, which later returns do not move, and it is dropped when that is over, not at the next check. An interruption of less than a second begins none, as records expire after three heartbeats of silence; if the store fell silent, it counts from the last answer.

test_requests_are_served_during_a_store_outage_and_expired_endpoints_return removed the records before the entry had noticed the outage, and passed by the grace time of the entry's own start. They are removed during the outage now, which lasts a second longer; what is asserted is the same.

--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_following.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_following.py
@@ -55,8 +55,8 @@
         """
         ...
 
-    def record_store_contact(self, is_reached: bool) -> None:
-        """Record that contact with the store was lost or regained."""
+    def record_store_contact(self, is_reached: bool, lost_s: float = 0.0) -> None:
+        """Record that contact with the store was lost, or regained after ``lost_s``."""
         ...
 
 
@@ -88,6 +88,7 @@
         self._revision: int | None = None
         self._snapshot_bytes = 0  # What a snapshot would transfer, as far as is known.
         self._outage_logged_at = 0.0
+        self._succeeded_at = clock()
         self._settles_at: float | None = None
         self.contact = StoreContact(changed_at=clock())
 
@@ -119,7 +120,7 @@
                 self._settles_at = self._clock() + RESTORE_SETTLE_S
                 self._listener.record_restore()
             except StoreUnavailableError as exc:
-                self._record_failure(str(exc))
+                self._record_failure(exc)
                 await asyncio.sleep(self._retry_delay_s())
 
     async def _step(self) -> None:
@@ -150,20 +151,21 @@
 
     def _record_success(self) -> None:
         self._listener.record_sync()
+        self._succeeded_at = self._clock()
         if self.contact.is_reached:
             return
         lost_s = self._clock() - self.contact.changed_at
         self.contact = StoreContact(True, self._clock())
         log.bind(after_s=round(lost_s, 3), revision=self._revision).info("connected to the store")
-        self._listener.record_store_contact(True)
+        self._listener.record_store_contact(True, lost_s)
 
-    def _record_failure(self, reason: str) -> None:
+    def _record_failure(self, exc: StoreUnavailableError) -> None:
         self.contact.failures += 1
-        now = self._clock()
+        now, reason = self._clock(), str(exc)
         if not self.contact.is_reached:
             self._log_outage(reason, now)
             return
-        self.contact = StoreContact(False, now, 1)
+        self.contact = StoreContact(False, self._succeeded_at if exc.was_silent else now, 1)
         self._outage_logged_at = now
         log.bind(reason=reason, revision=self._revision).warning("lost contact with the store")
         self._listener.record_store_contact(False)
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_gateway.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_gateway.py
@@ -77,7 +77,8 @@
 
 # In this time the list tells that an endpoint leaves, or that another start of it does not.
 CARRIED_LEAVING_S = 10.0
-EXPIRY_CHECK_DELAY_S = 2.0  # Slightly longer than Membership's grace period.
+# Shorter interruptions, as by a cut watch, let no record expire: that takes three heartbeats.
+MIN_OUTAGE_S = 1.0
 STALE_LIST_S = 3.5  # A watch without changes returns sooner.
 SNAPSHOTS_TO_SETTLE = 2  # After a restore: the first is merged, the second replaces the list.
 STARTUP_RETRY_AFTER_S = 0.5  # Time for a new process to load its configuration.
@@ -163,6 +164,7 @@
         self._has_snapshot = False
         self._has_store_contact = False
         self._snapshots_to_settle = 0
+        self._expiry: asyncio.TimerHandle | None = None
         self.restore_listeners: list[Callable[[], None]] = []
         self._synced_at = now()
         retries = RetryLimits(cfg.retry_ratio * BUDGET_SHARE, cfg.retry_slack * BUDGET_SHARE)
@@ -312,13 +314,13 @@
         evacuated = {c.data_centre for c in snapshot.items if isinstance(c, EvacuationRequested)}
         if self._snapshots_to_settle == SNAPSHOTS_TO_SETTLE and self._has_snapshot:
             self.membership.merge_restored(endpoints, now())
-            self._expire_later()
             entries = known | entries
             # An evacuation that was requested after the copy is in force until the store settles.
             evacuated |= self.membership.evacuated
         else:
             for removed in self.membership.replace_all(endpoints, now()):
                 self._forget_endpoint(removed)
+        self._expire_later()
         self._snapshots_to_settle = max(0, self._snapshots_to_settle - 1)
         for endpoint in endpoints:
             self.limits.cold.record_listed(endpoint)
@@ -355,6 +357,8 @@
             case EndpointRemoved(instance):
                 if self.membership.remove(instance, now()):
                     self._forget_endpoint(instance)
+                else:
+                    self._expire_later()
             case DutyWritten(_, holder, fence):
                 self.duty.set_holder(holder, fence)
             case DutyRemoved():
@@ -380,12 +384,11 @@
         """Record that the state is up to date with the store."""
         self._synced_at = now()
 
-    def record_store_contact(self, is_reached: bool) -> None:
+    def record_store_contact(self, is_reached: bool, lost_s: float = 0.0) -> None:
         """Keep endpoints whose registrations expired during a store outage for a grace period."""
         self._has_store_contact = is_reached
-        if is_reached:
+        if is_reached and lost_s >= MIN_OUTAGE_S:
             self.membership.record_store_return(now())
-            self._expire_later()
 
     def record_restore(self) -> None:
         """Expect a snapshot that may be older than the state, and another some seconds later."""
@@ -583,11 +586,18 @@
         ).warning("the evacuated data centres have changed")
 
     def _expire_later(self) -> None:
-        asyncio.get_running_loop().call_later(EXPIRY_CHECK_DELAY_S, self._expire_endpoints)
+        """Drop endpoints that stay missing as soon as their grace times are over."""
+        expires_at = self.membership.next_expiry
+        if expires_at is None or self._expiry is not None:
+            return
+        delay_s = max(0.0, expires_at - now())
+        self._expiry = asyncio.get_running_loop().call_later(delay_s, self._expire_endpoints)
 
     def _expire_endpoints(self) -> None:
+        self._expiry = None
         for removed in self.membership.expire(now()):
             self._forget_endpoint(removed)
+        self._expire_later()
 
     def _forget_endpoint(self, instance: str) -> None:
         log.bind(endpoint=instance).info("endpoint removed")
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_http_client.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_http_client.py
@@ -48,11 +48,15 @@
 
 
 class LinkError(Exception):
-    """A failed exchange; with ``NOT_SENT``, no byte of the request was sent."""
+    """A failed exchange; with ``NOT_SENT``, no byte of the request was sent.
 
-    def __init__(self, failure: LinkFailure, text: str) -> None:
+    The peer ``was_silent`` if the kernel gave the connection up for want of acknowledgements.
+    """
+
+    def __init__(self, failure: LinkFailure, text: str, was_silent: bool = False) -> None:
         super().__init__(f"{failure.value}: {text}")
         self.failure = failure
+        self.was_silent = was_silent
 
 
 @attrs.define(eq=False)
@@ -228,7 +232,8 @@
             self.on_lost()
         if self.on_closed is not None:
             self.on_closed()
-        self._fail(LinkError(LinkFailure.BROKEN, f"the connection was lost: {exc or 'closed'}"))
+        text = f"the connection was lost: {exc or 'closed'}"
+        self._fail(LinkError(LinkFailure.BROKEN, text, isinstance(exc, TimeoutError)))
 
     def eof_received(self) -> bool:
         """Complete an answer whose end is marked by the close of the connection."""
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_membership.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_membership.py
@@ -22,6 +22,8 @@
 
     While the store was unavailable, records of live endpoints may have expired. Endpoints that are
     missing when it returns are kept for a grace time, and dropped if they are still missing then.
+    A later return gives no more time to those that are missing already: an endpoint that is removed
+    for good is not kept by a watch that is cut again and again.
 
     A record may be of an earlier start of its endpoint. It is unconfirmed if there is a sign of
     that, or if it comes from a snapshot, which a restored store may have had before the restart. An
@@ -41,7 +43,7 @@
 
     def __init__(self) -> None:
         self._endpoints: dict[str, Endpoint] = {}
-        self._missing_since: dict[str, float] = {}
+        self._missing_until: dict[str, float] = {}
         self._grace_until = 0.0
         self._unconfirmed: set[str] = set()
         self._unobserved: set[str] = set()
@@ -86,7 +88,7 @@
         self.record_store_return(now)
         for name in self._endpoints:
             if name not in listed:
-                self._missing_since.setdefault(name, now)
+                self._missing_until.setdefault(name, self._grace_until)
 
     def put(self, endpoint: Endpoint, now: float) -> None:
         """Add or update an endpoint."""
@@ -104,7 +106,7 @@
             self.on_new_start(known.start, endpoint.start)
         if known is None or known.start != endpoint.start:
             self._unobserved.add(endpoint.instance)
-        self._missing_since.pop(endpoint.instance, None)
+        self._missing_until.pop(endpoint.instance, None)
         self._endpoints[endpoint.instance] = endpoint
 
     def remove(self, instance: str, now: float) -> bool:
@@ -112,14 +114,17 @@
         return instance in self._endpoints and self._mark_missing(instance, now)
 
     def expire(self, now: float) -> list[str]:
-        """Drop endpoints that are still missing after the grace time; return their names."""
-        if now < self._grace_until:
-            return []
-        dropped = list(self._missing_since)
+        """Drop endpoints that are still missing after their grace times; return their names."""
+        dropped = [name for name, until in self._missing_until.items() if now >= until]
         for name in dropped:
             self._drop(name, now)
         return dropped
 
+    @property
+    def next_expiry(self) -> float | None:
+        """When the next missing endpoint is to be dropped, ``None`` if none is missing."""
+        return min(self._missing_until.values(), default=None)
+
     def usable(self, service: str, role: EndpointRole | None = None) -> list[Endpoint]:
         """Return the endpoints of a service that accept new requests."""
         endpoints = self.listed(service, role)
@@ -249,7 +254,7 @@
 
     def _mark_missing(self, name: str, now: float) -> bool:
         if now < self._grace_until:
-            self._missing_since.setdefault(name, now)
+            self._missing_until.setdefault(name, self._grace_until)
             return False
         self._drop(name, now)
         return True
@@ -263,7 +268,7 @@
             _remember(self._ended, endpoint.start, None)
             self._carried_leaving.discard(endpoint.start)
             self._left_versions[endpoint.service, endpoint.software] = now
-        self._missing_since.pop(name, None)
+        self._missing_until.pop(name, None)
 
 
 def _remember(starts: OrderedDict[EndpointStart, T], start: EndpointStart, value: T) -> None:
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_platform_store.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_platform_store.py
@@ -10,7 +10,14 @@
 
 
 class StoreUnavailableError(Exception):
-    """The store did not answer, or gave an unexpected answer."""
+    """The store did not answer, or gave an unexpected answer.
+
+    It ``was_silent`` if nothing came from it, so that it may have been away since the last answer.
+    """
+
+    def __init__(self, text: str, was_silent: bool = False) -> None:
+        super().__init__(text)
+        self.was_silent = was_silent
 
 
 class HistoryCompactedError(Exception):
--- a/tests/gateway/test_following.py
+++ b/tests/gateway/test_following.py
@@ -21,6 +21,7 @@
     now,
 )
 from vanillashore_gateway._following import BATCH_DELAY_S, Follower
+from vanillashore_gateway._gateway import MIN_OUTAGE_S
 from vanillashore_standins import wait_until
 from vanillashore_standins.platform_rig import KEY, ORDERS, PlatformRig, configuration, route
 from vanillashore_standins.slow_link import SlowLink, StoreCall
@@ -79,11 +80,12 @@
     async with PlatformRig(services=2) as rig:
         await wait_until(lambda: rig.store.calls[-1] == "kv-watch")
         rig.store.faults.status = 503
+        await wait_until(lambda: not rig.process._follower.contact.is_reached)
         rig.store.drop_history()
         for endpoint in rig.services:
             rig.store.remove(f"servers/{endpoint.instance}")
-        await wait_until(lambda: not rig.process._follower.contact.is_reached)
         assert (await rig.ask("POST", "/pay/1", "id-1", b"pay")).status == 200
+        await asyncio.sleep(MIN_OUTAGE_S)
         rig.store.faults.status = 0
         await wait_until(lambda: rig.process._follower.contact.is_reached)
         assert (await rig.ask("POST", "/pay/1", "id-2", b"pay")).status == 200
@@ -92,6 +94,22 @@
         assert rig.process.gateway.membership.get("s0") is not None
 
 
+@pytest.mark.parametrize("is_silent", [False, True])
+async def test_endpoint_removed_beside_a_cut_watch_is_dropped_at_once(is_silent: bool) -> None:
+    async with PlatformRig(services=2) as rig:
+        gateway, follower = rig.process.gateway, rig.process._follower
+        for _ in range(3):
+            follower._record_failure(StoreUnavailableError("the watch was cut"))
+            follower._record_success()
+        if is_silent:
+            follower._succeeded_at = now() - MIN_OUTAGE_S
+            follower._record_failure(StoreUnavailableError("no answer", was_silent=True))
+            follower._record_success()
+        gateway.apply_change(EndpointRemoved("s0"))
+        assert (gateway.membership.get("s0") is not None) == is_silent
+        await wait_until(lambda: gateway.membership.get("s0") is None)
+
+
 async def test_malformed_endpoint_registrations_leave_the_others() -> None:
     async with PlatformRig(services=2) as rig:
         good = rig.services[0].entry()
@@ -174,7 +192,7 @@
 
     def record_sync(self) -> None: ...
 
-    def record_store_contact(self, is_reached: bool) -> None: ...
+    def record_store_contact(self, is_reached: bool, lost_s: float = 0.0) -> None: ...
 
 
 async def test_constant_changes_cost_two_calls_a_second_and_are_seen_within_a_second(
--- a/tests/gateway/test_membership.py
+++ b/tests/gateway/test_membership.py
@@ -43,6 +43,29 @@
     assert members.expire(10.0 + RETURN_GRACE_S) == ["a"]
 
 
+def test_endpoint_that_is_removed_is_not_kept_by_a_watch_that_is_cut_again_and_again() -> None:
+    members = Membership()
+    members.replace_all([_endpoint("a")], 0.0)
+    members.record_store_return(9.8)
+    assert not members.remove("a", 10.0)
+    for cut in range(1, 10):
+        members.record_store_return(10.0 + cut)
+    assert members.next_expiry <= 10.0 + RETURN_GRACE_S
+    assert members.expire(10.0 + RETURN_GRACE_S) == ["a"]
+    assert members.next_expiry is None
+
+
+def test_endpoints_removed_after_different_returns_have_their_own_grace_times() -> None:
+    members = Membership()
+    members.replace_all([_endpoint("a"), _endpoint("b")], 0.0)
+    members.record_store_return(10.0)
+    members.remove("a", 10.1)
+    members.record_store_return(11.0)
+    members.remove("b", 11.1)
+    assert members.expire(10.0 + RETURN_GRACE_S) == ["a"]
+    assert members.expire(11.0 + RETURN_GRACE_S) == ["b"]
+
+
 def test_leaving_takes_effect_at_once_even_right_after_an_outage() -> None:
     members = Membership()
     members.replace_all([_endpoint("a")], 0.0)
