Let one entry at a time grant the tokens of a workspace

Cause: an entry that is cut off from the store keeps its list, in which it is the home of the workspace, and went on to grant the whole rate to its own callers beside the entry that the others had made the home. Class: what an entry believes of its own role while it does not see the list. Its lease alone cannot decide: in an outage of the store no entry holds one for certain, and rates must not fall then.

--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_gateway.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_gateway.py
@@ -60,6 +60,7 @@
 from vanillashore_gateway._prefill_scheduler import PrefillScheduler
 from vanillashore_gateway._quota import QuotaSettings
 from vanillashore_gateway._quota_requests import Quotas
+from vanillashore_gateway._registration_checks import RegistrationChecks
 from vanillashore_gateway._resumption import Resumption
 from vanillashore_gateway._retry_budget import RetryLimits
 from vanillashore_gateway._retry_requests import RetryBudgets
@@ -148,7 +149,9 @@
         self._rng = rng
         self._dialect = dialect
         self._table: RouteTable | None = None
+        self.registration_checks = RegistrationChecks(cfg.node, now, rng)
         self.quotas = Quotas(cfg.node, cfg.quota, now)
+        self.quotas.is_listed = lambda: self.registration_checks.is_listed
         self.parts = CrashingParts(cfg.node, now)
         self.crashes = CrashMonitor(cfg.node, now, parts=self.parts)
         self.origins = StreamOrigins(cfg.node, now)
@@ -214,6 +217,7 @@
             rng,
         )
         self.peer_handlers = (
+            self.registration_checks,
             self.quotas,
             self.crashes,
             self.parts,
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_process.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_process.py
@@ -46,6 +46,7 @@
         gateway = self.gateway
         gateway.limits.is_registered = lambda: self._registration.is_held(now())
         gateway.budgets.is_registered = gateway.limits.is_registered
+        gateway.registration_checks.is_held = gateway.limits.is_registered
         self._roles = RoleDuty(
             cfg.node,
             store,
@@ -111,6 +112,7 @@
         self._registration.address = transport.get_extra_info("sockname")[:2]
         self._start_task(self._follower.run())
         self._start_task(self._registration.run())
+        self._start_task(gateway.registration_checks.run())
         self._start_task(self._roles.run())
         self._start_task(self.gateway.origin_store.run())
         self._start_task(self.gateway.metrics.load())
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_quota_requests.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_quota_requests.py
@@ -70,7 +70,11 @@
 
 
 class Quotas(asyncio.DatagramProtocol):
-    """Rate limits at one entry: spare tokens, requests to homes, and grants as a home itself."""
+    """Rate limits at one entry: spare tokens, requests to homes, and grants as a home itself.
+
+    ``is_listed`` tells whether the other entries may still take this one for a home. Without it,
+    this entry grants nothing as a home, and asks those that rank after it.
+    """
 
     PREFIX = (b'["ask"', b'["grant"')
 
@@ -84,6 +88,7 @@
         self._entries: Mapping[str, Address] = {}
         self._workspaces: Mapping[str, Workspace] = {}
         self._ranked = lru_cache(RANKING_CACHE_SIZE)(rank_homes)
+        self.is_listed: Callable[[], bool] = lambda: True
 
     async def take(
         self, workspace: Workspace, tokens: int, patience_s: float = 0.0
@@ -139,7 +144,8 @@
             self._requests.resolve(message.number, message.grant)
             return
         workspace = self._workspaces.get(message.workspace)
-        if workspace is not None:
+        # An entry that gets no answer asks the next one.
+        if workspace is not None and self.is_listed():
             grant = self._grant(workspace, message.need, message.spare)
             self._requests.transport.sendto(QuotaAnswer(message.number, grant).encode(), addr)
 
@@ -151,7 +157,10 @@
 
     async def _request_grant(self, workspace: Workspace, tokens: int) -> Grant:
         spare = max(0, SPARE_TOKENS - tokens)
-        for home in self._homes(workspace.name)[:MAX_HOMES_ASKED]:
+        homes = self._homes(workspace.name)
+        if not self.is_listed():
+            homes = [home for home in homes if home != self._node]
+        for home in homes[:MAX_HOMES_ASKED]:
             if home == self._node:
                 return self._grant(workspace, tokens, spare)
             request = QuotaRequest(0, workspace.name, tokens, spare)
--- a/tests/gateway/test_quota.py
+++ b/tests/gateway/test_quota.py
@@ -89,6 +89,33 @@
         assert sum(t for at, t in granted if start <= at < start + WINDOW_S) <= bound
 
 
+@pytest.mark.parametrize("size", [3, 4, 28])
+async def test_home_that_was_cut_off_from_the_store_does_not_grant_beside_its_successor(
+    size: int,
+) -> None:
+    """All callers press; the others drop the home, which keeps its list."""
+    rng = random.Random(size)
+    fleet = Fleet(size)
+    home = rank_homes(WORKSPACE.name, sorted(fleet.entries))[0]
+    granted: list[tuple[float, int]] = []
+    for step in range(3_000):
+        fleet.now += 0.01
+        if step == 1_000:
+            left = {name: a for name, a in fleet.entries.items() if name != home}
+            for name in left:
+                fleet.quotas[name].update_entries(left)
+        if step == 1_100:  # The home learns that it is not listed any more.
+            fleet.quotas[home].is_listed = lambda: False
+        for name in (home, rng.choice(sorted(fleet.quotas))):
+            if await fleet.quotas[name].take(WORKSPACE, 4_500) is None:
+                granted.append((fleet.now, 4_500))
+    bound = (RATE * WINDOW_S + RATE) * (1 + OVERAGE) + SLACK_TOKENS
+    for start, _ in granted[::10]:
+        assert sum(t for at, t in granted if start <= at < start + WINDOW_S) <= bound
+    late = sum(tokens for at, tokens in granted if at > fleet.now - WINDOW_S)
+    assert late >= 0.9 * RATE * WINDOW_S
+
+
 @pytest.mark.parametrize("size", [1, 4, 28])
 @pytest.mark.parametrize("every_s", [2.7, 5.0])
 async def test_repeated_restarts_of_all_entries_stay_within_the_bound(
