Refuse streams of unknown origin at entries that were cut off

Cause: the only version that an entry lists was taken for a stream's version if nobody knew it, also where the list was from before the cut. Class: as for the rates, what an entry believes while it does not see the list. An entry without an up-to-date list asks five others four times a second; unless they are as blind as itself, which means that no version can have been added, the only listed version proves nothing, and a stream whose origin neither an entry nor the store knows is refused, with a time to come back.

Six tests failed before.

--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_gateway.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_gateway.py
@@ -150,6 +150,7 @@
         self._dialect = dialect
         self._table: RouteTable | None = None
         self.registration_checks = RegistrationChecks(cfg.node, now, rng)
+        self.registration_checks.is_fresh = lambda: not self._is_list_stale()
         self.quotas = Quotas(cfg.node, cfg.quota, now)
         self.quotas.is_listed = lambda: self.registration_checks.is_listed
         self.parts = CrashingParts(cfg.node, now)
@@ -162,7 +163,9 @@
             now,
             rng,
         )
-        self._resumption = Resumption(self.origins, self.origin_store, now)
+        self._resumption = Resumption(
+            self.origins, self.origin_store, now, lambda: self.registration_checks.may_lag
+        )
         self._entries: dict[str, tuple[str, int]] = {}
         self._has_snapshot = False
         self._has_store_contact = False
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_registration_checks.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_registration_checks.py
@@ -1,8 +1,9 @@
-"""Asks other entries whether they still list this one, while its own registration is uncertain.
+"""Asks other entries for their view while this one's own view of the store is uncertain.
 
 An entry that is cut off from the store keeps its old list, in which it may be the home of a
-workspace, while the others have dropped it and made another entry the home. If the store is away
-for all entries, though, their lists stay as they are, and so do the homes.
+workspace, while the others have dropped it and made another entry the home, and it does not see
+the software versions at which the others begin streams. If the store is away for all entries,
+though, their lists stay as they are, and with them the homes and the versions in use.
 """
 
 import asyncio
@@ -10,22 +11,32 @@
 import random
 from collections.abc import Callable, Mapping
 
+import attrs
 import orjson
 from loguru import logger as log
 
 from vanillashore_gateway._home_ranking import Address
 
-CHECK_EVERY_S = 0.5
+CHECK_EVERY_S = 0.25
 ENTRIES_ASKED = 5
 ANSWER_TIMEOUT_S = 0.1  # Several round trips between data centres.
 VALID_S = 1.2  # Of what the last answers said, as datagrams may be lost.
 NUMBER_BITS = 48
 
 
+@attrs.frozen
+class _View:
+    """An entry's answer: whether it lists the asking one, and whether its list is up to date."""
+
+    is_listed: bool
+    is_fresh: bool
+
+
 class RegistrationChecks:
-    """One entry's knowledge of whether it is listed, from its own lease or from the others.
+    """Whether this entry is listed at the others, and whether they may know more than it does.
 
-    ``is_held`` tells whether this entry's own registration is certainly valid. Example::
+    ``is_held`` tells whether this entry's own registration is certainly valid, and ``is_fresh``
+    whether its list is up to date. Example::
 
         checks.is_listed  # True as long as the lease is held
         await checks.check()  # asks some other entries
@@ -40,39 +51,48 @@
         self._rng = rng
         self._numbers = itertools.count(rng.getrandbits(NUMBER_BITS))
         self._current = 0
-        self._answers: list[tuple[bool, bool]] = []
+        self._answers: list[_View] = []
         self._listed_until = float("-inf")
+        self._alike_until = float("-inf")
         self._entries: Mapping[str, Address] = {}
         self._transport: asyncio.DatagramTransport | None = None
         self.is_held: Callable[[], bool] = lambda: True
+        self.is_fresh: Callable[[], bool] = lambda: True
 
     @property
     def is_listed(self) -> bool:
         """Whether this entry is listed at the others, as far as is known."""
         return self.is_held() or self._clock() < self._listed_until
 
+    @property
+    def may_lag(self) -> bool:
+        """Whether other entries may have a newer list than this one."""
+        return not self.is_fresh() and self._clock() >= self._alike_until
+
     async def run(self) -> None:
-        """Check repeatedly while the registration is uncertain, until cancelled."""
+        """Check repeatedly while the registration or the list is uncertain, until cancelled."""
         while True:
-            if not self.is_held():
+            if not self.is_held() or not self.is_fresh():
                 await self.check()
             await asyncio.sleep(CHECK_EVERY_S)
 
     async def check(self) -> None:
-        """Ask some entries, and believe those that have contact with the store before others."""
+        """Ask some entries, and believe those with an up-to-date list before others."""
         others = [name for name in self._entries if name != self._node]
         self._current, self._answers = next(self._numbers), []
         for name in self._rng.sample(others, min(ENTRIES_ASKED, len(others))):
             self._send(["listed?", self._current, self._node], self._entries[name])
         await asyncio.sleep(ANSWER_TIMEOUT_S)
-        certain = [is_listed for is_listed, is_certain in self._answers if is_certain]
+        fresh = [view.is_listed for view in self._answers if view.is_fresh]
         # Without any other entry, none can have taken this one's place.
-        views = certain or [is_listed for is_listed, _ in self._answers] or [not others]
-        was_listed = self.is_listed
-        self._listed_until = self._clock() + VALID_S if all(views) else float("-inf")
+        views = fresh or [view.is_listed for view in self._answers] or [not others]
+        was_listed, valid_until = self.is_listed, self._clock() + VALID_S
+        self._listed_until = valid_until if all(views) else float("-inf")
+        is_alike = not fresh and (bool(self._answers) or not others)
+        self._alike_until = valid_until if is_alike else float("-inf")
         if was_listed != self.is_listed:
             log.bind(asked=min(ENTRIES_ASKED, len(others)), answers=len(self._answers)).bind(
-                certain=len(certain), is_listed=self.is_listed
+                fresh=len(fresh), is_listed=self.is_listed
             ).warning("asked other entries whether they list this one")
 
     def update_entries(self, entries: Mapping[str, Address]) -> None:
@@ -92,10 +112,10 @@
             return
         match row:
             case ["listed?", int(number), str(name), *_]:
-                self._send(["listed", number, name in self._entries, self.is_held()], addr)
-            case ["listed", int(number), bool(is_listed), bool(is_certain), *_]:
+                self._send(["listed", number, name in self._entries, self.is_fresh()], addr)
+            case ["listed", int(number), bool(is_listed), bool(is_fresh), *_]:
                 if number == self._current:
-                    self._answers.append((is_listed, is_certain))
+                    self._answers.append(_View(is_listed, is_fresh))
             case _:
                 log.bind(sender=addr).warning("ignored a malformed datagram")
 
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_resumption.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_resumption.py
@@ -29,14 +29,22 @@
 
 
 class Resumption:
-    """Finds the origins of streams that callers take up again."""
+    """Finds the origins of streams that callers take up again.
+
+    ``may_lag`` tells whether other entries may begin streams at versions that are not listed here.
+    """
 
     def __init__(
-        self, origins: StreamOrigins, origin_store: OriginStore, clock: Callable[[], float]
+        self,
+        origins: StreamOrigins,
+        origin_store: OriginStore,
+        clock: Callable[[], float],
+        may_lag: Callable[[], bool] = lambda: False,
     ) -> None:
         self._origins = origins
         self._store = origin_store
         self._clock = clock
+        self._may_lag = may_lag
         self._started_at = clock()
 
     async def origin_of(self, req: CallerRequest, route: Route) -> StreamOrigin | None:
@@ -54,7 +62,8 @@
             for service in services
             for software in self._store.versions.counted(service, now)
         }
-        only = next(iter(candidates)) if len(candidates) == 1 else None
+        may_lag = self._may_lag()
+        only = next(iter(candidates)) if len(candidates) == 1 and not may_lag else None
         if only is not None and now - self._started_at > MAX_KEPT_S:
             self._keep(req, only, now)
             return only
@@ -69,13 +78,14 @@
             candidates=len(candidates),
             was_answered=lookup.was_answered,
             source=lookup.source,
+            may_lag=may_lag,
         ).info("looked up the origin of a stream")
         if origin is None:
-            if only is not None or not candidates:
+            if only is not None or (not candidates and not may_lag):
                 self._keep(req, only, now)
                 return only
             text = "the software version that began the stream is not known"
-            is_final = lookup.was_answered or req.resumes is None
+            is_final = not may_lag and (lookup.was_answered or req.resumes is None)
             raise refusal(ErrorCode.ORIGIN_UNKNOWN, text, None if is_final else RETRY_AFTER_S)
         if origin.service not in services:
             text = "the route no longer leads to the service that began the stream"
--- a/tests/gateway/test_resumption.py
+++ b/tests/gateway/test_resumption.py
@@ -49,7 +49,8 @@
             lambda: self.now,
             random.Random(1),
         )
-        self.resumption = Resumption(origins, self.store, lambda: self.now)
+        self.may_lag = False
+        self.resumption = Resumption(origins, self.store, lambda: self.now, lambda: self.may_lag)
 
     @staticmethod
     def endpoint(name: str, version: str) -> Endpoint:
@@ -141,3 +142,24 @@
 
     rig.origins.find, rig.store.find = never, find
     assert await rig.origin() == V2
+
+
+@pytest.mark.parametrize("resumes", ["id-1", None])
+@pytest.mark.parametrize("versions", [(), ("v1",), ("v1", "v1")])
+async def test_unknown_origin_is_refused_at_an_entry_that_was_cut_off(
+    versions: tuple[str, ...], resumes: str | None
+) -> None:
+    rig = Rig(*versions)
+    rig.now = MAX_KEPT_S + 1.0
+    rig.may_lag = True
+    with pytest.raises(RefusalError) as caught:
+        await rig.origin(attrs.evolve(REQUEST, resumes=resumes))
+    assert caught.value.refused.ran == "no"
+    assert caught.value.refused.retry_after_s is not None
+
+
+async def test_origin_that_an_entry_keeps_is_used_although_it_was_cut_off() -> None:
+    rig = Rig("v1", lookup=OriginLookup(V2))
+    rig.now = MAX_KEPT_S + 1.0
+    rig.may_lag = True
+    assert await rig.origin() == V2
