Keep what an endpoint has stated while its record lapses

Cause: pauses, request limits and cold times were dropped with the record, though each holds for one start of the endpoint, which the record that comes back names again. They are kept for 120 s after the record has gone, and dropped then if the endpoint is not listed.

The test failed before: no pause was left.

--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_gateway.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_gateway.py
@@ -78,6 +78,8 @@
 
 # In this time the list tells that an endpoint leaves, or that another start of it does not.
 CARRIED_LEAVING_S = 10.0
+# What an endpoint has stated holds for its start, and a record may lapse and come back.
+STATEMENTS_KEPT_S = 120.0
 # Shorter interruptions, as by a cut watch, let no record expire: that takes three heartbeats.
 MIN_OUTAGE_S = 1.0
 STALE_LIST_S = 3.5  # A watch without changes returns sooner.
@@ -611,8 +613,14 @@
         self.pool.forget(instance)
         self.balancer.forget(instance)
         self.prefill_estimator.forget(instance)
-        self.limits.forget(instance)
         self.start_checks.forget(instance)
+        loop = asyncio.get_running_loop()
+        loop.call_later(STATEMENTS_KEPT_S, self._forget_statements, instance)
+
+    def _forget_statements(self, instance: str) -> None:
+        """Drop what an endpoint has stated of itself, unless it is listed again."""
+        if self.membership.get(instance) is None:
+            self.limits.forget(instance)
 
     def _carry_statements(self, old: EndpointStart, new: EndpointStart) -> None:
         """Let what an endpoint has just said hold for its new start, which may have said it."""
--- a/tests/gateway/test_statements.py
+++ b/tests/gateway/test_statements.py
@@ -485,3 +485,36 @@
         for number in range(20):
             assert (await rig.ask("GET", "/stock/1", f"id-{number}")).status == 200
         assert len(endpoint.arrivals) == received
+
+
+async def test_what_an_endpoint_has_stated_holds_although_its_record_lapses_and_comes_back() -> (
+    None
+):
+    async with PlatformRig(services=1) as rig:
+        endpoint, gateway = rig.services[0], rig.process.gateway
+        endpoint.limit_per_s = 5.0
+        await rig.ask("POST", "/pay/1", "id-1", b"pay")
+        endpoint.retry_after = "30"
+        await rig.ask("POST", "/pay/1", "id-2", b"pay")
+        rig.store.remove("servers/s0")
+        await wait_until(lambda: len(gateway.membership) == 0)
+        rig.store.put("servers/s0", endpoint.entry())
+        await wait_until(lambda: len(gateway.membership) == 1)
+        listed = gateway.membership.get("s0")
+        assert gateway.limits.pause_s(listed.start) > 20
+        assert gateway.limits.known_limit(listed).limit_per_s == 5.0
+        arrivals = len(endpoint.arrivals)
+        assert (await rig.ask("POST", "/pay/1", "id-3", b"pay")).status == 503
+        assert len(endpoint.arrivals) == arrivals
+
+
+async def test_what_an_endpoint_has_stated_is_dropped_once_it_has_long_been_gone(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr("vanillashore_gateway._gateway.STATEMENTS_KEPT_S", 0.05)
+    async with PlatformRig(services=1) as rig:
+        endpoint, gateway = rig.services[0], rig.process.gateway
+        endpoint.retry_after = "30"
+        await rig.ask("POST", "/pay/1", "id-1", b"pay")
+        rig.store.remove("servers/s0")
+        await wait_until(lambda: gateway.limits.paused_endpoints == 0)
