--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_generation.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_generation.py
@@ -34,6 +34,7 @@
 MIN_STALL_S = 1.5  # A sound endpoint may be silent for a second; callers wait for two at least.
 SILENCE_CHECK_S = 0.25  # Between two attempts to reserve another endpoint for a silent one.
 HANDLE_MARGIN_S = 0.1  # A handle this close to its expiry is not worth a transfer.
+EVENT_STREAM = b"text/event-stream"
 HOLD_MARGIN_S = 0.2  # A hold this close to its expiry may expire in transit.
 # A run that ends sooner after its first event may have crashed its engine by beginning.
 EARLY_RUN_S = 0.25
@@ -63,7 +64,7 @@
 
     ``software`` is the version that made the events; ``None`` while the caller has none. The
     present run began after ``events_before`` events, and brought its first one at ``began_at``.
-    ``media_type`` is that of the head that the caller has.
+    ``media_type`` is that of the head that the caller has, or the usual one if it states none.
     """
 
     splitter: EventSplitter = attrs.field(factory=EventSplitter)
@@ -71,7 +72,7 @@
     software: str | None = None
     events_before: int = 0
     began_at: float | None = None
-    media_type: bytes | None = None
+    media_type: bytes = b""
 
     @property
     def run_events(self) -> int:
@@ -407,7 +408,7 @@
                 responder.begin(head.status, head.reason, end_to_end(head.headers), len(body))
                 await responder.write(body)
                 return
-            self._stream.media_type = _media_type(head)
+            self._stream.media_type = _media_type(head) or EVENT_STREAM
             responder.begin(head.status, head.reason, end_to_end(head.headers), None)
         elif not is_stream or _media_type(head) != self._stream.media_type:
             text = f"the answer does not resume the stream: status {head.status}"
