--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_front.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_front.py
@@ -330,11 +330,11 @@
                     self._fail(ErrorCode.BAD_REQUEST, "tunnels are not supported")
                     return
                 # The parser ends such a request with its head; it gets a head without the offer.
-                offer = exc.args[0]
+                rest_at = exc.args[0]
                 head = without_upgrade(RequestHead(method, self._target, tuple(self._headers)))
                 self._target, self._headers, self._header_bytes = b"", [], 0
                 self._parser = httptools.HttpRequestParser(self)
-                data = render_request_head(head) + data[offer:]
+                data = render_request_head(head) + data[rest_at:]
             else:
                 return
 
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_http_client.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_http_client.py
@@ -31,10 +31,9 @@
 # other requests. Larger than one read from the socket, which may contain a whole answer.
 MAX_OVERHEAD_BYTES = 524_288
 
-UNSOLICITED = "closing a connection on which a peer sent more than its answer"
-
 NO_ID = b""  # Id of an exchange whose answer bears none.
 MAX_EXCHANGES = 256  # On one connection, which keeps their ids.
+UNSOLICITED = "closing a connection on which a peer sent more than its answer"
 
 AnswerIdReader = Callable[[ResponseHead], bytes | None]
 
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_process.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_process.py
@@ -94,6 +94,8 @@
             loop.add_signal_handler(number, self._stop.set)
         if self._reload is not None:
             loop.add_signal_handler(signal.SIGHUP, self._reload)
+            # The launcher has blocked it; one that came meanwhile is handled now.
+            signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
         await self.start()
         await self._stop.wait()
         await self.shut_down()
--- a/tests/adapter/test_launcher.py
+++ b/tests/adapter/test_launcher.py
@@ -49,6 +49,24 @@
     assert await process.wait() == 0
 
 
+@pytest.mark.parametrize("delay_s", [0.0, 0.05, 0.1, 0.2, 0.3, 2.0])
+async def test_reload_signal_at_any_time_reloads_the_settings(
+    tmp_path: Path, delay_s: float
+) -> None:
+    path, log_path = tmp_path / "settings.conf", tmp_path / "entry.log"
+    path.write_text(_settings())
+    with log_path.open("wb") as log_file:
+        process = await asyncio.create_subprocess_exec(
+            sys.executable, LAUNCHER, "entry", "--settings", path, stdout=log_file
+        )
+    await wait_until(lambda: _catches_stop_signal(process.pid), 30.0)
+    await asyncio.sleep(delay_s)
+    process.send_signal(signal.SIGHUP)
+    await wait_until(lambda: b"reloaded the settings" in log_path.read_bytes(), 30.0)
+    process.terminate()
+    assert await process.wait() == 0
+
+
 def test_a_start_compiles_nothing_after_a_build(tmp_path: Path) -> None:
     for name in ("packages", "platform", "deploy"):
         ignore = shutil.ignore_patterns("__pycache__", "*.egg-info")
