Let the soak take away all keys, and keep the logs of broken plays

New is a configuration that has a workspace but no key, for two to three seconds at most every ten; what is served then later than the time limit, or without a workspace, is a violation.

--- a/packages/vanillashore-standins/src/vanillashore_standins/soak/_mutants.py
+++ b/packages/vanillashore-standins/src/vanillashore_standins/soak/_mutants.py
@@ -160,6 +160,16 @@
     HttpConnection.can_carry = lambda self, exchange_id: True
 
 
+def _ask_for_keys_while_there_are_any() -> None:
+    """Serve everybody once the last key is gone."""
+    workspace = _gateway.RouteTable.workspace
+
+    def check(self: _gateway.RouteTable, req: CallerRequest, route: object) -> object:
+        return workspace(self, req, route) if self._by_key else None
+
+    _gateway.RouteTable.workspace = check
+
+
 MUTANTS: dict[str, Callable[[], None]] = {
     "resend-unclear-calls": _resend_unclear_calls,
     "rerun-broken-streams": _rerun_broken_streams,
@@ -180,6 +190,7 @@
     "ignore-evacuations": _ignore_evacuations,
     "ignore-cold-rates": _ignore_cold_rates,
     "reuse-ids": _reuse_ids,
+    "open-without-keys": _ask_for_keys_while_there_are_any,
 }
 
 if __name__ == "__main__":
--- a/packages/vanillashore-standins/src/vanillashore_standins/soak/_run.py
+++ b/packages/vanillashore-standins/src/vanillashore_standins/soak/_run.py
@@ -3,7 +3,6 @@
 import asyncio
 import contextlib
 import random
-import tempfile
 from collections import Counter
 from collections.abc import Awaitable, Callable
 from contextlib import AsyncExitStack
@@ -11,6 +10,7 @@
 
 import attrs
 
+from vanillashore_standins._kept_output import KeptOutput
 from vanillashore_standins._serving import ServedApp
 from vanillashore_standins._waiting import wait_until
 from vanillashore_standins.platform_endpoint import EndpointStandIn, EngineOptions, Fault
@@ -40,6 +40,7 @@
 PHASE_S = 7.0  # Disruptive and calm phases alternate; time limits are checked in calm ones.
 RECOVERY_S = 20.0
 SECOND_KEY = "second-key"
+KEYLESS_EVERY_S = 10.0
 RUNS_ONCE_PATHS = frozenset(kind.path for kind in REQUEST_KINDS if kind.runs_once)
 # A success that is no stream is relayed as the endpoint's answer, as long as no stream has begun.
 REQUEST_FAULTS = [fault for fault in Fault if fault not in (Fault.NONE, Fault.NO_STREAM)]
@@ -106,10 +107,12 @@
         )
         self._version = 1
         self._has_second_key = True
+        self._has_any_key = True
         self._is_recovering = False
         self._disruptions: list[TimeSpan] = []
         self._outages: list[TimeSpan] = []
         self._key_withdrawals: list[TimeSpan] = []
+        self._times_without_keys: list[TimeSpan] = []
         self._drains: list[tuple[str, TimeSpan]] = []
         kinds = [[e for e in self.endpoints if e.instance.startswith(letter)] for letter in "spd"]
         self._decodes = kinds[2]
@@ -218,7 +221,7 @@
             self._disturb_path,
             self._drop_history,
         ]
-        harmless = 2 * [self._fail_requests, self._leave] + [self._change_keys]
+        harmless = 2 * [self._fail_requests, self._leave] + [self._change_keys, self._take_all_keys]
         began = loop.time()
         running: set[asyncio.Task[None]] = set()
         while loop.time() < end:
@@ -293,13 +296,30 @@
 
     async def _change_keys(self) -> None:
         self._has_second_key = not self._has_second_key
-        self._version += self.rng.randrange(1, 4)
-        self.store.put("op/config", self._config())
+        self._write_config()
         if self._has_second_key:
             self._key_withdrawals[-1].end = _now()
         else:
             self._key_withdrawals.append(TimeSpan(_now()))
 
+    async def _take_all_keys(self) -> None:
+        """Write a configuration that has a workspace, but no key, at most once in a while."""
+        earlier = self._times_without_keys
+        if not self._has_any_key or (earlier and _now() < earlier[-1].start + KEYLESS_EVERY_S):
+            return
+        self._has_any_key = False
+        self._write_config()
+        span = TimeSpan(_now())
+        self._times_without_keys.append(span)
+        await asyncio.sleep(CHANGE_LIMIT_S + self.rng.random())
+        span.end = _now()
+        self._has_any_key = True
+        self._write_config()
+
+    def _write_config(self) -> None:
+        self._version += self.rng.randrange(1, 4)
+        self.store.put("op/config", self._config())
+
     async def _leave(self) -> None:
         services = [e for e in self.endpoints if e.service == ORDERS]
         leaving = {name for name, span in self._drains if span.end > _now()}
@@ -331,16 +351,22 @@
                 is_late = span.start + CHANGE_LIMIT_S < arrival.at < span.end
                 if is_late and self._was_calm(span.start, arrival.at):
                     self.violations.append(f"{arrival.request_id}: reached a leaving endpoint")
+        withdrawals = [(span, {SECOND_KEY}) for span in self._key_withdrawals]
+        withdrawals += [(span, {KEY, SECOND_KEY}) for span in self._times_without_keys]
         for caller in self._callers:
             for record in caller.records:
-                for span in self._key_withdrawals:
-                    if self._restores.may_have_lost(span.start):
-                        continue
+                if record.status != 200:
+                    continue
+                for span, keys in withdrawals:
                     is_late = (
                         span.start + CHANGE_LIMIT_S < record.sent_at and record.ended_at < span.end
                     )
-                    was_used = record.key == SECOND_KEY and record.status == 200
-                    if is_late and was_used and self._was_calm(span.start, record.ended_at):
+                    if (
+                        is_late
+                        and record.key in keys
+                        and not self._restores.may_have_lost(span.start)
+                        and self._was_calm(span.start, record.ended_at)
+                    ):
                         self.violations.append(f"{record.request_id}: served with a withdrawn key")
 
     async def _check_recovery(self) -> None:
@@ -402,7 +428,10 @@
                 )
         for endpoint in self.endpoints:
             for arrival in endpoint.arrivals:
-                if "authorization" in arrival.headers or arrival.headers["x-tenant"] != "counter":
+                if (
+                    "authorization" in arrival.headers
+                    or arrival.headers.get("x-tenant") != "counter"
+                ):
                     self.violations.append(
                         f"{arrival.request_id}: received a key or a wrong workspace"
                     )
@@ -456,7 +485,8 @@
 
     def _config(self) -> dict[str, object]:
         keys = [KEY, SECOND_KEY] if self._has_second_key else [KEY]
-        tenant = {"name": "counter", "api_keys": keys, "unit": "token_stream"}
+        in_force = keys if self._has_any_key else []
+        tenant = {"name": "counter", "api_keys": in_force, "unit": "token_stream"}
         config = configuration(self._version, tenants=[tenant])
         if self.plan.zones:
             for service in config["services"]:
@@ -483,9 +513,15 @@
 
 
 async def run_soak(plan: SoakPlan) -> SoakReport:
-    """Run the soak; the entries' logs are kept in ``plan.folder`` if it is set."""
+    """Run the soak; keep the entries' logs in ``plan.folder``, or somewhere if it is broken."""
     if plan.folder is not None:
         plan.folder.mkdir(parents=True, exist_ok=True)
         return await _Soak(plan, plan.folder).run()
-    with tempfile.TemporaryDirectory() as folder:
-        return await _Soak(plan, Path(folder)).run()
+    with KeptOutput() as output:
+        report = await _Soak(plan, output.folder).run()
+        if report.violations:
+            output.note(f"{plan}")
+            for violation in report.violations:
+                output.note(violation)
+            output.keep()
+        return report
