Answer requests that have arrived unread as idle connections are closed

Cause: a stopping entry closes the connections without a request once it is out of rotation. A busy one does so late, and what had arrived meanwhile was in the kernel's buffer, which nobody asked. Class: a connection that is taken for idle by what has been read of it. The socket is asked as well now.

The test failed before: the connection was closed without a byte.

--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_front.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_front.py
@@ -203,9 +203,11 @@
 
     @property
     def is_idle(self) -> bool:
-        """Whether no request is active, queued or partly read, and no answer is being read."""
+        """Whether no request is active, queued, partly read or to be read, nor an answer."""
         is_unused = self._task is None and not self._queue and self._began_at is None
-        return is_unused and not self._is_lingering
+        if not is_unused or self._is_lingering or self._transport is None:
+            return False
+        return not self._poll_socket(select.POLLIN)
 
     def write(self, data: bytes) -> None:
         """Send bytes; raise CallerDisconnectedError if the connection is closed."""
@@ -398,8 +400,11 @@
 
     def _has_caller_left(self) -> bool:
         """Whether the caller has closed its connection, from which nothing is read at present."""
+        return self._poll_socket(select.POLLRDHUP)
+
+    def _poll_socket(self, events: int) -> bool:
         poll = select.poll()
-        poll.register(self._transport.get_extra_info("socket").fileno(), select.POLLRDHUP)
+        poll.register(self._transport.get_extra_info("socket").fileno(), events)
         return bool(poll.poll(0))
 
     def _refuse_for_memory(self) -> None:
--- a/tests/gateway/test_stop.py
+++ b/tests/gateway/test_stop.py
@@ -308,3 +308,16 @@
         rig.process._cfg = attrs.evolve(rig.process._cfg, rotation_s=2 * FAR_S)
         async with asyncio.timeout(FAR_S):
             await rig.process.shut_down()
+
+
+async def test_request_that_has_arrived_unread_is_answered_as_idle_connections_are_closed() -> None:
+    async with PlatformRig(services=1) as rig:
+        reader, writer = await asyncio.open_connection(*rig.process.front_address)
+        await wait_until(lambda: len(rig.process.gateway.front.connections) == 1)
+        writer.write(_request("id-1"))
+        rig.process._close_idle()  # Before the loop reads the socket.
+        assert (await reader.readuntil(b"\r\n\r\n")).startswith(b"HTTP/1.1 200")
+        await reader.readexactly(len(b"answer to id-1"))
+        rig.process._close_idle()
+        assert await reader.read() == b""
+        writer.close()
