Ask an engine for its start before a stream goes on there

Cause: the version was taken from the record unless a connection had been lost, or the list was stale while several versions counted.

A stream that has begun is rare, so each engine is now asked for its start before one goes on there: one report per take-up or move. New streams are as before.

Evidence: the two cases of test_stream_does_not_go_on_at_an_engine_whose_restart_gave_no_sign failed before, with events of v1 and v3 in one stream.

--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_generation.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_generation.py
@@ -355,7 +355,7 @@
         sender, stream = self._tools.sender, self._stream
         stream.events_before = stream.splitter.events
         stream.began_at = None
-        if not await self._is_current(outbound.endpoint):
+        if not await self._is_current(outbound.endpoint, stream.software is not None):
             self._reason = "the engine has started again"
             return _Outcome.NOT_SENT
         event_due_at = self._tools.clock() + self._first_event_wait_s(outbound, timeout_s)
@@ -389,12 +389,12 @@
                 )
         return _Outcome.BROKEN
 
-    async def _is_current(self, endpoint: Endpoint) -> bool:
+    async def _is_current(self, endpoint: Endpoint, has_begun: bool = False) -> bool:
         """Whether a resumable stream would get events of the version in the engine's record."""
         if not self._job.route.is_resumable:
             return True
         try:
-            return await self._tools.start_checks.is_current(endpoint)
+            return await self._tools.start_checks.is_current(endpoint, has_begun)
         except EngineUnreachableError:
             return False
 
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_start_checks.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_start_checks.py
@@ -22,9 +22,11 @@
 class StartChecks:
     """Asks engines for their start.
 
-    Each is asked once after its record was read from a snapshot or it has ended a connection. While
-    its service has several versions, it is also asked when it is used again after a time without a
-    connection, and repeatedly while ``is_list_stale``.
+    Each is asked before a stream that has begun goes on there, because its caller has text of one
+    version, and a sign of a restart may be late or lost. For a new stream it is asked once after
+    its record was read from a snapshot or it has ended a connection. While its service has several
+    versions, it is also asked when it is used again after a time without a connection, and
+    repeatedly while ``is_list_stale``.
     """
 
     def __init__(
@@ -41,13 +43,16 @@
         self._next_check_at: dict[str, float] = {}
         self._running: dict[str, asyncio.Task[None]] = {}
 
-    async def is_current(self, endpoint: Endpoint) -> bool:
+    async def is_current(self, endpoint: Endpoint, has_begun: bool = False) -> bool:
         """Whether ``endpoint`` is the record of the engine's last start, as far as can be known.
 
-        Raises EngineUnreachableError.
+        It is known for certain for a stream that ``has_begun``. Raises EngineUnreachableError.
         """
         if not self._is_newest(endpoint):
             return False
+        if has_begun:
+            await self._check(endpoint)
+            return self._is_newest(endpoint)
         if not self._membership.may_have_restarted(endpoint) and not self._is_due(endpoint):
             return True
         task = self._running.get(endpoint.instance)
--- a/tests/gateway/test_stream_versions.py
+++ b/tests/gateway/test_stream_versions.py
@@ -443,3 +443,36 @@
         assert (answer.status, rig.arrivals("after")) == (200, ["d0"])
         lookup = await gateway.origins.find("after")
         assert lookup.origin.software == "v3"
+
+
+@pytest.mark.usefixtures("keep_connections")
+@pytest.mark.parametrize("how", ["caller comes back", "within the answer"])
+async def test_stream_does_not_go_on_at_an_engine_whose_restart_gave_no_sign(how: str) -> None:
+    """Guards against the join of two versions while the list and the signs of a restart lag."""
+    async with PlatformRig(decodes=3, engine=ENGINE) as rig:
+        first, restarted, sound = rig.decodes
+        first.engine.room = sound.engine.room = 0
+        await rig.generate("/quote/1", "before")
+        assert restarted.calls.count(REPORT) == 1
+        restarted.calls.clear()
+        first.engine.room, restarted.engine.room = 1_000_000, 0
+        if how == "within the answer":
+            first.engine.break_after = 3
+            first.faults.append(Fault.BREAKS_MID_EVENT)
+        begun = await Stream.open(rig, "first-0", entry=0)
+        await begun.read(3)
+        first.engine.room = 0
+        restarted.version, restarted.started_ms = "v3", 2
+        restarted.engine.room = 1_000_000
+        if how == "caller comes back":
+            begun.close()
+            taking_up = asyncio.ensure_future(_take_up(rig, 0, begun))
+        else:
+            taking_up = asyncio.ensure_future(begun.read(ENGINE.events))
+        await wait_until(lambda: REPORT in restarted.calls or len(restarted.runs) > 1)
+        sound.engine.room = 1_000_000
+        resumed = await taking_up
+        events = begun.events + (resumed.events if resumed is not None else [])
+        assert [version for _, version in events] == [b"v1"] * ENGINE.events
+        assert [number for number, _ in events] == list(range(1, ENGINE.events + 1))
+        assert [run.request_id for run in restarted.runs] == ["before"]
