Begin a stream at no other version than the one announced for it

What callers would see: a stream of version 2 is taken up after its entry was killed, and goes on at version 1 (ORDER).

Cause: an entry announces a stream's version as it reserves a slot. If that attempt does not run and the next one reserves at another version, it announces that one, but the first event leaves after 0.3 s although nobody has confirmed it, and a keeper that has missed the second announcement, or gets it before the first, holds the wrong version for known.

A resumable stream is now bound to the version announced first. If no engine of that version takes it, it is refused with a time to come back, as a new request may begin at any version.

What it takes away: such a stream could begin at another version before. So test_cache_of_another_version_is_not_used_by_the_next_decode_engine asks for a route that is not resumable, with the same assertions, and two tests tell what a resumable one does.

Evidence: test_stream_begins_at_no_other_version_than_the_first_one_that_was_announced failed before, with a keeper that held v1 for a stream of v2.

--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_generation.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_generation.py
@@ -155,15 +155,7 @@
         job = self._job
         hold, self._next_hold = self._next_hold, None
         if hold is None:
-            hold = await self._tools.slot_finder.find(
-                job.req,
-                job.route,
-                job.service,
-                job.tried,
-                has_begun=self._stream.runs > 0 or job.origin is not None,
-                software=self._stream.software,
-                urgency=Urgency(job.rank, job.workspace, job.fingerprint, job.is_scheduled),
-            )
+            hold = await self._find_slot()
         job.tried.add(hold.endpoint.instance)
         job.log_decision(
             "slot reserved",
@@ -174,18 +166,45 @@
         self._announce_origin(hold.endpoint)
         return hold
 
+    async def _find_slot(self) -> Hold:
+        job = self._job
+        try:
+            return await self._tools.slot_finder.find(
+                job.req,
+                job.route,
+                job.service,
+                job.tried,
+                has_begun=self._stream.runs > 0 or job.origin is not None,
+                software=self._software,
+                urgency=Urgency(job.rank, job.workspace, job.fingerprint, job.is_scheduled),
+            )
+        except RefusalError as exc:
+            refused = exc.refused
+            if self._stream.software is not None or refused.retry_after_s is not None:
+                raise
+            # The caller has no event yet, and a new request may begin at any version.
+            raise refusal(refused.code, refused.text, self._retry_after_s()) from exc
+
+    @property
+    def _software(self) -> str | None:
+        """The only version that the stream may be of, ``None`` while it may be of any.
+
+        Once one is announced, others may believe that it began the stream, although no attempt at
+        it has run: a later announcement may be lost, or overtaken by the first.
+        """
+        announced = None if self._announced is None else self._announced.software
+        return self._stream.software if self._stream.software is not None else announced
+
     def _announce_origin(self, endpoint: Endpoint) -> None:
         """Tell other entries and the store which version is about to begin a resumable stream."""
         job = self._job
-        origin = StreamOrigin(endpoint.service, endpoint.software)
-        if not job.route.is_resumable or self._stream.software is not None:
+        if not job.route.is_resumable or self._software is not None:
             return
-        if origin != self._announced:
-            left_s = job.req.deadline - self._tools.clock()
-            self._announced = origin
-            notified = self._tools.origins.begin(job.req.log_id, origin, left_s)
-            written = self._tools.origin_store.begin(job.req.log_id, origin, left_s)
-            self._announcement = asyncio.gather(notified, written)
+        left_s = job.req.deadline - self._tools.clock()
+        origin = self._announced = StreamOrigin(endpoint.service, endpoint.software)
+        notified = self._tools.origins.begin(job.req.log_id, origin, left_s)
+        written = self._tools.origin_store.begin(job.req.log_id, origin, left_s)
+        self._announcement = asyncio.gather(notified, written)
 
     async def _record_origin(self, endpoint: Endpoint) -> None:
         """Fix the stream's version, once others can find it, before the first event."""
@@ -498,7 +517,7 @@
         if not self._may_move():
             return False
         hold = await tools.slot_finder.find_now(
-            job.req, job.service, job.route, job.tried, self._stream.software
+            job.req, job.service, job.route, job.tried, self._software
         )
         if hold is not None and not await self._budget.spend():
             tools.slot_finder.release(hold)
@@ -542,8 +561,10 @@
         if outcome is _Outcome.BROKEN or self._stream.runs:
             return refusal(ErrorCode.ENDPOINT_FAILED, f"the answer was lost: {self._reason}")
         text = "no decode engine accepts the request now"
-        after_s = RETRY_AFTER_S * (0.5 + self._tools.rng.random())
-        return refusal(ErrorCode.ENDPOINTS_FULL, text, after_s)
+        return refusal(ErrorCode.ENDPOINTS_FULL, text, self._retry_after_s())
+
+    def _retry_after_s(self) -> float:
+        return RETRY_AFTER_S * (0.5 + self._tools.rng.random())
 
     def _record_output_size(self) -> None:
         """Record the length of an answer that one engine made from its beginning."""
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_slot_finder.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_slot_finder.py
@@ -149,7 +149,8 @@
         request = SlotRequest(
             req, route, service, tokens, avoided, software, _future(), urgency or Urgency()
         )
-        if request.urgency.is_scheduled and not has_begun and req.generation_size is not None:
+        is_free = not has_begun and software is None
+        if request.urgency.is_scheduled and is_free and req.generation_size is not None:
             hold = await self._find_scheduled(request)
             if hold is not None:
                 return hold
@@ -388,7 +389,7 @@
         else:
             endpoints = [e for e in endpoints if e.software == request.software]
             if not endpoints:
-                text = f"no decode engine of version {request.software}, which began the stream"
+                text = f"no decode engine of version {request.software}, which is the stream's"
                 raise refusal(ErrorCode.NO_ENDPOINT, text)
         return endpoints
 
--- a/tests/gateway/test_cut_off_entries.py
+++ b/tests/gateway/test_cut_off_entries.py
@@ -2,10 +2,12 @@
 
 import asyncio
 import time
+import uuid
+from typing import Any
 
 import pytest
 
-from vanillashore_gateway import EndpointRole
+from vanillashore_gateway import Endpoint, EndpointRole, LinkError, LinkFailure
 from vanillashore_standins import wait_until
 from vanillashore_standins.platform_endpoint import EngineOptions
 from vanillashore_standins.platform_rig import Answer, PlatformRig
@@ -13,6 +15,8 @@
 
 ENGINE = EngineOptions(events=40, pause_s=0.02)
 STREAMS = 8
+# Entries of tests that run beside may get the port of a killed one, and answer for its streams.
+RUN = uuid.uuid4().hex[:8]
 TRIES = 4  # A caller comes back after a refusal as often as its time allows.
 
 
@@ -47,7 +51,7 @@
 
 
 async def _begin(rig: PlatformRig) -> list[Stream]:
-    streams = [await Stream.open(rig, f"first-{n}", entry=0) for n in range(STREAMS)]
+    streams = [await Stream.open(rig, f"{RUN}-{n}", entry=0) for n in range(STREAMS)]
     await asyncio.gather(*(stream.read(3) for stream in streams))
     assert {version for stream in streams for _, version in stream.events} == {b"v2"}
     return streams
@@ -56,9 +60,9 @@
 async def _take_up(rig: PlatformRig, number: int, begun: Stream) -> list[tuple[int, bytes]]:
     """Return all events of a stream that is taken up at the last entry."""
     last_id, _ = begun.events[-1]
-    headers = SIZE | {"Resumes": f"first-{number}", "Last_Event_Id": str(last_id)}
+    headers = SIZE | {"Resumes": f"{RUN}-{number}", "Last_Event_Id": str(last_id)}
     for attempt in range(TRIES):
-        data = rig.encode("POST", "/quote/1", f"second-{number}-{attempt}", b"prompt", **headers)
+        data = rig.encode("POST", "/quote/1", f"{RUN}-{number}-{attempt}", b"prompt", **headers)
         answer: Answer = await rig.send(data, entry=len(rig.processes) - 1)
         if answer.status == 200:
             later = [(int(event), version) for event, version in EVENT.findall(answer.body)]
@@ -138,7 +142,7 @@
                     "v2" in p.gateway.membership.versions("models", 0.0) for p in rig.processes
                 )
             )
-        streams = [await Stream.open(rig, f"first-{n}", entry=0) for n in range(STREAMS)]
+        streams = [await Stream.open(rig, f"{RUN}-{n}", entry=0) for n in range(STREAMS)]
         await asyncio.gather(*(stream.read(3) for stream in streams))
         rig.store.faults.status = 503
         rig.kill_entry(0)
@@ -156,7 +160,7 @@
     """An origin that nobody knows is certain with an up-to-date list of one version."""
     async with _rig() as rig:
         await _remove_new_engines(rig)
-        streams = [await Stream.open(rig, f"first-{n}", entry=n % 2) for n in range(STREAMS)]
+        streams = [await Stream.open(rig, f"{RUN}-{n}", entry=n % 2) for n in range(STREAMS)]
         await asyncio.gather(*(stream.read(3) for stream in streams))
         rig.kill_entry(0)
         rig.kill_entry(0)
@@ -164,3 +168,34 @@
         taken_up = await _take_up_all(rig, streams)
         assert _joined(taken_up) == 0
         assert _whole(taken_up) == STREAMS
+
+
+async def test_stream_begins_at_no_other_version_than_the_first_one_that_was_announced() -> None:
+    """Guards against a keeper that has heard of the version of an attempt that did not run."""
+    async with PlatformRig(decodes=3, entries=2, engine=ENGINE, links=True) as rig:
+        for engine in rig.decodes[1:]:
+            engine.version = "v2"
+            rig.store.put(f"servers/{engine.instance}", engine.entry())
+        gateway, keeper = rig.process.gateway, rig.processes[1]
+        await wait_until(lambda: len(gateway.membership.versions("models", 0.0)) == 2)
+        for engine in rig.decodes[1:]:
+            engine.engine.room = 0
+        acquire = gateway.pool.acquire_connection
+
+        async def fail_once_announced(
+            endpoint: Endpoint, exchange: bytes, *args: Any, **kwargs: Any
+        ) -> Any:
+            if endpoint.instance == "d0" and exchange == f"{RUN}-0".encode():
+                await wait_until(lambda: keeper.gateway.origins.get(f"{RUN}-0") is not None)
+                rig.cut_off(keeper)
+                rig.store.faults.status = 503
+                for engine in rig.decodes[1:]:
+                    engine.engine.room = 1_000_000
+                raise LinkError(LinkFailure.NOT_SENT, "refused")
+            return await acquire(endpoint, exchange, *args, **kwargs)
+
+        gateway.pool.acquire_connection = fail_once_announced
+        begun = await Stream.open(rig, f"{RUN}-0", entry=0)
+        await begun.read(3)
+        known = keeper.gateway.origins.get(f"{RUN}-0")
+        assert {version.decode() for _, version in begun.events} <= {known.software}
--- a/tests/gateway/test_stream_versions.py
+++ b/tests/gateway/test_stream_versions.py
@@ -159,23 +159,50 @@
         assert len(rig.arrivals("begun")) == 1
 
 
+def _fail_after_the_prefill(rig: PlatformRig, then_has_room: EndpointStandIn) -> None:
+    """Let the first decode engine, which alone has room, fail; then another one has room."""
+    for engine in rig.decodes[1:]:
+        engine.engine.room = 0
+    pool = rig.process.gateway.pool
+    acquire = pool.acquire_connection
+
+    async def fail_after_the_prefill(endpoint: Endpoint, *args: Any, **kwargs: Any) -> Any:
+        if endpoint.instance == "d0" and rig.prefills[0].arrivals:
+            then_has_room.engine.room = 1_000_000
+            raise LinkError(LinkFailure.NOT_SENT, "refused")
+        return await acquire(endpoint, *args, **kwargs)
+
+    pool.acquire_connection = fail_after_the_prefill
+
+
 async def test_cache_of_another_version_is_not_used_by_the_next_decode_engine() -> None:
     async with _rig(entries=1) as rig:
-        for engine in rig.decodes[1:]:
-            engine.engine.room = 0
-        pool = rig.process.gateway.pool
-        acquire = pool.acquire_connection
+        _fail_after_the_prefill(rig, rig.decodes[2])
+        answer = await rig.generate("/idea/1", "id-1")
+        assert (answer.status, rig.arrivals("id-1")) == (200, ["d2"])
+        assert "x-kv-source" not in rig.decodes[2].arrivals[0].headers
 
-        async def fail_after_the_prefill(endpoint: Endpoint, *args: Any, **kwargs: Any) -> Any:
-            if endpoint.instance == "d0" and rig.prefills[0].arrivals:
-                rig.decodes[2].engine.room = 1_000_000
-                raise LinkError(LinkFailure.NOT_SENT, "refused")
-            return await acquire(endpoint, *args, **kwargs)
 
-        pool.acquire_connection = fail_after_the_prefill
+async def test_resumable_stream_moves_to_another_engine_of_the_version_that_was_announced() -> None:
+    async with _rig(entries=1) as rig:
+        _fail_after_the_prefill(rig, rig.decodes[1])
         answer = await rig.generate("/quote/1", "id-1")
-        assert (answer.status, rig.arrivals("id-1")) == (200, ["d2"])
-        assert "x-kv-source" not in rig.decodes[2].arrivals[0].headers
+        assert (answer.status, rig.arrivals("id-1")) == (200, ["d1"])
+
+
+async def test_resumable_stream_that_cannot_begin_at_its_version_may_come_back() -> None:
+    """Guards against a refusal without a way out: a new request may begin at any version."""
+    async with _rig(entries=1) as rig:
+        _fail_after_the_prefill(rig, rig.decodes[2])
+        for engine in rig.decodes[:2]:
+            rig.store.put(f"servers/{engine.instance}", engine.entry(state="draining"))
+        answer = await rig.generate("/quote/1", "id-1")
+        if rig.arrivals("id-1") == []:
+            assert answer.status == 503
+            assert b'"ran":"no"' in answer.body
+            await asyncio.sleep(float(answer.headers["retry-after"]))
+            answer = await rig.generate("/quote/1", "id-2")
+        assert answer.status == 200
 
 
 async def test_stream_of_unknown_origin_is_refused_as_not_run_while_two_versions_serve() -> None:
