Send a call that may run once only once, whatever its method

What callers would get: a call with GET, PUT or DELETE on a route whose calls run at most once runs twice at its service, under one claim, if the service ends the connection before its answer's head is complete.

Cause: aiohttp sends requests of these methods once more by itself. Class: a library decides by the method what may be repeated, which the route says. Other calls of the node that change something use POST.

Now such a call ends with its connection, as "outcome unknown". Calls that may be repeated are as before.

--- a/packages/vanillashore-node/src/vanillashore_node/_sidecar_service.py
+++ b/packages/vanillashore-node/src/vanillashore_node/_sidecar_service.py
@@ -26,6 +26,22 @@
 FORWARDED_HEADERS = frozenset({"content-type", "content-language", "location"})
 
 
+class _BrokenExchangeError(aiohttp.ClientError):
+    """The connection was lost after the request was sent, and before the head of its answer."""
+
+
+async def _send_once(
+    req: aiohttp.ClientRequest, send: aiohttp.ClientHandlerType
+) -> aiohttp.ClientResponse:
+    """Let a lost connection end the call: aiohttp repeats requests of some methods after that."""
+    try:
+        return await send(req)
+    except aiohttp.ClientConnectorError:
+        raise
+    except (aiohttp.ClientOSError, aiohttp.ServerDisconnectedError) as exc:
+        raise _BrokenExchangeError(repr(exc)) from exc
+
+
 class ServiceCallHandler:
     """Runs calls on the service, under a claim unless they are idempotent."""
 
@@ -53,6 +69,7 @@
                 data=base64.b64decode(order.body_base64),
                 timeout=timeout,
                 allow_redirects=False,
+                middlewares=() if order.idempotent else (_send_once,),
             ) as response:
                 body = await response.read()
                 return CallDone(
