Count a stream without length and without an event as broken

Cause: an answer without length is whole where its connection ends, so a stream was whole before its first event. A run makes one at least ("a request starts to run with its first token"). Now a resumable stream goes on elsewhere, and another one ends as broken.

The stand-in endpoint can end answers after any byte, and engines can leave out the framing.

--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_generation.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_generation.py
@@ -459,6 +459,9 @@
                 self._event_due_at = self._tools.clock() + self._stall_timeout_s()
         if splitter.has_partial_event:
             raise LinkError(LinkFailure.BROKEN, "the stream ended inside an event")
+        # A run brings at least one event, unless it goes on after the last one.
+        if not sent.is_framed and splitter.last_id is None and not splitter.events:
+            raise LinkError(LinkFailure.BROKEN, "the connection ended without an event")
         if timer.step_s is not None:
             self._tools.balancer.record_time(sent.endpoint, timer.step_s, self._tools.clock())
 
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_http_client.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_http_client.py
@@ -136,6 +136,11 @@
         # An endpoint may answer before it has read all of a long request body.
         return self.is_open and self._transport.get_write_buffer_size() == 0
 
+    @property
+    def ends_with_answer(self) -> bool:
+        """Whether only the end of the connection marks that of the answer."""
+        return self._answer is not None and self._answer.ends_with_connection
+
     def can_carry(self, exchange_id: bytes) -> bool:
         """Whether no answer of an earlier exchange can be taken for the answer to this one."""
         return exchange_id not in self._carried
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_sending.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_sending.py
@@ -27,6 +27,11 @@
     head: AnswerHead
     _conn: HttpConnection
 
+    @property
+    def is_framed(self) -> bool:
+        """Whether the answer states where it ends."""
+        return not self._conn.ends_with_answer
+
     async def read(self, timeout_s: float | None = None) -> bytes:
         """Return the next bytes of the body, or ``b""`` at its end.
 
--- a/packages/vanillashore-standins/src/vanillashore_standins/platform_endpoint.py
+++ b/packages/vanillashore-standins/src/vanillashore_standins/platform_endpoint.py
@@ -14,6 +14,7 @@
 import orjson
 
 SEAL_PREFIX = "sealed-by-"
+RESET_DELAY_S = 0.02  # For the other side to read what was sent before.
 ENDLESS_PAUSE_S = 0.002  # Between parts, so that other endpoints of the process keep working.
 CRASH_DELAY_S = 0.02  # From the head of the answer to the crash.
 SLOW_RECEIVE_BYTES = 4_096  # Receive buffer of an endpoint that reads slowly.
@@ -110,7 +111,8 @@
 
     ``room`` is the number of tokens that all holds together may reserve. The faults
     ``BREAKS_MID_EVENT``, ``STALLS`` and ``TRICKLES`` (a byte every ``trickle_s``) occur after
-    ``break_after`` events, and crashes caused by a prompt after ``crash_after``.
+    ``break_after`` events, and crashes caused by a prompt after ``crash_after``. Streams that are
+    not framed end with their connection.
     """
 
     stage: str = "decode"
@@ -121,6 +123,20 @@
     crash_after: int = 0
     stall_s: float = 3_600.0
     trickle_s: float = 0.2
+    is_framed: bool = True
+
+
+@attrs.frozen
+class AnswerCut:
+    """Where an endpoint ends its answers to some targets, and how it ends the connection then."""
+
+    target: str
+    after_bytes: int
+    is_reset: bool = False
+
+    def applies_to(self, target: str) -> bool:
+        """Whether answers to a target are cut."""
+        return target.startswith(self.target)
 
 
 class _Recorder:
@@ -130,10 +146,24 @@
         self._writer = writer
         self.target = ""
         self.answer = bytearray()
+        self.cut: AnswerCut | None = None
 
     def write(self, data: bytes) -> None:
+        before = len(self.answer)
         self.answer += data
-        self._writer.write(data)
+        left = None if self.cut is None else self.cut.after_bytes - before
+        if left is None or len(data) < left:
+            self._writer.write(data)
+        elif left > 0 or not before:
+            self._writer.write(data[:left])
+            if self.cut.is_reset:
+                asyncio.get_running_loop().call_later(RESET_DELAY_S, _reset, self._writer)
+            else:
+                self._writer.close()
+
+    def begin(self, target: str) -> None:
+        """Note the target of the next request."""
+        self.target, self.answer = target, bytearray()
 
     def write_unrecorded(self, data: bytes) -> None:
         self._writer.write(data)
@@ -157,6 +187,8 @@
     After an answer for which ``copies_late``, called with the request's target and the answer, is
     true, a copy of it arrives with the answer to the next request on the connection.
 
+    Answers to some targets end as ``answer_cut`` says. Control calls have targets, too.
+
     The record states ``cold_ms``, and answers state ``states_cold_ms`` if it is not 0.
 
     A generation with one of ``crash_parts`` in its prompt, the last part apart, crashes the
@@ -199,6 +231,7 @@
         self.broken_requests: set[str] = set()
         self.copies_late: Callable[[str, bytes], bool] | None = None
         self.late_copies = 0
+        self.answer_cut: AnswerCut | None = None
         self.connections = 0
         self.address = ""
         self._writers: set[asyncio.StreamWriter] = set()
@@ -307,8 +340,7 @@
             await asyncio.sleep(self.read_delay_s)
             writer.transport.resume_reading()
         body = await reader.readexactly(int(headers.get("content-length", 0)))
-        if self.copies_late is not None:
-            self._send_late_copy(writer, target)
+        self._begin_answer(writer, target)
         if target.startswith("/-/"):
             return await self._handle_control(writer, method, target, body)
         fault = self.faults.popleft() if self.faults else Fault.NONE
@@ -337,11 +369,13 @@
         finally:
             self._active.discard(request_id)
 
-    def _send_late_copy(self, writer: "_Recorder", target: str) -> None:
+    def _begin_answer(self, writer: "_Recorder", target: str) -> None:
         """Send the answer before once more, if it is to be copied, and record the next one."""
         before, answer = writer.target, bytes(writer.answer)
-        writer.target, writer.answer = target, bytearray()
-        if answer and self.copies_late(before, answer):
+        writer.begin(target)
+        applies = self.answer_cut is not None and self.answer_cut.applies_to(target)
+        writer.cut = self.answer_cut if applies else None
+        if self.copies_late is not None and answer and self.copies_late(before, answer):
             self.late_copies += 1
             writer.write_unrecorded(answer)
 
@@ -485,7 +519,9 @@
         fault: Fault,
         server_headers: dict[str, str],
     ) -> bool:
-        writer.write(_head(200, server_headers | {"Content-Type": "text/event-stream"}, -1))
+        framing = -1 if self.engine.is_framed else None
+        frame = _chunk if self.engine.is_framed else bytes
+        writer.write(_head(200, server_headers | {"Content-Type": "text/event-stream"}, framing))
         first = int(arrival.headers.get("last-event-id", 0)) + 1
         parts = frozenset(self.crash_parts & prompt_parts(arrival.headers))
         for number in range(first, self.engine.events + 1):
@@ -497,7 +533,7 @@
             event = event_bytes(number, self.version)
             await self.may_answer.wait()
             if number > self.engine.break_after and fault is Fault.BREAKS_MID_EVENT:
-                writer.write(_chunk(event[:7]))
+                writer.write(frame(event[:7]))
                 await writer.drain()
                 await asyncio.sleep(0.01)
                 _reset(writer)
@@ -506,12 +542,12 @@
                 await asyncio.sleep(self.engine.stall_s)
             is_trickled = number > self.engine.break_after and fault is Fault.TRICKLES
             for part in [event[i : i + 1] for i in range(len(event))] if is_trickled else [event]:
-                writer.write(_chunk(part))
+                writer.write(frame(part))
                 await writer.drain()
                 await asyncio.sleep(self.engine.trickle_s if is_trickled else self.engine.pause_s)
-        writer.write(b"0\r\n\r\n")
+        writer.write(b"0\r\n\r\n" if self.engine.is_framed else b"")
         await writer.drain()
-        return True
+        return self.engine.is_framed
 
     async def _handle_control(
         self, writer: asyncio.StreamWriter, method: str, target: str, body: bytes
