Take no request late in a stop that the last refusals would meet

What callers got: a call that came late in a planned stop was taken, passed on, and answered 502 at the end, before its own deadline.

Cause: a request is taken if it is over as the process ends, but what has no answer 0.2 s before gets its refusal then. The check now uses the earlier time.

What it refuses: requests whose time ends in those 0.2 s, as not run. Three tests of test_shutdown.py asserted that these are taken; they assert the earlier bound, with the same distance to the next refused value.

Two of three cases of test_call_that_the_last_refusals_would_meet_is_not_passed_on failed before.

--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_shutdown.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_shutdown.py
@@ -100,7 +100,7 @@
         """Return the end of all waits on the loop's clock, ``None`` before a stop."""
         if self.ends_at is None:
             return None
-        left_s = self.ends_at - REFUSAL_MARGIN_S - self.clock()
+        left_s = self._last_refusals_at - self.clock()
         return asyncio.get_running_loop().time() + left_s
 
     def record_answer(self, service: str, seconds: float) -> None:
@@ -132,8 +132,13 @@
         if self._times[service].share_longer_than(left_s) > risk:
             raise self._refusal()
 
+    @property
+    def _last_refusals_at(self) -> float:
+        return self.ends_at - REFUSAL_MARGIN_S
+
     def _surely_ends(self, give_up_at: float) -> bool:
-        return self.ends_at is None or give_up_at <= self.ends_at
+        """Whether a request is over before those that are left get their refusals."""
+        return self.ends_at is None or give_up_at <= self._last_refusals_at
 
     def _refusal(self) -> RefusalError:
         text = f"this entry stops in {self.ends_at - self.clock():.1f} s"
--- a/tests/gateway/test_shutdown.py
+++ b/tests/gateway/test_shutdown.py
@@ -7,11 +7,12 @@
 from vanillashore_gateway import GatewaySettings, RefusalError
 from vanillashore_gateway._process import working_time_s
 from vanillashore_gateway._rotation import Rotation, StoppingNotice
-from vanillashore_gateway._shutdown import Shutdown
+from vanillashore_gateway._shutdown import REFUSAL_MARGIN_S, Shutdown
 
 SERVICE = "models"
 OUT_OF_ROTATION_AT = 3.0
 ENDS_AT = 7.0
+LAST_REFUSALS_AT = ENDS_AT - REFUSAL_MARGIN_S
 FAR = 60.0
 
 
@@ -56,17 +57,17 @@
 @pytest.mark.parametrize("answer_s", [0.01, 2.0, 6.5])
 def test_out_of_rotation_only_what_surely_ends_is_accepted(answer_s: float) -> None:
     entry = _Entry(entries=3, seconds=[answer_s] * 100)
-    assert entry.accepts(3.1, give_up_at=ENDS_AT)
-    assert not entry.accepts(3.1, give_up_at=ENDS_AT + 0.01)
+    assert entry.accepts(3.1, give_up_at=LAST_REFUSALS_AT)
+    assert not entry.accepts(3.1, give_up_at=LAST_REFUSALS_AT + 0.01)
     assert not entry.accepts(3.1)
 
 
 def test_out_of_rotation_calls_are_accepted_if_they_surely_end() -> None:
     entry = _Entry(entries=3, seconds=[])
     entry.shutdown.check_arrival(received=2.9, give_up_at=FAR)
-    entry.shutdown.check_arrival(received=3.1, give_up_at=ENDS_AT)
+    entry.shutdown.check_arrival(received=3.1, give_up_at=LAST_REFUSALS_AT)
     with pytest.raises(RefusalError):
-        entry.shutdown.check_arrival(received=3.1, give_up_at=ENDS_AT + 0.01)
+        entry.shutdown.check_arrival(received=3.1, give_up_at=LAST_REFUSALS_AT + 0.01)
 
 
 def test_in_rotation_the_risk_of_a_cut_is_weighed_against_a_second_refusal() -> None:
@@ -99,8 +100,8 @@
     entry = _Entry(entries=3, seconds=[0.1] * answers)
     assert entry.accepts(2.9)
     assert not entry.accepts(2.9, wait_s=0.2)
-    assert entry.accepts(3.1, give_up_at=ENDS_AT)
-    assert not entry.accepts(3.1, give_up_at=ENDS_AT + 0.1)
+    assert entry.accepts(3.1, give_up_at=LAST_REFUSALS_AT)
+    assert not entry.accepts(3.1, give_up_at=LAST_REFUSALS_AT + 0.1)
 
 
 @pytest.mark.parametrize("grace_s", [1.0, 3.0, 8.0, 30.0])
--- a/tests/gateway/test_stop.py
+++ b/tests/gateway/test_stop.py
@@ -256,6 +256,26 @@
         assert b'"ran":"unknown"' in answer.body
 
 
+@pytest.mark.parametrize("before_end_s", [0.15, 0.05, -0.05])
+async def test_call_that_the_last_refusals_would_meet_is_not_passed_on(
+    before_end_s: float,
+) -> None:
+    """Guards against calls that are taken late, run, and end as unknown before their own time."""
+    async with PlatformRig(services=1) as rig:
+        fail_first(rig.services, Fault.SILENT, Fault.SILENT)
+        first = asyncio.ensure_future(rig.ask("POST", "/pay/1", "id-0", X_Deadline_Ms="60000"))
+        await wait_until(lambda: bool(rig.arrivals("id-0")))
+        stopping = asyncio.ensure_future(rig.process.shut_down())
+        await asyncio.sleep(rig.process._cfg.rotation_s + 0.3)
+        shutdown = rig.process.gateway.shutdown
+        deadline_ms = (shutdown.ends_at - before_end_s - shutdown.clock()) * 1_000
+        answer = await rig.ask("POST", "/pay/1", "id-1", b"x", X_Deadline_Ms=f"{deadline_ms:.0f}")
+        assert (answer.status, rig.arrivals("id-1")) == (503, [])
+        assert b'"code":"stopping"' in answer.body
+        assert (await first).status == 502
+        await stopping
+
+
 async def test_call_whose_last_byte_comes_out_of_rotation_is_not_accepted_as_in_rotation() -> None:
     async with PlatformRig(services=1) as rig:
         data = rig.encode("POST", "/pay/1", "id-1", b"pay", X_Deadline_Ms="60000")
