Ask an engine for its start if neither a record nor a connection can have told

What callers would see: a stream begins at the first engine that has come back with a new version, is taken for one of the old version, and is joined with it when it is taken up (ORDER).

Cause: with one known version an engine was asked only after a lost connection. Class: as for streams that are taken up at an entry that is out of step. Now it is asked too if the list is stale and no connection was open when it may have started again. With an up-to-date list nothing changes, as that would ask each idle engine.

Evidence: test_restart_while_no_connection_was_open_is_found_without_the_store failed before.

--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_start_checks.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_start_checks.py
@@ -26,7 +26,7 @@
     version, and a sign of a restart may be late or lost. For a new stream it is asked once after
     its record was read from a snapshot or it has ended a connection. While its service has several
     versions, it is also asked when it is used again after a time without a connection, and
-    repeatedly while ``is_list_stale``.
+    repeatedly while ``is_list_stale``; with one version, only if both hold.
     """
 
     def __init__(
@@ -69,10 +69,15 @@
 
     def _is_due(self, endpoint: Endpoint) -> bool:
         now = self._clock()
-        is_uncertain = self._is_list_stale() or self._membership.was_unobserved(endpoint)
-        if not is_uncertain or now < self._next_check_at.get(endpoint.instance, 0.0):
+        is_stale = self._is_list_stale()
+        was_unobserved = self._membership.was_unobserved(endpoint)
+        if now < self._next_check_at.get(endpoint.instance, 0.0):
             return False
-        return len(self._membership.versions(endpoint.service, now - MAX_KEPT_S)) > 1
+        # Neither a record nor a lost connection can have told of the first new version.
+        if is_stale and was_unobserved:
+            return True
+        has_several = len(self._membership.versions(endpoint.service, now - MAX_KEPT_S)) > 1
+        return has_several and (is_stale or was_unobserved)
 
     def _is_newest(self, endpoint: Endpoint) -> bool:
         """Whether no later start of the engine is listed or was stated by the engine."""
--- a/tests/gateway/test_stream_versions.py
+++ b/tests/gateway/test_stream_versions.py
@@ -503,3 +503,22 @@
         assert [version for _, version in events] == [b"v1"] * ENGINE.events
         assert [number for number, _ in events] == list(range(1, ENGINE.events + 1))
         assert [run.request_id for run in restarted.runs] == ["before"]
+
+
+async def test_restart_while_no_connection_was_open_is_found_without_the_store(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a stream that begins by an old record as the first new version comes."""
+    monkeypatch.setattr("vanillashore_gateway._http_client.DEFAULT_IDLE_LIMIT_S", 0.1)
+    async with PlatformRig(decodes=1, engine=ENGINE) as rig:
+        engine = rig.decodes[0]
+        await _leave_without_a_connection(rig, engine)
+        rig.store.faults.status = 503
+        await wait_until(rig.process.gateway._is_list_stale)
+        engine.restart("v2")
+        engine.calls.clear()
+        pending = asyncio.ensure_future(rig.generate("/quote/1", "after"))
+        await wait_until(lambda: REPORT in engine.calls or rig.arrivals("after"))
+        await asyncio.sleep(0.2)
+        assert rig.arrivals("after") == []
+        pending.cancel()
