--- a/tests/gateway/test_cut_off_entries.py
+++ b/tests/gateway/test_cut_off_entries.py
@@ -128,6 +128,25 @@
         assert _whole(streams) == STREAMS
 
 
+async def test_stream_without_a_name_is_not_joined_at_an_entry_whose_list_trails() -> None:
+    """Guards against a take-up for which nobody can be asked, so that only the list counts."""
+    async with _rig() as rig:
+        await _remove_new_engines(rig)
+        trailing = rig.processes[1]
+        rig.cut_off(trailing)
+        await _release(rig)
+        begun = (await _begin(rig))[0]
+        begun.close()
+        for engine in rig.decodes[:2]:
+            engine.engine.room = 1_000_000
+        rig.reconnect(trailing)
+        headers = SIZE | {"Last_Event_Id": str(begun.events[-1][0])}
+        data = rig.encode("POST", "/quote/1", f"{RUN}-again", b"prompt", **headers)
+        answer = await rig.send(data, entry=1)
+        assert answer.status == 503
+        assert b'"code":"origin_unknown"' in answer.body
+
+
 @pytest.mark.parametrize("versions", [1, 2])
 async def test_streams_go_on_while_the_store_is_away_if_another_entry_knows_them(
     versions: int,
