Resume streams whose further runs state no media type

A further run may state no type now; its first event must then have a later id than the last one that the caller has, so that an error with status 200 is still not joined.

--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_events.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_events.py
@@ -10,6 +10,13 @@
 _END = re.compile(rb"\r?\n\r?\n")
 
 
+def first_id(events: bytes) -> int | None:
+    """Return the id of the first of some complete events, ``None`` if it has none."""
+    first = _END.split(events, maxsplit=1)[0]
+    found = _ID_LINE.findall(first)
+    return int(found[-1]) if found else None
+
+
 class OversizedEventError(ValueError):
     """An event does not end within `MAX_EVENT_BYTES`."""
 
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_generation.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_generation.py
@@ -12,7 +12,7 @@
 from vanillashore_gateway._endpoint_speeds import StepTimer
 from vanillashore_gateway._engine_calls import EngineUnreachableError
 from vanillashore_gateway._errors import ErrorCode, RefusalError, refusal
-from vanillashore_gateway._events import EventSplitter, OversizedEventError
+from vanillashore_gateway._events import EventSplitter, OversizedEventError, first_id
 from vanillashore_gateway._first_events import first_event_wait_s
 from vanillashore_gateway._front import Responder
 from vanillashore_gateway._http_client import LinkError, LinkFailure
@@ -64,7 +64,8 @@
 
     ``software`` is the version that made the events; ``None`` while the caller has none. The
     present run began after ``events_before`` events, and brought its first one at ``began_at``.
-    ``media_type`` is that of the head that the caller has, or the usual one if it states none.
+    ``media_type`` is that of the head that the caller has, or the usual one if it states none;
+    a further run has the same, or states none.
     """
 
     splitter: EventSplitter = attrs.field(factory=EventSplitter)
@@ -429,22 +430,28 @@
                 return
             self._stream.media_type = _media_type(head) or EVENT_STREAM
             responder.begin(head.status, head.reason, end_to_end(head.headers), None)
-        elif not is_stream or _media_type(head) != self._stream.media_type:
+        elif not is_stream or _media_type(head) not in (None, self._stream.media_type):
             text = f"the answer does not resume the stream: status {head.status}"
             raise LinkError(LinkFailure.BROKEN, f"{text}, media type {_media_type(head)}")
         splitter = self._stream.splitter
+        # Without a type, the first event tells whether the answer goes on with the stream.
+        is_unstated = splitter.events > 0 and _media_type(head) is None
         # Until the next whole event: an engine in trouble may still send a byte now and then.
         self._event_due_at = event_due_at
         timer = StepTimer()
         while data := await self._read_or_move(sent):
             read_at, events_before = self._tools.clock(), splitter.events
             self._record_prompt_read(splitter.events)
-            is_first = self._stream.began_at is None
+            is_first, last_id = self._stream.began_at is None, splitter.last_id
             try:
                 events = splitter.feed(data)
             except OversizedEventError as exc:
                 raise LinkError(LinkFailure.GARBLED, str(exc)) from exc
             if events:
+                if is_first and is_unstated and not _follows(events, last_id):
+                    splitter.events, splitter.last_id = events_before, last_id
+                    text = "the answer does not resume the stream: it states no media type"
+                    raise LinkError(LinkFailure.BROKEN, f"{text}, and its first event no later id")
                 if is_first:
                     self._stream.began_at = read_at
                     self._tools.parts.record_event(self._job.service.name, self._job.traits)
@@ -586,6 +593,12 @@
         )
 
 
+def _follows(events: bytes, last_id: int | None) -> bool:
+    """Whether some events go on after the one with an id."""
+    begins_at = first_id(events)
+    return begins_at is not None and (last_id is None or begins_at > last_id)
+
+
 def _media_type(head: AnswerHead) -> bytes | None:
     """Return the media type of an answer in lower case, without its parameters."""
     for name, value in head.headers:
--- a/packages/vanillashore-standins/src/vanillashore_standins/platform_endpoint.py
+++ b/packages/vanillashore-standins/src/vanillashore_standins/platform_endpoint.py
@@ -35,7 +35,8 @@
 class Fault(StrEnum):
     """Fault that an endpoint injects into one request.
 
-    With ``NO_STREAM`` an engine answers with a success that is no stream. Those named ``ENDLESS``
+    With ``NO_STREAM`` an engine answers with a success that is no stream, and with
+    ``NO_STREAM_UNTYPED`` it does not even say so. Those named ``ENDLESS``
     send bytes until the caller closes the connection.
     """
 
@@ -50,6 +51,7 @@
     EXTRA_ANSWER = auto()
     UNSEALED = auto()
     NO_STREAM = auto()
+    NO_STREAM_UNTYPED = auto()
     UNFRAMED = auto()
     UNFRAMED_RESET = auto()
     SILENT = auto()
@@ -112,7 +114,7 @@
     ``room`` is the number of tokens that all holds together may reserve. The faults
     ``BREAKS_MID_EVENT``, ``STALLS`` and ``TRICKLES`` (a byte every ``trickle_s``) occur after
     ``break_after`` events, and crashes caused by a prompt after ``crash_after``. Streams that are
-    not framed end with their connection.
+    not framed end with their connection, and those with an empty ``type_header`` state no type.
     """
 
     stage: str = "decode"
@@ -124,6 +126,7 @@
     stall_s: float = 3_600.0
     trickle_s: float = 0.2
     is_framed: bool = True
+    type_header: str = "Content-Type: text/event-stream"
 
 
 @attrs.frozen
@@ -451,9 +454,11 @@
             del server_headers["X-Server-Seal"]
         if fault is Fault.ERROR:
             return await _reply(writer, 500, server_headers, b"failed")
-        if fault is Fault.NO_STREAM:
-            json_headers = server_headers | {"Content-Type": "application/json"}
-            return await _reply(writer, 200, json_headers, b'{"error":"overloaded"}\n\n')
+        if fault in (Fault.NO_STREAM, Fault.NO_STREAM_UNTYPED):
+            is_typed = fault is Fault.NO_STREAM
+            json_type = {"Content-Type": "application/json"} if is_typed else {}
+            body = b'{"error":"overloaded"}\n\n'
+            return await _reply(writer, 200, server_headers | json_type, body)
         if arrival.headers.get("x-stage") == "prefill":
             handle = {"kv_handle": f"kv{next(self._ids)}", "tokens": 1, "version": 1}
             return await _reply(writer, 200, server_headers, orjson.dumps(handle))
@@ -521,7 +526,8 @@
     ) -> bool:
         framing = -1 if self.engine.is_framed else None
         frame = _chunk if self.engine.is_framed else bytes
-        writer.write(_head(200, server_headers | {"Content-Type": "text/event-stream"}, framing))
+        name, _, value = self.engine.type_header.partition(": ")
+        writer.write(_head(200, server_headers | ({name: value} if name else {}), framing))
         first = int(arrival.headers.get("last-event-id", 0)) + 1
         parts = frozenset(self.crash_parts & prompt_parts(arrival.headers))
         for number in range(first, self.engine.events + 1):
