Bound what a stream without engines and a restored store cost

Read once more: a refusal gets a time to come back only if a stream is bound by its announcement alone, as others have their reasons to have none; and a take-up does not follow a restored store for a second that cannot prove anything.

--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_following.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_following.py
@@ -119,7 +119,7 @@
                 async with self._lock:
                     while not self._includes(revision):
                         await self._advance()
-                        if not self.contact.is_reached:
+                        if not self.contact.is_reached or self._settles_at is not None:
                             return False
         except (TimeoutError, StoreUnavailableError, StoreRestoredError) as exc:
             log.bind(reason=repr(exc), revision=self._revision).info(
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_generation.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_generation.py
@@ -181,7 +181,8 @@
             )
         except RefusalError as exc:
             refused = exc.refused
-            if self._stream.software is not None or refused.retry_after_s is not None:
+            is_only_announced = self._announced is not None and self._stream.software is None
+            if not is_only_announced or refused.retry_after_s is not None:
                 raise
             # The caller has no event yet, and a new request may begin at any version.
             raise refusal(refused.code, refused.text, self._retry_after_s()) from exc
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_slot_finder.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_slot_finder.py
@@ -149,8 +149,8 @@
         request = SlotRequest(
             req, route, service, tokens, avoided, software, _future(), urgency or Urgency()
         )
-        is_free = not has_begun and software is None
-        if request.urgency.is_scheduled and is_free and req.generation_size is not None:
+        is_new = not has_begun and software is None
+        if request.urgency.is_scheduled and is_new and req.generation_size is not None:
             hold = await self._find_scheduled(request)
             if hold is not None:
                 return hold
