Leave the untyped success that is no stream out of the soak, too

The stand-in's new fault was drawn by the soak: as a first run it is the endpoint's own answer, which an entry passes on, and the soak took it for a stream that ends as complete. The typed one had been left out for that reason.

It did not make sure that another entry knows them; that this was the cause is likely, as notices are given up after 0.15 s, but not shown. It waits for that now and allows no refusal in place of a bound in seconds; the other tests of cuts wait for the store to have the origins, and those of catching up set the pauses instead of timing them.

--- a/packages/vanillashore-standins/src/vanillashore_standins/soak/_run.py
+++ b/packages/vanillashore-standins/src/vanillashore_standins/soak/_run.py
@@ -43,7 +43,8 @@
 KEYLESS_EVERY_S = 10.0
 RUNS_ONCE_PATHS = frozenset(kind.path for kind in REQUEST_KINDS if kind.runs_once)
 # A success that is no stream is relayed as the endpoint's answer, as long as no stream has begun.
-REQUEST_FAULTS = [fault for fault in Fault if fault not in (Fault.NONE, Fault.NO_STREAM)]
+NO_STREAMS = (Fault.NO_STREAM, Fault.NO_STREAM_UNTYPED)
+REQUEST_FAULTS = [fault for fault in Fault if fault not in (Fault.NONE, *NO_STREAMS)]
 # A plain answer without end is passed on like any long one, so callers receive its bytes.
 ENGINE_FAULTS = frozenset({Fault.ENDLESS_BODY, Fault.ENDLESS_EVENT})
 
--- a/tests/gateway/test_cut_off_entries.py
+++ b/tests/gateway/test_cut_off_entries.py
@@ -1,7 +1,6 @@
 """Streams that are taken up at an entry that was out of step while a new version joined."""
 
 import asyncio
-import time
 import uuid
 from typing import Any
 
@@ -15,6 +14,7 @@
 
 ENGINE = EngineOptions(events=40, pause_s=0.02)
 STREAMS = 8
+ORIGINS = "vanillashore/origins/"
 # Entries of tests that run beside may get the port of a killed one, and answer for its streams.
 RUN = uuid.uuid4().hex[:8]
 TRIES = 4  # A caller comes back after a refusal as often as its time allows.
@@ -54,14 +54,18 @@
     streams = [await Stream.open(rig, f"{RUN}-{n}", entry=0) for n in range(STREAMS)]
     await asyncio.gather(*(stream.read(3) for stream in streams))
     assert {version for stream in streams for _, version in stream.events} == {b"v2"}
+    # The first events may leave before, if the store takes long.
+    await wait_until(lambda: all(f"{ORIGINS}{RUN}-{n}" in rig.store.items for n in range(STREAMS)))
     return streams
 
 
-async def _take_up(rig: PlatformRig, number: int, begun: Stream) -> list[tuple[int, bytes]]:
+async def _take_up(
+    rig: PlatformRig, number: int, begun: Stream, tries: int
+) -> list[tuple[int, bytes]]:
     """Return all events of a stream that is taken up at the last entry."""
     last_id, _ = begun.events[-1]
     headers = SIZE | {"Resumes": f"{RUN}-{number}", "Last_Event_Id": str(last_id)}
-    for attempt in range(TRIES):
+    for attempt in range(tries):
         data = rig.encode("POST", "/quote/1", f"{RUN}-{number}-{attempt}", b"prompt", **headers)
         answer: Answer = await rig.send(data, entry=len(rig.processes) - 1)
         if answer.status == 200:
@@ -74,10 +78,12 @@
     return begun.events
 
 
-async def _take_up_all(rig: PlatformRig, begun: list[Stream]) -> list[list[tuple[int, bytes]]]:
+async def _take_up_all(
+    rig: PlatformRig, begun: list[Stream], tries: int = TRIES
+) -> list[list[tuple[int, bytes]]]:
     for stream in begun:
         stream.close()
-    return await asyncio.gather(*(_take_up(rig, n, s) for n, s in enumerate(begun)))
+    return await asyncio.gather(*(_take_up(rig, n, s, tries) for n, s in enumerate(begun)))
 
 
 def _joined(streams: list[list[tuple[int, bytes]]]) -> int:
@@ -163,16 +169,16 @@
             )
         streams = [await Stream.open(rig, f"{RUN}-{n}", entry=0) for n in range(STREAMS)]
         await asyncio.gather(*(stream.read(3) for stream in streams))
+        keepers = [process.gateway.origins for process in rig.processes[1:]]
+        for name in (f"{RUN}-{n}" for n in range(STREAMS)):
+            await wait_until(lambda name=name: any(keeper.get(name) for keeper in keepers))
         rig.store.faults.status = 503
         rig.kill_entry(0)
         for engine in rig.decodes[:2]:
             engine.engine.room = 1_000_000
-        began = time.monotonic()
-        taken_up = await _take_up_all(rig, streams)
+        taken_up = await _take_up_all(rig, streams, tries=1)
         assert _joined(taken_up) == 0
         assert _whole(taken_up) == STREAMS
-        # Not refused even once.
-        assert time.monotonic() - began < ENGINE.events * ENGINE.pause_s + 1.0
 
 
 async def test_streams_go_on_at_the_only_version_after_all_entries_were_killed() -> None:
--- a/tests/gateway/test_following.py
+++ b/tests/gateway/test_following.py
@@ -352,17 +352,21 @@
     return follower
 
 
-async def test_catching_up_reads_changes_that_wait_for_the_next_batch() -> None:
+async def test_catching_up_reads_changes_that_wait_for_the_next_batch(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
     async with PlatformRig() as rig:
+        monkeypatch.setattr("vanillashore_gateway._following.BATCH_DELAY_S", 60.0)
         follower = await _pause_of(rig)
-        began = now()
         assert await follower.catch_up()
         assert follower.revision == rig.store.revision
-        assert now() - began < BATCH_DELAY_S / 2
 
 
-async def test_entry_does_not_count_as_up_to_date_until_a_restored_store_has_settled() -> None:
+async def test_entry_does_not_count_as_up_to_date_until_a_restored_store_has_settled(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
     """Guards against a comparison of revisions from before and after a restore."""
+    monkeypatch.setattr("vanillashore_gateway._following.RESTORE_SETTLE_S", 60.0)
     async with PlatformRig() as rig:
         follower = rig.process._follower
         await wait_until(lambda: follower.revision == rig.store.revision)
