Ask whether an entry is listed before its lease gets uncertain

But then an entry that is cut off from the store knows nothing for up to 0.35 s as its lease gets uncertain: it grants nothing as a home, and the entry that ranks next begins to, with tokens of its own.

--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_registration_checks.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_registration_checks.py
@@ -63,9 +63,13 @@
         return self.is_held() or self._clock() < self._listed_until
 
     async def run(self) -> None:
-        """Check repeatedly while the registration is uncertain, until cancelled."""
+        """Check repeatedly while the registration or the list is uncertain, until cancelled.
+
+        A list that is out of date comes first, so the answers are there when the lease gets
+        uncertain, and no other entry takes over as a home for the time of a check.
+        """
         while True:
-            if not self.is_held():
+            if not self.is_held() or not self.is_fresh():
                 await self.check()
             await asyncio.sleep(CHECK_EVERY_S)
 
--- a/tests/gateway/test_registration_checks.py
+++ b/tests/gateway/test_registration_checks.py
@@ -1,5 +1,6 @@
 """Entries that ask others whether they are listed, with and without contact to the store."""
 
+import asyncio
 import random
 
 import attrs
@@ -101,3 +102,21 @@
 @pytest.mark.parametrize("data", [b'["listed?"]', b'["listed",1,2,3]', b'["listed'])
 def test_malformed_datagram_is_ignored(data: bytes) -> None:
     RegistrationChecks("e0", lambda: 0.0, random.Random(1)).datagram_received(data, ("h", 1))
+
+
+async def test_entry_stays_listed_as_its_lease_gets_uncertain(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a second home of a rate for the time of a check."""
+    monkeypatch.setattr(module, "CHECK_EVERY_S", 0.0)
+    fleet = Fleet(4, lost=1)
+    checks = fleet.checks["e0"]
+    for other in fleet.checks.values():
+        other.update_entries(fleet.entries)
+    checks.is_held = lambda: True
+    running = asyncio.ensure_future(checks.run())
+    for _ in range(10):
+        await asyncio.sleep(0)
+    running.cancel()
+    checks.is_held = lambda: False
+    assert checks.is_listed
