Log each retry with its request, its lender and the entries it is divided by

A denied retry was logged without its request, a granted one not at all, and nothing told how many entries the one that grants it believes in, so a bound that rests on a short list, attempts that are not paid, and what restarted processes begin with could not be told apart.

Each grant and denial now names the request, the lender, the own part and the number of entries; an entry that leaves the list is logged; metrics count what is granted and what is saved up. No decision is changed.

--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_calls.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_calls.py
@@ -209,7 +209,7 @@
     async def _end_to_resend(self, resend_s: float, limit: asyncio.Timeout) -> None:
         """End a slow attempt if the budget pays for another one; without it, keep waiting."""
         await asyncio.sleep(resend_s)
-        if not limit.expired() and await self._budget.spend():
+        if not limit.expired() and await self._budget.spend(self._job.req.log_id):
             self._is_resend_paid = True
             limit.reschedule(asyncio.get_running_loop().time())
 
@@ -256,7 +256,7 @@
                 return False
             if self._job.sends >= self._job.route.max_attempts:
                 return False
-        return is_paid or await self._budget.spend()
+        return is_paid or await self._budget.spend(self._job.req.log_id)
 
     def _give_up(self, result: _Result) -> _Result:
         """Return an earlier endpoint's error, if the answer has not begun; else raise."""
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_gateway.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_gateway.py
@@ -240,6 +240,8 @@
             "vanillashore.endpoints.paused": lambda: self.limits.paused_endpoints,
             "vanillashore.endpoints.slow": lambda: self.balancer.speeds.slow_endpoints(now()),
             "vanillashore.endpoints.leaving": lambda: self.membership.stated_leaving,
+            "vanillashore.retries.granted": lambda: self.budgets.granted,
+            "vanillashore.retries.saved": lambda: self.budgets.saved,
             "vanillashore.retries.borrowed": lambda: self.budgets.borrowed,
             "vanillashore.retries.denied": lambda: self.budgets.denied,
             "vanillashore.endpoints.extra_answers": lambda: self.pool.extra_answers,
@@ -375,7 +377,8 @@
                 self._update_entries()
                 self._greet(name)
             case EntryRemoved(name):
-                self._entries.pop(name, None)
+                if self._entries.pop(name, None) is not None:
+                    log.bind(entry=name, entries=len(self._entries)).info("entry removed")
                 self._update_entries()
             case VersionWritten(service, software):
                 self.origin_store.versions.put(ServiceVersion(service, software), now())
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_generation.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_generation.py
@@ -235,7 +235,9 @@
             if handle is not None:
                 return handle
             # Each further prefill attempt counts as a retry.
-            if tools.clock() - began >= assignment.send.timeout_s or not await self._budget.spend():
+            if tools.clock() - began >= assignment.send.timeout_s or not await self._budget.spend(
+                self._job.req.log_id
+            ):
                 return None
         return None
 
@@ -530,7 +532,7 @@
         hold = await tools.slot_finder.find_now(
             job.req, job.service, job.route, job.tried, self._software
         )
-        if hold is not None and not await self._budget.spend():
+        if hold is not None and not await self._budget.spend(self._job.req.log_id):
             tools.slot_finder.release(hold)
             hold = None
         self._next_hold = hold
@@ -566,7 +568,7 @@
             return True
         if outcome is _Outcome.BROKEN and not self._may_move():
             return False
-        return await self._budget.spend()
+        return await self._budget.spend(self._job.req.log_id)
 
     def _final_refusal(self, outcome: _Outcome) -> RefusalError:
         if outcome is _Outcome.BROKEN or self._stream.runs:
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_retry_requests.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_retry_requests.py
@@ -85,7 +85,7 @@
 
         retries = budgets.of("models")
         retries.earn()
-        if await retries.spend():
+        if await retries.spend("request-1"):
             ...  # retry
     """
 
@@ -103,16 +103,28 @@
             self._report_at = now + SURPLUS_EVERY_S
             self._budgets.pass_on(self._service, self.own.take_surplus())
 
-    async def spend(self) -> bool:
-        """Spend one retry, of the own share first; return False if the home lends none either."""
+    async def spend(self, request: str) -> bool:
+        """Spend one retry, of the own share first; return False if the home lends none either.
+
+        ``request`` is the id in the log of the request that is to be retried.
+        """
+        budgets = self._budgets
         reserved = self.own.reserve()
         is_spent = reserved >= 1.0
+        lender: str | None = None
         try:
             if not is_spent:
-                is_spent = await self._budgets.borrow(self._service, 1.0 - reserved)
+                lender = await budgets.borrow(self._service, 1.0 - reserved)
+                is_spent = lender is not None
         finally:
             if not is_spent:
-                self.own.give_back(reserved, self._budgets.limits)
+                self.own.give_back(reserved, budgets.limits)
+        bound = log.bind(request=request, service=self._service, entries=budgets.limits.entries)
+        if is_spent:
+            budgets.granted += 1
+            bound.bind(own=round(reserved, 3), lender=lender).info("a retry was granted")
+        else:
+            bound.bind(denied=budgets.denied).info("the retry budget is used up")
         return is_spent
 
 
@@ -132,6 +144,7 @@
         self.limits = attrs.evolve(limits, entries=max(1, min_entries))
         self.clock = clock
         self.is_registered: Callable[[], bool] = lambda: True
+        self.granted = 0
         self.borrowed = 0
         self.denied = 0
         self._node = node
@@ -159,24 +172,32 @@
                 self._requests.send(home, SurplusNotice(service, amount).encode())
                 return
 
-    async def borrow(self, service: str, amount: float) -> bool:
-        """Borrow part of a retry; an entry that does not answer costs one time-out."""
-        is_granted = await self._ask_home(service, amount)
-        if is_granted:
-            self.borrowed += 1
-        else:
-            self.denied += 1
-            log.bind(service=service, denied=self.denied).info("the retry budget is used up")
-        return is_granted
+    @property
+    def saved(self) -> float:
+        """How many retries of all services are saved up here, for this entry and as a home."""
+        own = sum(retries.own.saved + retries.own.surplus for retries in self._retries.values())
+        return own + sum(self._pool.level(service) for service in self._pool.services())
 
-    async def _ask_home(self, service: str, amount: float) -> bool:
+    async def borrow(self, service: str, amount: float) -> str | None:
+        """Borrow part of a retry; return the lender, or ``None`` if there is none.
+
+        An entry that does not answer costs one time-out.
+        """
         for home in self._homes(service):
-            if home == self._node:
-                return self._pool.lend(service, amount, self._cap(service))
-            if not self._requests.is_unresponsive(home):
-                request = LoanRequest(0, service, amount)
-                return bool(await self._requests.ask(home, request.numbered))
-        return False
+            if home != self._node and self._requests.is_unresponsive(home):
+                continue
+            if await self._borrow_from(home, service, amount):
+                self.borrowed += 1
+                return home
+            break
+        self.denied += 1
+        return None
+
+    async def _borrow_from(self, home: str, service: str, amount: float) -> bool:
+        if home == self._node:
+            return self._pool.lend(service, amount, self._cap(service))
+        request = LoanRequest(0, service, amount)
+        return bool(await self._requests.ask(home, request.numbered))
 
     def update_entries(self, entries: Mapping[str, Address]) -> None:
         """Set the list of entries with their addresses."""
--- a/tests/gateway/test_retry_requests.py
+++ b/tests/gateway/test_retry_requests.py
@@ -6,6 +6,7 @@
 
 import attrs
 import pytest
+from loguru import logger as log
 
 from vanillashore_gateway._gateway import BUDGET_SHARE
 from vanillashore_gateway._home_ranking import rank_homes
@@ -105,7 +106,7 @@
             retries = 0
             if step >= 500:
                 asked = [fleet.rng.choice(sorted(fleet.budgets)) for _ in range(10)]
-                spent = [fleet.budgets[name].of(SERVICE).spend() for name in asked]
+                spent = [fleet.budgets[name].of(SERVICE).spend("r") for name in asked]
                 retries = sum(await asyncio.gather(*spent))
             steps.append((requests, retries))
             earned = RATIO * sum(requests for requests, _ in steps)
@@ -122,7 +123,7 @@
         fleet = Fleet(size)
         await _fill(fleet)
         retries = fleet.budgets[rank_homes(SERVICE, tuple(fleet.entries))[-1]].of(SERVICE)
-        spent = [await retries.spend() for _ in range(200)]
+        spent = [await retries.spend("r") for _ in range(200)]
         assert sum(spent) >= int(LIMITS.max_saved * HOME_SHARE)
 
     run_in_virtual_time(play())
@@ -136,7 +137,7 @@
         fleet = Fleet(size)
         await _fill(fleet)
         for name in fleet.rng.sample(sorted(fleet.entries), 12):
-            assert await fleet.budgets[name].of(SERVICE).spend()
+            assert await fleet.budgets[name].of(SERVICE).spend("r")
 
     run_in_virtual_time(play())
 
@@ -150,7 +151,7 @@
         all_retries = [budgets.of(SERVICE) for budgets in fleet.budgets.values()]
         for retries in all_retries:
             retries.own.saved = 0.0
-        asked = [fleet.budgets[name].of(SERVICE).spend() for name in sorted(fleet.budgets)]
+        asked = [fleet.budgets[name].of(SERVICE).spend("r") for name in sorted(fleet.budgets)]
         began = clock()
         # The substitute asks too, and does not lend yet.
         assert not any(await asyncio.gather(*asked))
@@ -162,7 +163,7 @@
         retries = fleet.budgets[rank_homes(SERVICE, tuple(fleet.entries))[-1]].of(SERVICE)
         retries.own.saved = 0.0
         began = clock()
-        assert await retries.spend()
+        assert await retries.spend("r")
         assert clock() == began
 
     run_in_virtual_time(play())
@@ -171,7 +172,7 @@
 async def test_entry_alone_is_its_own_home() -> None:
     budgets = RetryBudgets("a", RetryLimits(0.16, 40.0), 1, lambda: 5.0)
     retries = budgets.of(SERVICE)
-    assert [await retries.spend() for _ in range(3)] == [True, True, False]
+    assert [await retries.spend("r") for _ in range(3)] == [True, True, False]
 
 
 def test_retry_that_is_not_made_is_given_back() -> None:
@@ -180,12 +181,26 @@
         fleet.loss = 1.0
         retries = fleet.budgets[rank_homes(SERVICE, tuple(fleet.entries))[-1]].of(SERVICE)
         retries.own.saved = 0.5
-        assert not await retries.spend()
+        assert not await retries.spend("r")
         assert retries.own.saved == 0.5
 
     run_in_virtual_time(play())
 
 
+async def test_granted_and_denied_retries_are_logged_with_their_requests() -> None:
+    lines: list[dict[str, object]] = []
+    sink = log.add(lambda text: lines.append(text.record), level="INFO")
+    try:
+        retries = RetryBudgets("a", RetryLimits(0.16, 40.0), 1, lambda: 5.0).of(SERVICE)
+        for request in ("r1", "r2", "r3"):
+            await retries.spend(request)
+    finally:
+        log.remove(sink)
+    logged = [(line["message"], line["extra"]["request"]) for line in lines]
+    granted, denied = "a retry was granted", "the retry budget is used up"
+    assert logged == [(granted, "r1"), (granted, "r2"), (denied, "r3")]
+
+
 @pytest.mark.parametrize("amount", ["1e999", "-1", "5", "NaN"])
 def test_pool_lends_and_takes_no_impossible_amount(amount: str) -> None:
     budgets = RetryBudgets("a", LIMITS, 1, lambda: 5.0)
@@ -231,7 +246,7 @@
     home, other = rank_homes(SERVICE, tuple(entries))
     budgets[home].pass_on(SERVICE, 2.0)
     budgets[other].of(SERVICE).own.saved = 0.25
-    assert await budgets[other].of(SERVICE).spend()
+    assert await budgets[other].of(SERVICE).spend("r")
     assert budgets[home]._pool.level(SERVICE) == pytest.approx(1.25)
     for transport in transports:
         transport.close()
