Divide the retry limits by the size of the fleet, not by the length of a list

Cause: each entry divided the limits for all entries by the number that it listed, but at least by three. Each entry then saved up a multiple of its share, and each that listed itself first kept a pool of its own.

Now the shares are divided by the largest number that was listed in two minutes, told to entries that register; a home that lists a part of the fleet keeps that part of the pool; a process that does not know the number begins with none, and keeps one retry if that lasts longer than a window.

--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_gateway.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_gateway.py
@@ -175,6 +175,7 @@
         self._synced_at = now()
         retries = RetryLimits(cfg.retry_ratio * BUDGET_SHARE, cfg.retry_slack * BUDGET_SHARE)
         self.budgets = RetryBudgets(cfg.node, retries, cfg.expected_entries, now)
+        self.budgets.fleet.is_list_fresh = self.registration_checks.is_fresh
         has_limits = self.held.limits is not None
         sender = Sender(dialect, self.pool, self.balancer, statements, now, has_limits)
         self.prefill_estimator = PrefillEstimator(rng)
@@ -545,7 +546,14 @@
 
     def _greet(self, entry: str) -> None:
         """Tell an entry that has registered what it cannot know."""
-        for handler in (self.limits, self.origins, self.crashes, self.parts, self.role_changes):
+        for handler in (
+            self.budgets,
+            self.limits,
+            self.origins,
+            self.crashes,
+            self.parts,
+            self.role_changes,
+        ):
             handler.greet(entry)
 
     def _prefill_engines(self, service: str) -> list[Endpoint]:
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_retry_budget.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_retry_budget.py
@@ -3,7 +3,8 @@
 Retries are only moved between entries, never made twice: each request earns a fraction of a retry
 at its entry, and what the entry cannot keep goes to the pool of the service's home. So the retries
 of all entries in a window are at most what its requests earned and what was saved up before it.
-The caps below add up to one, which bounds the latter by ``max_saved``.
+The caps below add up to one, which bounds the latter by ``max_saved``. A home that lists a part of
+the fleet only keeps that part of the pool, as the other entries may have other homes.
 """
 
 import math
@@ -16,23 +17,34 @@
 # For the second in the ranking, and for a home whose registration may have expired, as another
 # entry may then be the home too.
 SUBSTITUTE_SHARE = 0.2
-# A new entry begins with this share of `max_saved`, divided among all entries. The gateway leaves
-# a fifth of the fleet's slack unused, which covers four restarts of all entries in one window.
+# A new entry that knows the size of the fleet begins with this share of `max_saved`, divided among
+# all entries. The gateway leaves a fifth of the fleet's slack unused, which covers four restarts of
+# all entries in one window.
 INITIAL_SHARE = 0.0625
+MAX_UNCERTAIN = 1.0  # Retries that an entry keeps, or lends, which does not know the fleet's size.
 
 
 @attrs.frozen
 class RetryLimits:
-    """The limits of a service's retries, for all entries together."""
+    """The limits of a service's retries, for all entries together.
+
+    They are divided by the number of ``entries``. An entry keeps at most ``max_kept``, whatever its
+    share is.
+    """
 
     per_request: float
     max_saved: float
     entries: int = 1
+    max_kept: float = math.inf
 
     @property
     def own_cap(self) -> float:
         """How many retries an entry keeps for itself."""
-        return self.max_saved * OWN_SHARE / self.entries
+        return min(self.max_kept, self.max_saved * OWN_SHARE / self.entries)
+
+    def pool_cap(self, share: float, part_listed: float) -> float:
+        """How much a home keeps that lists a part of the fleet."""
+        return min(self.max_kept, self.max_saved * share * part_listed)
 
     @property
     def surplus_cap(self) -> float:
@@ -74,7 +86,7 @@
         return surplus
 
     def resize(self, limits: RetryLimits) -> None:
-        """Apply smaller limits."""
+        """Apply other limits."""
         self.saved = min(limits.own_cap, self.saved)
         self.surplus = min(limits.surplus_cap, self.surplus)
 
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_retry_requests.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_retry_requests.py
@@ -9,10 +9,12 @@
 import orjson
 from loguru import logger as log
 
+from vanillashore_gateway._fleet_size import FleetSize
 from vanillashore_gateway._home_ranking import Address, rank_homes
 from vanillashore_gateway._peer_requests import PeerRequests
 from vanillashore_gateway._retry_budget import (
     HOME_SHARE,
+    MAX_UNCERTAIN,
     SUBSTITUTE_SHARE,
     OwnShare,
     RetryLimits,
@@ -23,6 +25,7 @@
 HOMES = 2  # The home and a substitute; each pool beyond these would need a share of its own.
 SURPLUS_EVERY_S = 0.5  # Bounds the number of messages to two per second, entry and service.
 MAX_SERVICES = 256
+MAX_ENTRIES = 65_536  # A larger number in a datagram is an error.
 
 
 @attrs.frozen
@@ -66,7 +69,21 @@
         return orjson.dumps(["retry loan", self.number, self.is_granted])
 
 
-def decode_retry(data: bytes) -> SurplusNotice | LoanRequest | LoanAnswer:
+@attrs.frozen
+class FleetNotice:
+    """Tells an entry that has registered how many entries there are."""
+
+    count: int
+
+    def encode(self) -> bytes:
+        """Return the datagram."""
+        return orjson.dumps(["retry fleet", self.count])
+
+
+RetryMessage = SurplusNotice | LoanRequest | LoanAnswer | FleetNotice
+
+
+def decode_retry(data: bytes) -> RetryMessage:
     """Decode a datagram; raise ValueError if it is none of these messages."""
     match orjson.loads(data):
         case ["retry surplus", str(service), float(amount) | int(amount), *_]:
@@ -75,6 +92,8 @@
             return LoanRequest(number, service, float(amount))
         case ["retry loan", int(number), bool(is_granted), *_]:
             return LoanAnswer(number, is_granted)
+        case ["retry fleet", int(count), *_] if 0 < count <= MAX_ENTRIES:
+            return FleetNotice(count)
     raise ValueError("not a message about retries")
 
 
@@ -90,7 +109,8 @@
     """
 
     def __init__(self, service: str, budgets: "RetryBudgets") -> None:
-        self.own = OwnShare(min(budgets.limits.initial, budgets.limits.own_cap))
+        limits = budgets.limits
+        self.own = OwnShare(min(limits.initial, limits.own_cap) if budgets.fleet.is_known else 0.0)
         self._service = service
         self._budgets = budgets
         self._report_at = 0.0
@@ -133,7 +153,8 @@
 
     ``is_registered`` tells whether this entry's registration is certainly valid, so that no other
     entry has taken its place as a home. ``min_entries`` is how many entries to expect while the
-    list is shorter.
+    list is shorter. ``fleet_limits`` are divided by the size of the ``fleet``, not by the length of
+    the list.
     """
 
     PREFIX = b'["retry '
@@ -141,20 +162,27 @@
     def __init__(
         self, node: str, limits: RetryLimits, min_entries: int, clock: Callable[[], float]
     ) -> None:
-        self.limits = attrs.evolve(limits, entries=max(1, min_entries))
+        self.fleet = FleetSize(min_entries, clock)
         self.clock = clock
         self.is_registered: Callable[[], bool] = lambda: True
         self.granted = 0
         self.borrowed = 0
         self.denied = 0
         self._node = node
-        self._min_entries = max(1, min_entries)
+        self.fleet_limits = limits
         self._requests: PeerRequests[bool] = PeerRequests(clock, ASK_TIMEOUT_S)
         self._pool = RetryPool(MAX_SERVICES)
         self._retries: dict[str, ServiceRetries] = {}
         self._entries: Mapping[str, Address] = {}
         self._ranked = lru_cache(MAX_SERVICES)(rank_homes)
 
+    @property
+    def limits(self) -> RetryLimits:
+        """The limits for this entry, by what it knows of the others."""
+        is_certain = self.fleet.is_known or self.fleet.is_young
+        max_kept = self.fleet_limits.max_kept if is_certain else MAX_UNCERTAIN
+        return attrs.evolve(self.fleet_limits, entries=self.fleet.count, max_kept=max_kept)
+
     def of(self, service: str) -> ServiceRetries:
         """Return a service's budget."""
         found = self._retries.get(service)
@@ -204,14 +232,19 @@
         self._entries = dict(entries)
         self._requests.update_entries(entries)
         self._ranked.cache_clear()
-        count = max(self._min_entries, len(entries))
-        self.limits = attrs.evolve(self.limits, entries=count)
+        self.fleet.update(len(entries))
+        limits = self.limits
         for retries in self._retries.values():
-            retries.own.resize(self.limits)
+            retries.own.resize(limits)
         for service in self._pool.services():
             if self._node not in self._homes(service):
                 self._pool.clear(service)
 
+    def greet(self, entry: str) -> None:
+        """Tell an entry that has registered how many there are, as its own list may be short."""
+        if self.fleet.is_known:
+            self._requests.send(entry, FleetNotice(self.fleet.count).encode())
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Set the socket to send on."""
         self._requests.transport = transport
@@ -231,6 +264,8 @@
             case LoanRequest(number, service, amount):
                 is_granted = self._pool.lend(service, amount, self._cap(service))
                 self._requests.transport.sendto(LoanAnswer(number, is_granted).encode(), addr)
+            case FleetNotice(count):
+                self.fleet.learn(count)
 
     def _cap(self, service: str) -> float:
         """Return how much this entry's pool of a service may hold."""
@@ -238,7 +273,8 @@
         if self._node not in homes:
             return 0.0
         is_home = homes[0] == self._node and self.is_registered()
-        return self.limits.max_saved * (HOME_SHARE if is_home else SUBSTITUTE_SHARE)
+        share = HOME_SHARE if is_home else SUBSTITUTE_SHARE
+        return self.limits.pool_cap(share, self.fleet.part_listed)
 
     def _homes(self, service: str) -> list[str]:
         return self._ranked(service, tuple(self._entries))[:HOMES] or [self._node]
--- a/tests/gateway/test_calls.py
+++ b/tests/gateway/test_calls.py
@@ -222,7 +222,7 @@
     async with PlatformRig(services=2) as rig:
         fail_first(rig.services, Fault.SILENT)
         budgets = rig.process.gateway.budgets
-        budgets.limits = attrs.evolve(budgets.limits, per_request=0.0)
+        budgets.fleet_limits = attrs.evolve(budgets.fleet_limits, per_request=0.0)
         budgets.of(ORDERS).own.saved = 0.0
         answer = await rig.ask("GET", "/stock/1", "id-1", X_Deadline_Ms="900")
         assert answer.status == 504
--- a/tests/gateway/test_retry_lists.py
+++ b/tests/gateway/test_retry_lists.py
@@ -8,9 +8,12 @@
 import pytest
 from loguru import logger as log
 
+from vanillashore_gateway import EntryWritten
+from vanillashore_gateway._fleet_size import SETTLE_S
 from vanillashore_gateway._gateway import BUDGET_SHARE
-from vanillashore_gateway._retry_budget import RetryLimits
-from vanillashore_gateway._retry_requests import RetryBudgets
+from vanillashore_gateway._retry_budget import HOME_SHARE, OWN_SHARE, RetryLimits
+from vanillashore_gateway._retry_requests import FleetNotice, RetryBudgets
+from vanillashore_standins.platform_rig import PlatformRig
 from vanillashore_standins.virtual_time import run_in_virtual_time
 
 RATIO = 0.2
@@ -34,21 +37,21 @@
 
 
 class Fleet:
-    """Entries on one clock, each with its own list of entries."""
+    """Entries on one clock, `time`, each with its own list of entries."""
 
     def __init__(self, size: int) -> None:
         self.names = [f"e{i}" for i in range(size)]
         self.rng = random.Random(size)
         self.budgets: dict[str, RetryBudgets] = {}
         self.is_store_away = False
+        self.time = 0.0
         for name in self.names:
             self.start(name, self.names)
 
     def start(self, name: str, names: list[str]) -> None:
         """Start an entry, or start it again, with a first list."""
-        clock = asyncio.get_running_loop().time
-        budgets = self.budgets[name] = RetryBudgets(name, LIMITS, SEEDS, clock)
-        budgets.is_list_fresh = lambda: not self.is_store_away
+        budgets = self.budgets[name] = RetryBudgets(name, LIMITS, SEEDS, lambda: self.time)
+        budgets.fleet.is_list_fresh = lambda: not self.is_store_away
         budgets.is_registered = lambda: not self.is_store_away
         budgets.connection_made(_Transport(self, name))
         self.tell(name, names)
@@ -118,12 +121,10 @@
 
 
 def _restarts_while_lists_are_short(fleet: Fleet, time: float) -> None:
-    if time == 15.0:
-        fleet.tell_all(lambda _: fleet.some(4))
     if time in (46.0, 48.0, 50.0, 52.0):
-        for name in fleet.names:
-            fleet.start(name, fleet.some(4))
         fleet.is_store_away = True
+        for name in fleet.names:
+            fleet.start(name, fleet.some(2))
 
 
 CHANGES = {
@@ -152,12 +153,12 @@
 
 
 async def _play(
-    fleet: Fleet, per_s: int, change: Callable[[Fleet, float], None]
+    fleet: Fleet, per_s: int, change: Callable[[Fleet, float], None], end_s: float = END_S
 ) -> tuple[list[int], list[int]]:
     """Play a busy time, a calm one and one in which most requests fail; return the counts."""
     requests, retries = [], []
-    for step in range(round(END_S / STEP_S)):
-        time = round(step * STEP_S, 3)
+    for step in range(round(end_s / STEP_S)):
+        time = fleet.time = round(step * STEP_S, 3)
         change(fleet, time)
         rate = 3 * per_s if 15.0 <= time < 30.0 else per_s
         count = int(rate * (step + 1) * STEP_S) - int(rate * step * STEP_S)
@@ -170,7 +171,6 @@
             granted = sum(await asyncio.gather(*spent))
         requests.append(count)
         retries.append(granted)
-        await asyncio.sleep(STEP_S)
     return requests, retries
 
 
@@ -185,3 +185,90 @@
         assert _excess(*await _play(Fleet(SIZE), per_s, CHANGES[case])) <= 0
 
     run_in_virtual_time(play())
+
+
+def _whole(fleet: Fleet, time: float) -> None:
+    """Leave all lists as they are."""
+
+
+def _store_away(fleet: Fleet, time: float) -> None:
+    fleet.is_store_away = time >= 5.0
+    for budgets in fleet.budgets.values():
+        budgets.is_registered = lambda: True
+
+
+def _lapse_that_is_over(fleet: Fleet, time: float) -> None:
+    if time == 15.0:
+        fleet.tell_all(lambda _: fleet.some(3))
+    if time == 18.0:
+        fleet.tell_all(lambda _: fleet.names)
+
+
+@pytest.mark.parametrize("per_s", [31, 130])
+@pytest.mark.parametrize("change", [_whole, _store_away, _lapse_that_is_over])
+def test_entries_with_whole_lists_save_up_all_that_they_may(
+    change: Callable[[Fleet, float], None], per_s: int
+) -> None:
+    """A limit that is too strict fails requests that the platform allows to retry."""
+
+    async def play() -> None:
+        fleet = Fleet(SIZE)
+        await _play(fleet, per_s, change, FAILING_FROM_S)
+        saved = sum(budgets.saved for budgets in fleet.budgets.values())
+        assert saved >= LIMITS.max_saved * (OWN_SHARE + HOME_SHARE)
+
+    run_in_virtual_time(play())
+
+
+def test_entry_learns_the_size_of_the_fleet_as_it_registers() -> None:
+    """A list that is short when an entry starts must not give it a larger part."""
+
+    async def play() -> None:
+        fleet = Fleet(SIZE)
+        fleet.time = SETTLE_S
+        fleet.start("e3", ["e1", "e2"])
+        started = fleet.budgets["e3"]
+        assert started.limits.entries == SEEDS
+        fleet.budgets["e1"].greet("e3")
+        assert started.limits.entries == SIZE
+        assert started.of(SERVICE).own.saved == pytest.approx(started.limits.initial)
+
+    run_in_virtual_time(play())
+
+
+def test_entry_that_does_not_know_the_size_tells_none() -> None:
+    async def play() -> None:
+        fleet = Fleet(SIZE)
+        fleet.is_store_away = True
+        fleet.time = SETTLE_S
+        fleet.start("e3", ["e1", "e2"])
+        fleet.budgets["e1"].greet("e3")
+        assert not fleet.budgets["e3"].fleet.is_known
+
+    run_in_virtual_time(play())
+
+
+async def test_gateway_tells_an_entry_that_registers_and_asks_for_a_fresh_list() -> None:
+    async with PlatformRig(services=1) as rig:
+        gateway = rig.process.gateway
+        received: asyncio.Queue[bytes] = asyncio.Queue()
+        transport, _ = await asyncio.get_running_loop().create_datagram_endpoint(
+            lambda: _Peer(received), local_addr=("127.0.0.1", 0)
+        )
+        gateway.apply_change(EntryWritten("peer", transport.get_extra_info("sockname")))
+        async with asyncio.timeout(5.0):
+            while await received.get() != FleetNotice(gateway.known_entries).encode():
+                pass
+        assert gateway.budgets.fleet.is_list_fresh()
+        gateway.record_store_contact(False)
+        assert not gateway.budgets.fleet.is_list_fresh()
+        transport.close()
+
+
+class _Peer(asyncio.DatagramProtocol):
+    def __init__(self, received: asyncio.Queue[bytes]) -> None:
+        self._received = received
+
+    def datagram_received(self, data: bytes, addr: object) -> None:
+        """Keep the datagram."""
+        self._received.put_nowait(data)
--- a/tests/gateway/test_retry_requests.py
+++ b/tests/gateway/test_retry_requests.py
@@ -12,9 +12,11 @@
 from vanillashore_gateway._home_ranking import rank_homes
 from vanillashore_gateway._retry_budget import HOME_SHARE, RetryLimits
 from vanillashore_gateway._retry_requests import (
+    FleetNotice,
     LoanAnswer,
     LoanRequest,
     RetryBudgets,
+    RetryMessage,
     SurplusNotice,
     decode_retry,
 )
@@ -215,18 +217,27 @@
         """Drop the datagram."""
 
 
-@pytest.mark.parametrize("data", [b"", b"{}", b'["retry ask", 1]', b'["retry loan", 1, 2]'])
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"",
+        b"{}",
+        b'["retry ask", 1]',
+        b'["retry loan", 1, 2]',
+        b'["retry fleet", 0]',
+        b'["retry fleet", 1e9]',
+    ],
+)
 def test_malformed_datagram_is_an_error(data: bytes) -> None:
     with pytest.raises(ValueError, match=r"."):
         decode_retry(data)
 
 
 @pytest.mark.parametrize(
-    "message", [SurplusNotice("m", 0.25), LoanRequest(7, "m", 0.5), LoanAnswer(7, True)]
+    "message",
+    [SurplusNotice("m", 0.25), LoanRequest(7, "m", 0.5), LoanAnswer(7, True), FleetNotice(28)],
 )
-def test_datagrams_are_decoded_as_they_were_encoded(
-    message: SurplusNotice | LoanRequest | LoanAnswer,
-) -> None:
+def test_datagrams_are_decoded_as_they_were_encoded(message: RetryMessage) -> None:
     assert decode_retry(message.encode()) == message
 
 
