--- a/tests/gateway/test_quota.py
+++ b/tests/gateway/test_quota.py
@@ -116,6 +116,31 @@
     assert late >= 0.9 * RATE * WINDOW_S
 
 
+@pytest.mark.parametrize("seed", range(4))
+@pytest.mark.parametrize(("shortest", "longest"), [(28, 28), (4, 12), (1, 28)])
+async def test_entries_with_lists_of_different_lengths_stay_within_the_bound(
+    shortest: int, longest: int, seed: int
+) -> None:
+    """Registrations lapsed together, and the store went away while they came back."""
+    rng = random.Random(seed)
+    fleet = Fleet(28)
+    names = sorted(fleet.entries)
+    granted: list[tuple[float, int]] = []
+    for step in range(2_500):
+        fleet.now += 0.01
+        if step == 1_000:
+            order = rng.sample(names, len(names))
+            for quotas in fleet.quotas.values():
+                back = order[: rng.randint(shortest, longest)]
+                quotas.update_entries({name: fleet.entries[name] for name in back})
+        for name in rng.choices(names, k=6):
+            if await fleet.quotas[name].take(WORKSPACE, 4_500) is None:
+                granted.append((fleet.now, 4_500))
+    bound = (RATE * WINDOW_S + RATE) * (1 + OVERAGE) + SLACK_TOKENS
+    for start, _ in granted[::10]:
+        assert sum(t for at, t in granted if start <= at < start + WINDOW_S) <= bound
+
+
 @pytest.mark.parametrize("size", [1, 4, 28])
 @pytest.mark.parametrize("every_s", [2.7, 5.0])
 async def test_repeated_restarts_of_all_entries_stay_within_the_bound(
