--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_retry_requests.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_retry_requests.py
@@ -23,6 +23,7 @@
 
 ASK_TIMEOUT_S = 0.04  # Some round trips between data centres, and a fraction of any target.
 HOMES = 2  # The home and a substitute; each pool beyond these would need a share of its own.
+HOMES_GREETING = 3  # Entries that tell a new one the size of the fleet: all would be too many.
 SURPLUS_EVERY_S = 0.5  # Bounds the number of messages to two per second, entry and service.
 MAX_SERVICES = 256
 MAX_ENTRIES = 65_536  # A larger number in a datagram is an error.
@@ -242,7 +243,8 @@
 
     def greet(self, entry: str) -> None:
         """Tell an entry that has registered how many there are, as its own list may be short."""
-        if self.fleet.is_known:
+        others = tuple(name for name in self._entries if name != entry)
+        if self.fleet.is_known and self._node in rank_homes(entry, others)[:HOMES_GREETING]:
             self._requests.send(entry, FleetNotice(self.fleet.count).encode())
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
--- a/tests/gateway/test_retry_lists.py
+++ b/tests/gateway/test_retry_lists.py
@@ -12,7 +12,7 @@
 from vanillashore_gateway._fleet_size import SETTLE_S
 from vanillashore_gateway._gateway import BUDGET_SHARE
 from vanillashore_gateway._retry_budget import HOME_SHARE, OWN_SHARE, RetryLimits
-from vanillashore_gateway._retry_requests import FleetNotice, RetryBudgets
+from vanillashore_gateway._retry_requests import HOMES_GREETING, FleetNotice, RetryBudgets
 from vanillashore_standins.platform_rig import PlatformRig
 from vanillashore_standins.virtual_time import run_in_virtual_time
 
@@ -45,6 +45,7 @@
         self.budgets: dict[str, RetryBudgets] = {}
         self.is_store_away = False
         self.time = 0.0
+        self.delivered = 0
         for name in self.names:
             self.start(name, self.names)
 
@@ -72,6 +73,7 @@
 
     def deliver(self, data: bytes, sender: str, address: tuple[str, int]) -> None:
         """Deliver a datagram at once."""
+        self.delivered += 1
         self.budgets[f"e{address[1]}"].datagram_received(data, ("10.0.0.1", int(sender[1:])))
 
 
@@ -229,9 +231,13 @@
         fleet.start("e3", ["e1", "e2"])
         started = fleet.budgets["e3"]
         assert started.limits.entries == SEEDS
-        fleet.budgets["e1"].greet("e3")
+        delivered = fleet.delivered
+        for name in fleet.names:
+            if name != "e3":
+                fleet.budgets[name].greet("e3")
         assert started.limits.entries == SIZE
         assert started.of(SERVICE).own.saved == pytest.approx(started.limits.initial)
+        assert fleet.delivered - delivered == HOMES_GREETING
 
     run_in_virtual_time(play())
 
@@ -242,7 +248,8 @@
         fleet.is_store_away = True
         fleet.time = SETTLE_S
         fleet.start("e3", ["e1", "e2"])
-        fleet.budgets["e1"].greet("e3")
+        for name in fleet.names:
+            fleet.budgets[name].greet("e3")
         assert not fleet.budgets["e3"].fleet.is_known
 
     run_in_virtual_time(play())
