Keep entries that lapsed in an outage of the store until they can be back

As the store returns after leases have run out, the registrations of all entries go at once and come back in up to 3 s.

Entries that lapse within 4 s after the return from an outage of a second or more are now kept for that time, as endpoints are for 1.9 s, and longer if the store goes away before they can have come back.

--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_gateway.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_gateway.py
@@ -26,6 +26,7 @@
 )
 from vanillashore_gateway._duty import DutyState
 from vanillashore_gateway._engine_calls import EngineCalls
+from vanillashore_gateway._entry_list import EntryList
 from vanillashore_gateway._errors import ErrorCode, RefusalError, Refused, refusal
 from vanillashore_gateway._front import (
     CallerDisconnectedError,
@@ -166,7 +167,8 @@
             rng,
         )
         self.resumption = Resumption(self.origins, self.origin_store, now)
-        self._entries: dict[str, tuple[str, int]] = {}
+        self._entries = EntryList(now)
+        self._entries_expiry: asyncio.TimerHandle | None = None
         self._has_snapshot = False
         self._has_store_contact = False
         self._snapshots_to_settle = 0
@@ -320,22 +322,24 @@
         """Replace the state with a full snapshot of the store."""
         endpoints = [c.endpoint for c in snapshot.items if isinstance(c, EndpointWritten)]
         entries = {c.name: c.address for c in snapshot.items if isinstance(c, EntryWritten)}
-        known = dict(self._entries)
+        known = set(self._entries.addresses)
         evacuated = {c.data_centre for c in snapshot.items if isinstance(c, EvacuationRequested)}
         if self._snapshots_to_settle == SNAPSHOTS_TO_SETTLE and self._has_snapshot:
             self.membership.merge_restored(endpoints, now())
-            entries = known | entries
+            for name, address in entries.items():
+                self._entries.put(name, address)
             # An evacuation that was requested after the copy is in force until the store settles.
             evacuated |= self.membership.evacuated
         else:
             for removed in self.membership.replace_all(endpoints, now()):
                 self._forget_endpoint(removed)
+            self._entries.replace_all(entries)
         self._expire_later()
+        self._expire_entries_later()
         self._snapshots_to_settle = max(0, self._snapshots_to_settle - 1)
         for endpoint in endpoints:
             self.limits.cold.record_listed(endpoint)
         self._set_evacuated(evacuated)
-        self._entries = entries
         self._has_snapshot = True
         self.duty.clear_holder()
         versions = [c for c in snapshot.items if isinstance(c, VersionWritten)]
@@ -347,7 +351,7 @@
                 self.apply_change(change)
         self.origin_store.record_change()
         self._update_entries()
-        for name in set(self._entries) - set(known):
+        for name in set(entries) - known:
             self._greet(name)
         log.bind(
             revision=snapshot.revision, endpoints=len(endpoints), entries=len(self._entries)
@@ -374,13 +378,14 @@
             case DutyRemoved():
                 self.duty.clear_holder()
             case EntryWritten(name, address):
-                self._entries[name] = address
+                self._entries.put(name, address)
                 self._update_entries()
                 self._greet(name)
             case EntryRemoved(name):
-                if self._entries.pop(name, None) is not None:
-                    log.bind(entry=name, entries=len(self._entries)).info("entry removed")
-                self._update_entries()
+                if self._entries.remove(name):
+                    self._record_entries_removed([name])
+                else:
+                    self._expire_entries_later()
             case VersionWritten(service, software):
                 self.origin_store.versions.put(ServiceVersion(service, software), now())
             case VersionRemoved(service, software):
@@ -400,6 +405,9 @@
         self._has_store_contact = is_reached
         if is_reached and lost_s >= MIN_OUTAGE_S:
             self.membership.record_store_return(now())
+        if is_reached and (lost_s >= MIN_OUTAGE_S or self._entries.next_expiry is not None):
+            self._entries.record_store_return()
+            self._expire_entries_later()
 
     def record_restore(self) -> None:
         """Expect a snapshot that may be older than the state, and another some seconds later."""
@@ -541,8 +549,29 @@
 
     def _update_entries(self) -> None:
         for handler in self.peer_handlers:
-            handler.update_entries(self._entries)
-        self.origin_store.update_entries(self._entries)
+            handler.update_entries(self._entries.addresses)
+        self.origin_store.update_entries(self._entries.addresses)
+
+    def _record_entries_removed(self, names: list[str]) -> None:
+        log.bind(removed=names, entries=len(self._entries)).info("entries removed")
+        self._update_entries()
+
+    def _expire_entries_later(self) -> None:
+        """Drop entries that stay lapsed as soon as their grace time is over."""
+        if self._entries.next_expiry is None or self._entries_expiry is not None:
+            return
+        delay_s = max(0.0, self._entries.next_expiry - now())
+        loop = asyncio.get_running_loop()
+        self._entries_expiry = loop.call_later(delay_s, self._expire_entries)
+
+    def _expire_entries(self) -> None:
+        self._entries_expiry = None
+        # Without the store, nothing tells whether they have come back; its return begins anew.
+        if not self._has_store_contact:
+            return
+        if removed := self._entries.expire():
+            self._record_entries_removed(removed)
+        self._expire_entries_later()
 
     def _greet(self, entry: str) -> None:
         """Tell an entry that has registered what it cannot know."""
