Say more plainly who tells the size of the fleet, and to whom

Read as a newcomer: names, an order of checks and a wrapped condition. The ranking of those that greet is computed only where the size is known, which spares the start of a large fleet.

--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_fleet_size.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_fleet_size.py
@@ -21,7 +21,8 @@
     It is the largest number that was listed, or told by another entry, in the last `MEMORY_S`, and
     it does not fall until the list has been up to date and the same for `SETTLE_S`. Until then a
     process that has just started does not know the number either (``is_known``): its list may be
-    short for the moment. ``is_list_fresh`` tells whether the list is up to date. Example::
+    short for the moment. With ``min_entries`` below `MAX_NAMED_ENTRIES`, the deployment has named
+    all entries. ``is_list_fresh`` tells whether the list is up to date. Example::
 
         fleet = FleetSize(3, now)
         fleet.update(28)
@@ -42,7 +43,7 @@
 
     @property
     def count(self) -> int:
-        """The number of entries."""
+        """The number of entries, at least ``min_entries``."""
         if self._seen and self._is_steady():
             while self._seen and self._seen[0][0] < self._clock() - MEMORY_S:
                 self._seen.popleft()
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_generation.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_generation.py
@@ -234,10 +234,10 @@
             handle = await self._prefill_at(assignment)
             if handle is not None:
                 return handle
+            if tools.clock() - began >= assignment.send.timeout_s:
+                return None
             # Each further prefill attempt counts as a retry.
-            if tools.clock() - began >= assignment.send.timeout_s or not await self._budget.spend(
-                self._job.req.log_id
-            ):
+            if not await self._budget.spend(job.req.log_id):
                 return None
         return None
 
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_retry_budget.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_retry_budget.py
@@ -21,7 +21,8 @@
 # all entries. The gateway leaves a fifth of the fleet's slack unused, which covers four restarts of
 # all entries in one window.
 INITIAL_SHARE = 0.0625
-MAX_UNCERTAIN = 1.0  # Retries that an entry keeps, or lends, which does not know the fleet's size.
+# An entry that does not know the size of the fleet keeps this many, and lends as many at most.
+MAX_UNCERTAIN = 1.0
 
 
 @attrs.frozen
@@ -86,7 +87,7 @@
         return surplus
 
     def resize(self, limits: RetryLimits) -> None:
-        """Apply other limits."""
+        """Apply new limits."""
         self.saved = min(limits.own_cap, self.saved)
         self.surplus = min(limits.surplus_cap, self.surplus)
 
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_retry_requests.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_retry_requests.py
@@ -23,7 +23,7 @@
 
 ASK_TIMEOUT_S = 0.04  # Some round trips between data centres, and a fraction of any target.
 HOMES = 2  # The home and a substitute; each pool beyond these would need a share of its own.
-HOMES_GREETING = 3  # Entries that tell a new one the size of the fleet: all would be too many.
+ENTRIES_GREETING = 3  # Each tells a new entry the size of the fleet; datagrams may be lost.
 SURPLUS_EVERY_S = 0.5  # Bounds the number of messages to two per second, entry and service.
 MAX_SERVICES = 256
 MAX_ENTRIES = 65_536  # A larger number in a datagram is an error.
@@ -164,13 +164,13 @@
         self, node: str, limits: RetryLimits, min_entries: int, clock: Callable[[], float]
     ) -> None:
         self.fleet = FleetSize(min_entries, clock)
+        self.fleet_limits = limits
         self.clock = clock
         self.is_registered: Callable[[], bool] = lambda: True
         self.granted = 0
         self.borrowed = 0
         self.denied = 0
         self._node = node
-        self.fleet_limits = limits
         self._requests: PeerRequests[bool] = PeerRequests(clock, ASK_TIMEOUT_S)
         self._pool = RetryPool(MAX_SERVICES)
         self._retries: dict[str, ServiceRetries] = {}
@@ -184,6 +184,12 @@
         max_kept = self.fleet_limits.max_kept if is_certain else MAX_UNCERTAIN
         return attrs.evolve(self.fleet_limits, entries=self.fleet.count, max_kept=max_kept)
 
+    @property
+    def saved(self) -> float:
+        """How many retries of all services are saved up here, for this entry and as a home."""
+        own = sum(retries.own.saved + retries.own.surplus for retries in self._retries.values())
+        return own + sum(self._pool.level(service) for service in self._pool.services())
+
     def of(self, service: str) -> ServiceRetries:
         """Return a service's budget."""
         found = self._retries.get(service)
@@ -201,12 +207,6 @@
                 self._requests.send(home, SurplusNotice(service, amount).encode())
                 return
 
-    @property
-    def saved(self) -> float:
-        """How many retries of all services are saved up here, for this entry and as a home."""
-        own = sum(retries.own.saved + retries.own.surplus for retries in self._retries.values())
-        return own + sum(self._pool.level(service) for service in self._pool.services())
-
     async def borrow(self, service: str, amount: float) -> str | None:
         """Borrow part of a retry; return the lender, or ``None`` if there is none.
 
@@ -243,8 +243,10 @@
 
     def greet(self, entry: str) -> None:
         """Tell an entry that has registered how many there are, as its own list may be short."""
-        others = tuple(name for name in self._entries if name != entry)
-        if self.fleet.is_known and self._node in rank_homes(entry, others)[:HOMES_GREETING]:
+        if not self.fleet.is_known:
+            return
+        others = [name for name in self._entries if name != entry]
+        if self._node in rank_homes(entry, others)[:ENTRIES_GREETING]:
             self._requests.send(entry, FleetNotice(self.fleet.count).encode())
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
--- a/tests/gateway/test_retry_lists.py
+++ b/tests/gateway/test_retry_lists.py
@@ -12,7 +12,7 @@
 from vanillashore_gateway._fleet_size import SETTLE_S
 from vanillashore_gateway._gateway import BUDGET_SHARE
 from vanillashore_gateway._retry_budget import HOME_SHARE, OWN_SHARE, RetryLimits
-from vanillashore_gateway._retry_requests import HOMES_GREETING, FleetNotice, RetryBudgets
+from vanillashore_gateway._retry_requests import ENTRIES_GREETING, FleetNotice, RetryBudgets
 from vanillashore_standins.platform_rig import PlatformRig
 from vanillashore_standins.virtual_time import run_in_virtual_time
 
@@ -237,7 +237,7 @@
                 fleet.budgets[name].greet("e3")
         assert started.limits.entries == SIZE
         assert started.of(SERVICE).own.saved == pytest.approx(started.limits.initial)
-        assert fleet.delivered - delivered == HOMES_GREETING
+        assert fleet.delivered - delivered == ENTRIES_GREETING
 
     run_in_virtual_time(play())
 
