--- a/tests/gateway/test_upgrade.py
+++ b/tests/gateway/test_upgrade.py
@@ -94,5 +94,5 @@
 async def test_record_of_a_later_build_is_understood() -> None:
     async with PlatformRig(services=1) as rig:
         rig.store.put("vanillashore/entries/later", b'["127.0.0.1",7500,{"build":"later"}]')
-        await wait_until(lambda: "later" in rig.process.gateway._entries)
-        assert rig.process.gateway._entries["later"] == ("127.0.0.1", 7500)
+        await wait_until(lambda: "later" in rig.process.gateway._entries.addresses)
+        assert rig.process.gateway._entries.addresses["later"] == ("127.0.0.1", 7500)
