Drop lapsed entries only after an answer of the store that came after their grace time

Entries are now dropped only if the store has answered since the grace time ended, which also replaces the check of contact.

test_entry_list.py: a test with a store that falls silent unnoticed failed before.

--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_gateway.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_gateway.py
@@ -399,6 +399,8 @@
     def record_sync(self) -> None:
         """Record that the state is up to date with the store."""
         self._synced_at = now()
+        # Runs once the changes that came with the answer are applied.
+        self._expire_entries_later()
 
     def record_store_contact(self, is_reached: bool, lost_s: float = 0.0) -> None:
         """Keep endpoints whose registrations expired during a store outage for a grace period."""
@@ -566,12 +568,12 @@
 
     def _expire_entries(self) -> None:
         self._entries_expiry = None
-        # Without the store, nothing tells whether they have come back; its return begins anew.
-        if not self._has_store_contact:
+        expires_at = self._entries.next_expiry
+        # Only an answer of the store after that time tells which of them have come back.
+        if expires_at is None or self._synced_at < expires_at:
             return
         if removed := self._entries.expire():
             self._record_entries_removed(removed)
-        self._expire_entries_later()
 
     def _greet(self, entry: str) -> None:
         """Tell an entry that has registered what it cannot know."""
--- a/tests/gateway/test_entry_list.py
+++ b/tests/gateway/test_entry_list.py
@@ -5,7 +5,7 @@
 from vanillashore_gateway import EntryRemoved, EntryWritten
 from vanillashore_gateway import _entry_list as entry_list
 from vanillashore_gateway._entry_list import RETURN_GRACE_S, EntryList
-from vanillashore_gateway._gateway import MIN_OUTAGE_S
+from vanillashore_gateway._gateway import MIN_OUTAGE_S, Gateway
 from vanillashore_standins import wait_until
 from vanillashore_standins.platform_rig import PlatformRig
 
@@ -27,6 +27,13 @@
     return entries, clock
 
 
+def _register_all(gateway: Gateway) -> int:
+    """Register the entries at a gateway; return how many it knows then."""
+    for name, address in ADDRESSES.items():
+        gateway.apply_change(EntryWritten(name, address))
+    return gateway.known_entries
+
+
 def test_entry_that_leaves_is_removed_at_once() -> None:
     entries, _ = _entries()
     assert entries.remove("e1")
@@ -69,9 +76,7 @@
     monkeypatch.setattr(entry_list, "RETURN_GRACE_S", 0.2)
     async with PlatformRig(services=1) as rig:
         gateway = rig.process.gateway
-        for name, address in ADDRESSES.items():
-            gateway.apply_change(EntryWritten(name, address))
-        count = gateway.known_entries
+        count = _register_all(gateway)
         gateway.record_store_contact(False)
         gateway.record_store_contact(True, MIN_OUTAGE_S)
         for name in NAMES:
@@ -84,3 +89,23 @@
         assert gateway.known_entries == count
         await wait_until(lambda: gateway.known_entries == count - len(NAMES) + 1)
         assert gateway.budgets.fleet.count == count
+
+
+async def test_entries_are_not_dropped_before_the_store_has_answered_after_the_grace_time(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A store that has just fallen silent still counts as reached."""
+    monkeypatch.setattr(entry_list, "RETURN_GRACE_S", 0.2)
+    async with PlatformRig(services=1) as rig:
+        gateway = rig.process.gateway
+        count = _register_all(gateway)
+        sync = gateway.record_sync
+        monkeypatch.setattr(gateway, "record_sync", lambda: None)
+        gateway.record_store_contact(True, MIN_OUTAGE_S)
+        for name in NAMES:
+            gateway.apply_change(EntryRemoved(name))
+        with pytest.raises(TimeoutError):
+            await wait_until(lambda: gateway.known_entries < count, wait_s=0.5)
+        sync()
+        gateway.apply_change(EntryWritten("e1", ADDRESSES["e1"]))
+        await wait_until(lambda: gateway.known_entries == count - len(NAMES) + 1)
