--- a/review/lib2/stage.py
+++ b/review/lib2/stage.py
@@ -331,6 +331,7 @@
         self.running = 0
         self.arrivals = []
         self.loses_answer = lambda: False
+        self.on_run = lambda req: None
         self._holds = {}
         self._handles = set()
         self._names = itertools.count(1)
@@ -457,6 +458,7 @@
             arrival.ran = True  # A request starts to run with its first token.
             arrival.is_lost = self.loses_answer()
             self.record.write(f"{self.instance} runs {arrival.request_id}")
+            self.on_run(req)
             if arrival.is_lost:
                 return self._end(writer, arrival, b"")
             headers |= {"Content-Type": "text/event-stream", "Transfer-Encoding": "chunked"}
