--- a/review/lib2/stage.py
+++ b/review/lib2/stage.py
@@ -114,6 +114,8 @@
 class Server:
     """An HTTP/1.1 server: one request at a time on a connection."""
 
+    drops_on_close = True
+
     def __init__(self):
         self.port = 0
         self.writers = set()
@@ -146,8 +148,9 @@
                 handler = asyncio.ensure_future(self.handle(req, writer))
                 gone = asyncio.ensure_future(reader.read(1))
                 await asyncio.wait((handler, gone), return_when=asyncio.FIRST_COMPLETED)
-                if not handler.done():
-                    handler.cancel()  # The caller has left, or breaks the protocol.
+                if not handler.done():  # The caller has left, or breaks the protocol.
+                    if self.drops_on_close:
+                        handler.cancel()
                     await asyncio.wait((handler,))
                     break
                 gone.cancel()
@@ -304,6 +307,7 @@
         self.request_id = req.get("x-request-id")
         self.at = now()
         self.ran = False
+        self.ended_at = None
         self.is_lost = False
 
 
@@ -332,6 +336,7 @@
         self.arrivals = []
         self.loses_answer = lambda: False
         self.on_run = lambda req: None
+        self.preempted_s = lambda number: 0.0
         self._holds = {}
         self._handles = set()
         self._names = itertools.count(1)
@@ -466,12 +471,16 @@
             writer.write(f"HTTP/1.1 200 OK\r\n{lines}\r\n".encode())
             for number in range(int(req.get("last-event-id") or 0) + 1, output + 1):
                 event = f"id: {number}\ndata: piece {number} of {arrival.request_id}\n\n".encode()
-                writer.write(b"%x\r\n%b\r\n" % (len(event), event))
-                await asyncio.sleep(self.step_s)
-            writer.write(b"0\r\n\r\n")
+                if not writer.is_closing():
+                    writer.write(b"%x\r\n%b\r\n" % (len(event), event))
+                await asyncio.sleep(self.step_s + self.preempted_s(number))
+            if not writer.is_closing():
+                writer.write(b"0\r\n\r\n")
             return True
         finally:
             self.running -= 1
+            arrival.ended_at = now()
+            self.record.write(f"{self.instance} ends its work on {arrival.request_id}")
 
     def _end(self, writer, arrival, answer):
         if arrival.is_lost:
