--- a/review/lib2/stage.py
+++ b/review/lib2/stage.py
@@ -328,6 +328,7 @@
         self.service, self.zone, self.stage, self.slots = service, zone, stage, slots
         self.work_s, self.step_s = work_s, step_s
         self.tokens = 32_224
+        self.version = 1
         self.born = int(time.time() * 1e3)
         self.state = "ready"
         self.sequence = 0
@@ -347,7 +348,7 @@
             "service": self.service,
             "address": self.address,
             "zone": self.zone,
-            "version": "v1",
+            "version": f"v{self.version}",
             "slots": self.slots,
             "state": self.state,
             "cold_remaining_ms": 0,
@@ -359,14 +360,17 @@
         return entry
 
     def _models(self):
-        return [{"name": "m", "version": 1, "adapters": []}]
+        return [{"name": "m", "version": self.version, "adapters": []}]
 
     async def handle(self, req, writer):
         """Answer a request or a call."""
         headers = {"X-Server-Load": f"{self.running},0,{self.slots}"}
+        if self.stage is not None:
+            headers["X-Weight-Versions"] = self.version
         if req.get("x-request-id"):
             headers["X-Request-Id"] = req.get("x-request-id")
-        if req.get("x-expect-instance") not in ("", self.instance):
+        is_other = req.get("x-expect-instance") not in ("", self.instance)
+        if is_other or req.get("x-expect-version") not in ("", str(self.version)):
             headers |= {"X-Not-Executed": "1", "X-Instance-Id": self.instance}
             writer.write(render(421, headers, b""))
             return True
@@ -443,7 +447,7 @@
         tokens = int(req.get("x-token-count").partition(",")[0])
         await asyncio.sleep(tokens * 3e-5)
         handle = f"kv{self.number}x{next(self._names)}"
-        body = {"kv_handle": handle, "tokens": tokens, "version": 1}
+        body = {"kv_handle": handle, "tokens": tokens, "version": self.version}
         headers["Content-Type"] = "application/json"
         writer.write(render(200, headers, json.dumps(body).encode()))
         return True
@@ -470,7 +474,7 @@
             lines = "".join(f"{name}: {value}\r\n" for name, value in headers.items())
             writer.write(f"HTTP/1.1 200 OK\r\n{lines}\r\n".encode())
             for number in range(int(req.get("last-event-id") or 0) + 1, output + 1):
-                event = f"id: {number}\ndata: piece {number} of {arrival.request_id}\n\n".encode()
+                event = f"id: {number}\ndata: piece {number} by v{self.version}\n\n".encode()
                 if not writer.is_closing():
                     writer.write(b"%x\r\n%b\r\n" % (len(event), event))
                 await asyncio.sleep(self.step_s + self.preempted_s(number))
