--- a/review/lib2/stage.py
+++ b/review/lib2/stage.py
@@ -340,6 +340,7 @@
         self.preempted_s = lambda number: 0.0
         self._holds = {}
         self._handles = set()
+        self._runs = {}  # By request: the events made, and what stops the run.
         self._names = itertools.count(1)
 
     def entry(self):
@@ -407,8 +408,12 @@
                 "kv_used": 0,
                 "kv_total": self.tokens,
                 "kv_handles": len(self._handles),
+                "state": self.state,
+                "runs": [[name, 0, run["events"], 5] for name, run in self._runs.items()],
                 "born": self.born,
             }
+        if name == "kv-move":
+            return self._move(req.json())
         if name == "hold-take":
             if self.running + len(self._holds) >= self.slots:
                 return 503, {}
@@ -426,6 +431,15 @@
             return self._order(req.json())
         return 400, {}
 
+    def _move(self, body):
+        """Copy a run's memory, at once; with ``last`` the run stops."""
+        run = self._runs.get(body["id"])
+        if run is None:
+            return 404, {}
+        if body.get("last"):
+            run["stop"].set()
+        return 200, {"kv_handle": f"kv{self.number}x{next(self._names)}", "created": run["events"]}
+
     def _order(self, body):
         if "holder" not in body or "fencing_token" not in body:
             return 400, {}
@@ -473,16 +487,22 @@
             headers |= {"Content-Type": "text/event-stream", "Transfer-Encoding": "chunked"}
             lines = "".join(f"{name}: {value}\r\n" for name, value in headers.items())
             writer.write(f"HTTP/1.1 200 OK\r\n{lines}\r\n".encode())
+            run = self._runs[arrival.request_id] = {"events": 0, "stop": asyncio.Event()}
             for number in range(int(req.get("last-event-id") or 0) + 1, output + 1):
                 event = f"id: {number}\ndata: piece {number} by v{self.version}\n\n".encode()
                 if not writer.is_closing():
                     writer.write(b"%x\r\n%b\r\n" % (len(event), event))
-                await asyncio.sleep(self.step_s + self.preempted_s(number))
+                run["events"] = number
+                with contextlib.suppress(TimeoutError):
+                    pause_s = self.step_s + self.preempted_s(number)
+                    await asyncio.wait_for(run["stop"].wait(), pause_s)
+                    return False
             if not writer.is_closing():
                 writer.write(b"0\r\n\r\n")
             return True
         finally:
             self.running -= 1
+            self._runs.pop(arrival.request_id, None)
             arrival.ended_at = now()
             self.record.write(f"{self.instance} ends its work on {arrival.request_id}")
 
