--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,77 +1,83 @@
-"""Streams run on more replicas than ``max_attempts`` allows when answers are lost."""
+"""A settings reload keeps replicas in use that have left, for longer than ``drain_ms``."""
 
 import asyncio
 import random
+import signal
 import sys
-from collections import defaultdict
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "lib2"))
 import stage  # noqa: E402  (needs sys.path from above)
 
-DECODE_REPLICAS, PREFILL_REPLICAS, ENTRIES = 7, 2, 3
-STREAMS_PER_S, LENGTH_S = 15.0, 80.0
-# The largest dose of `answer_lost` in the site's days: share 0.6, x 0.4, for 4.0 s.
-LOSSY_SHARE, LOST_SHARE, LOSSY_S, PAUSE_S = 0.6, 0.4, 4.0, 1.0
-MAX_ATTEMPTS = 2
-ALLOWED = 3  # "More than three requests": this many may run on more replicas.
+# Two of twelve replicas leave at once: `scale_in` with share 0.167, the largest in the site's days.
+REPLICAS, ENTRIES, ROUNDS = 12, 3, 6
+RELOADED = 2  # Of three entries: `hup` with share 0.67; the largest in the days is 0.694.
+REQUESTS_PER_S = 90.0
+DRAIN_S = 2.0  # bounds.drain_ms
+BETWEEN_S = 0.25  # Between the two replicas that leave, and until the reload.
+SERVES_ON_S = 6.0  # "a little longer (at times many seconds)"
+ROUND_S = 12.0
+WORK_S = 0.06
 
 
 async def case(fleet):
-    """Send streams while replicas lose answers; count the replicas that ran each of them."""
+    """Let replicas leave as the settings are reloaded; look at what reaches them later."""
     record, rng = fleet.record, random.Random(1)
-    decoders = [
-        await fleet.add_replica(stage.LLM, f"zone-{'abc'[i % 3]}", stage="decode")
-        for i in range(DECODE_REPLICAS)
-    ]
-    for i in range(PREFILL_REPLICAS):
-        await fleet.add_replica(stage.LLM, f"zone-{'abc'[i % 3]}", stage="prefill")
-    await fleet.start_entries(ENTRIES)
-    began = stage.now()
-    lossy = set()
-
-    def loses(replica):
-        return lambda: replica in lossy and rng.random() < LOST_SHARE
 
-    for replica in decoders:
-        replica.loses_answer = loses(replica)
+    async def add(count):
+        for i in range(count):
+            zone = f"zone-{'abc'[i % 3]}"
+            await fleet.add_replica(stage.APP, zone, slots=6, work_s=WORK_S)
 
-    async def lose_answers():
-        while stage.TROUBLE:
-            lossy.update(rng.sample(decoders, round(LOSSY_SHARE * len(decoders))))
-            record.write(f"answers are lost at {sorted(r.instance for r in lossy)}")
-            await asyncio.sleep(LOSSY_S)
-            lossy.clear()
-            record.write("no answers are lost")
-            await asyncio.sleep(PAUSE_S)
+    await add(REPLICAS)
+    await fleet.start_entries(ENTRIES)
+    await asyncio.sleep(3.0)  # contact_ms: all machines are in touch.
+    acknowledged = {}
 
     async def send(number):
         request_id = f"{number:016x}"
         entry = rng.choice(fleet.entries)
-        record.write(f"{request_id} sent to {entry.name}")
-        path, headers = stage.RESUMABLE_PATH + "2f", stage.stream_headers(number)
-        answer = await stage.ask(entry.front, "POST", path, request_id, 14_000, headers)
-        end = "whole" if answer.is_whole else "broken off"
-        record.write(f"{request_id} answered {answer.status}, {end}")
+        method, path = ("GET", stage.SAFE_PATH) if number % 2 else ("POST", stage.UNSAFE_PATH)
+        answer = await stage.ask(entry.front, method, path + "2f", request_id, 1_500)
+        record.write(f"{request_id} by {entry.name} answered {answer.status}")
+
+    async def traffic():
+        number = 0
+        while True:
+            number += 1
+            sends.add(task := asyncio.ensure_future(send(number)))
+            task.add_done_callback(sends.discard)
+            await asyncio.sleep(rng.expovariate(REQUESTS_PER_S))
 
-    trouble = asyncio.ensure_future(lose_answers())
-    sends, number = [], 0
-    while stage.now() < began + LENGTH_S:
-        number += 1
-        sends.append(asyncio.ensure_future(send(number)))
-        await asyncio.sleep(rng.expovariate(STREAMS_PER_S))
-    trouble.cancel()
-    await asyncio.wait(sends, timeout=15)
-    ran = defaultdict(set)
-    for replica in fleet.replicas:
+    sends = set()
+    load = asyncio.ensure_future(traffic())
+    left = []
+    for _ in range(ROUNDS):
+        # Replicas that never report `draining`: the entry is removed, and they serve on.
+        for replica in rng.sample([r for r in fleet.replicas if r not in left], 2):
+            left.append(replica)
+            acknowledged[replica] = fleet.unlist_replica(replica)
+            record.write(f"{replica.instance} has left; the store has acknowledged it")
+            asyncio.get_running_loop().call_later(SERVES_ON_S, replica.stop)
+            await asyncio.sleep(BETWEEN_S)
+        if stage.TROUBLE:
+            for entry in fleet.entries[:RELOADED]:
+                entry.write_settings(**{"limits.max_fds": "4200"})
+                entry.signal(signal.SIGHUP)
+        await asyncio.sleep(ROUND_S / 2)
+        await add(2)
+        await asyncio.sleep(ROUND_S / 2)
+    load.cancel()
+    await asyncio.sleep(1.0)
+    late = 0
+    for replica, at in acknowledged.items():
         for arrival in replica.arrivals:
-            if arrival.ran:
-                ran[arrival.request_id].add(replica.instance)
-    over = {name: at for name, at in ran.items() if len(at) > MAX_ATTEMPTS}
-    for name, at in over.items():
-        record.write(f"{name} ran on {len(at)} replicas: {sorted(at)}")
-    record.write(f"{len(over)} of {number} requests ran on more than {MAX_ATTEMPTS} replicas")
-    return stage.BROKEN if len(over) > ALLOWED else stage.HELD
+            if arrival.at > at + DRAIN_S:
+                late += 1
+                text = f"{arrival.at - at:.3f} s after its leaving was acknowledged"
+                record.write(f"{arrival.request_id} reached {replica.instance} {text}")
+    record.write(f"{late} requests reached replicas later than drain_ms after they had left")
+    return stage.BROKEN if late else stage.HELD
 
 
 stage.play(__file__, case)
--- a/review/lib2/stage.py
+++ b/review/lib2/stage.py
@@ -11,6 +11,7 @@
 import itertools
 import json
 import os
+import random
 import shutil
 import signal
 import socket
@@ -25,6 +26,7 @@
 ROOT = Path(__file__).resolve().parents[2]
 RUN = ["python3", "deploy/entry.py", "entry"]  # As in deploy/system.toml.
 HOST = "127.0.0.1"
+PORTS = (15_000, 31_000)  # Below those that the kernel gives to connections.
 PAGE_ITEMS = 500
 HISTORY_S = 20.0
 HEARTBEAT_S = 1.2
@@ -40,15 +42,25 @@
     return time.monotonic()
 
 
-def free_ports(count):
-    """Return ports that were free just now."""
-    socks = [socket.socket() for _ in range(count)]
-    for sock in socks:
-        sock.bind((HOST, 0))
-    ports = [sock.getsockname()[1] for sock in socks]
-    for sock in socks:
-        sock.close()
-    return ports
+def _is_free(port):
+    for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+        with socket.socket(type=kind) as sock:
+            try:
+                sock.bind((HOST, port))
+            except OSError:
+                return False
+    return True
+
+
+def free_ports(count, size=1):
+    """Return the first ports of ``count`` rows of free ports, apart from those of connections."""
+    firsts = []
+    while len(firsts) < count:
+        first = random.randrange(*PORTS)
+        is_known = any(abs(first - known) < size for known in firsts)
+        if not is_known and all(_is_free(first + i) for i in range(size)):
+            firsts.append(first)
+    return firsts
 
 
 class Record:
@@ -798,12 +810,11 @@
 
     async def start_entries(self, count):
         """Start the entries, and wait until they are ready and know each other."""
-        ports = free_ports(3 * count)
-        pairs = _port_pairs(count)
-        seeds = [f"{HOST}:{port}" for port in ports[2::3]][:3]
+        rows = free_ports(count, size=5)
+        seeds = [f"{HOST}:{first + 2}" for first in rows[:3]]
         for i in range(count):
             zone = f"zone-{'abc'[i % 3]}"
-            own = (*ports[3 * i : 3 * i + 3], *pairs[i])
+            own = tuple(range(rows[i], rows[i] + 5))
             name = f"edge-{zone}-{i + 1}"
             entry = Entry(self.record, self.folder, name, zone, self.store, seeds, own)
             self.entries.append(entry)
@@ -823,21 +834,6 @@
             entry.end()
 
 
-def _port_pairs(count):
-    """Return pairs of free ports in a row."""
-    pairs = []
-    while len(pairs) < count:
-        (port,) = free_ports(1)
-        with socket.socket() as sock:
-            try:
-                sock.bind((HOST, port + 1))
-            except OSError:
-                continue
-        if all(abs(port - known) > 1 for known, _ in pairs):
-            pairs.append((port, port + 1))
-    return pairs
-
-
 def play(case_file, case):
     """Run a case in a temporary folder and exit with its result."""
     record = Record(Path(case_file).resolve().parent / "record.txt")
