Give lapsed entries no new grace time each time that a watch is cut

Seen: nothing by callers.

Cause: each return of the store, however short the loss, began the grace time of lapsed entries anew.

Now a loss of under a second, in which no registration lapses, adds its own length. A longer one still begins the grace time anew, as entries may have been unable to register. Endpoints had this already: a later return gives those that are missing no more time.

Tests: test_cut_watch_gives_entries_that_have_left_no_more_time failed before (0.25 s of extension in five cuts, 0.05 s may); two of the class are new with its method.

--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_entry_list.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_entry_list.py
@@ -13,7 +13,9 @@
 
     As the store returns after an outage, the registrations of all entries may be gone at once, and
     come back one by one. Without a grace time, each entry would have another short list meanwhile,
-    and keep it if the store went away again. Example::
+    and keep it if the store went away again. A short loss of contact lets no registration lapse, so
+    it adds no more than its own length: an entry that has left is not kept by a watch that is cut
+    again and again. Example::
 
         entries = EntryList(now)
         entries.put("a", ("10.0.0.1", 7500))
@@ -44,6 +46,10 @@
         """Start the grace time: the store is back after an outage."""
         self._grace_until = self._clock() + RETURN_GRACE_S
 
+    def record_short_loss(self, lost_s: float) -> None:
+        """Keep lapsed entries for the time in which their return could not be seen."""
+        self._grace_until += lost_s
+
     def put(self, name: str, address: Address) -> None:
         """Add an entry, or change its address."""
         self._addresses[name] = address
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_gateway.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_gateway.py
@@ -405,11 +405,14 @@
     def record_store_contact(self, is_reached: bool, lost_s: float = 0.0) -> None:
         """Keep endpoints whose registrations expired during a store outage for a grace period."""
         self._has_store_contact = is_reached
-        if is_reached and lost_s >= MIN_OUTAGE_S:
+        if not is_reached:
+            return
+        if lost_s >= MIN_OUTAGE_S:
             self.membership.record_store_return(now())
-        if is_reached and (lost_s >= MIN_OUTAGE_S or self._entries.next_expiry is not None):
             self._entries.record_store_return()
-            self._expire_entries_later()
+        else:
+            self._entries.record_short_loss(lost_s)
+        self._expire_entries_later()
 
     def record_restore(self) -> None:
         """Expect a snapshot that may be older than the state, and another some seconds later."""
--- a/tests/gateway/test_entry_list.py
+++ b/tests/gateway/test_entry_list.py
@@ -1,5 +1,7 @@
 """The list of entries, across an outage of the store in which registrations lapse."""
 
+import asyncio
+
 import pytest
 
 from vanillashore_gateway import EntryRemoved, EntryWritten
@@ -70,6 +72,28 @@
     assert entries.remove("e1")
 
 
+def test_entry_that_has_left_is_not_kept_by_contact_that_is_lost_again_and_again() -> None:
+    """Guards against a grace time that begins anew each time that a watch is cut."""
+    entries, clock = _entries()
+    entries.record_store_return()
+    entries.remove("e1")
+    for _ in range(20):
+        entries.record_short_loss(0.05)
+        clock.time += RETURN_GRACE_S / 10
+    assert entries.expire() == ["e1"]
+
+
+def test_short_loss_of_contact_delays_the_end_of_the_grace_time_by_its_length() -> None:
+    entries, clock = _entries()
+    entries.record_store_return()
+    entries.remove("e1")
+    entries.record_short_loss(0.9)
+    clock.time += RETURN_GRACE_S + 0.8
+    assert entries.expire() == []
+    clock.time += 0.2
+    assert entries.expire() == ["e1"]
+
+
 async def test_list_stays_whole_while_the_store_comes_and_goes(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
@@ -109,3 +133,17 @@
         sync()
         gateway.apply_change(EntryWritten("e1", ADDRESSES["e1"]))
         await wait_until(lambda: gateway.known_entries == count - len(NAMES) + 1)
+
+
+async def test_cut_watch_gives_entries_that_have_left_no_more_time() -> None:
+    async with PlatformRig(services=1) as rig:
+        gateway = rig.process.gateway
+        _register_all(gateway)
+        gateway.record_store_contact(True, MIN_OUTAGE_S)
+        gateway.apply_change(EntryRemoved("e1"))
+        expires_at = gateway._entries.next_expiry
+        for _ in range(5):
+            await asyncio.sleep(0.05)
+            gateway.record_store_contact(False)
+            gateway.record_store_contact(True, 0.01)
+        assert gateway._entries.next_expiry == pytest.approx(expires_at + 5 * 0.01)
