Take a reload of the settings no longer for a restored store

Cause: SIGHUP set the store's address also if it was the same, and that forgot the store's era.

A revision that has gone back tells a restore as well, for a store that names no era.

Tests: four failed before (two of the reload, the same store at another address, the watch).

--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_following.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_following.py
@@ -87,6 +87,7 @@
         self._watch_s = watch_s
         self._rng = rng
         self._revision: int | None = None
+        self._last_revision = 0  # Of the newest answer since the last restore.
         self._snapshot_bytes = 0  # What a snapshot would transfer, as far as is known.
         self._outage_logged_at = 0.0
         self._succeeded_at = clock()
@@ -138,7 +139,7 @@
             return BATCH_DELAY_S if await self._step() else 0.0
         except HistoryCompactedError:
             log.bind(revision=self._revision).warning(
-                "the store has dropped the needed history; reading a new snapshot"
+                "the store does not have the needed history; reading a new snapshot"
             )
             self._revision = None
         except AnswerTooLargeError as exc:
@@ -146,11 +147,12 @@
                 "the missed changes are larger than a snapshot; reading a new one"
             )
             self._revision = None
-        except StoreRestoredError:
-            log.bind(revision=self._revision).warning(
+        except StoreRestoredError as exc:
+            log.bind(revision=self._revision, reason=str(exc)).warning(
                 "the store was restored from an older copy; reading a new snapshot"
             )
             self._revision = None
+            self._last_revision = 0
             self._settles_at = self._clock() + RESTORE_SETTLE_S
             self._listener.record_restore()
         except StoreUnavailableError as exc:
@@ -165,9 +167,12 @@
             self._revision = None
         if self._revision is None:
             snapshot = await self._store.snapshot()
+            if snapshot.revision < self._last_revision:
+                text = f"revision {snapshot.revision} after {self._last_revision}"
+                raise StoreRestoredError(text)
             self._record_success()
             self._listener.apply_snapshot(snapshot)
-            self._revision = snapshot.revision
+            self._revision = self._last_revision = snapshot.revision
             self._snapshot_bytes = snapshot.size_bytes
             return False
         # After a failure, the first watch returns at once, to detect a recovered store early.
@@ -180,7 +185,7 @@
             self._listener.apply_change(change)
         # Changes of keys that a gateway does not use also end a watch early.
         had_changes = bool(changes.items) or changes.revision > self._revision
-        self._revision = max(self._revision, changes.revision)
+        self._revision = self._last_revision = max(self._revision, changes.revision)
         self._snapshot_bytes = max(self._snapshot_bytes, changes.size_bytes)
         return had_changes
 
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_platform_store.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_platform_store.py
@@ -21,7 +21,7 @@
 
 
 class HistoryCompactedError(Exception):
-    """The store has dropped the history that a watch needs to continue."""
+    """The store has no history from which a watch could continue."""
 
 
 class StoreRestoredError(Exception):
@@ -178,7 +178,7 @@
     async def changes(self, after: int, wait_s: float, max_bytes: int) -> Changes:
         """Wait for changes.
 
-        Raises HistoryCompactedError if those after ``after`` were dropped, and
+        Raises HistoryCompactedError if those after ``after`` are not to be had, and
         AnswerTooLargeError, early in the transfer, if they take more than ``max_bytes``.
         """
         ...
--- a/tests/adapter/test_main.py
+++ b/tests/adapter/test_main.py
@@ -6,6 +6,9 @@
 
 from vanillashore_adapter import HttpStore, main, parse_settings
 from vanillashore_adapter._main import _gateway_settings, reload_settings
+from vanillashore_gateway import EndpointRemoved
+from vanillashore_standins import ServedApp
+from vanillashore_standins.platform_store import PlatformStoreStandIn
 
 SETTINGS = """node_name=edge-a-1
 zone=alex-a
@@ -52,3 +55,23 @@
     path.write_text("nothing")
     reload_settings(path, settings, store)
     assert store._address == ("10.200.1.8", 8361)
+
+
+@pytest.mark.parametrize("changed", ["", "limits.max_fds=4200\n"])
+async def test_reload_that_leaves_the_address_is_no_restore_of_the_store(
+    tmp_path: Path, changed: str
+) -> None:
+    """Guards against endpoints that have left and are kept as if the store had been restored."""
+    store = PlatformStoreStandIn()
+    async with ServedApp(store.app()) as served:
+        text = SETTINGS.replace("10.200.1.7:8361", served.address.removeprefix("http://"))
+        path, settings = tmp_path / "settings.conf", parse_settings(text)
+        path.write_text(text + changed)
+        client = HttpStore(settings.store, 1.0)
+        revision = (await client.snapshot()).revision
+        store.put("servers/s0", {})
+        store.remove("servers/s0")
+        reload_settings(path, settings, client)
+        changes = await client.changes(revision, 0.0, 1_000_000)
+        assert changes.items[-1] == EndpointRemoved("s0")
+        assert store.calls == ["kv-range", "kv-watch"]
--- a/tests/gateway/test_store_restore.py
+++ b/tests/gateway/test_store_restore.py
@@ -8,6 +8,7 @@
 from vanillashore_standins import ServedApp, wait_until
 from vanillashore_standins.platform_rig import KEY, WORKSPACE, PlatformRig, configuration
 from vanillashore_standins.platform_store import PlatformStoreStandIn
+from vanillashore_standins.store_link import StoreLink
 
 OTHER_KEY = "key-of-another"
 ENTRY_KEY = "vanillashore/entries/entry-1"
@@ -191,6 +192,49 @@
             await wait_until(lambda: ENTRY_KEY in other.items)
 
 
+async def test_same_store_at_another_address_gives_an_endpoint_that_has_left_no_more_time() -> None:
+    """Guards against a change of the address that is taken for a restored store."""
+    async with PlatformRig(services=2) as rig, StoreLink(*rig.store_address) as link:
+        gateway, restores = rig.process.gateway, []
+        gateway.restore_listeners.append(lambda: restores.append(True))
+        await wait_until(lambda: rig.process._follower.revision == rig.store.revision)
+        rig.store.remove("servers/s0")
+        rig.process._follower._store.set_address(link.address)
+        await wait_until(lambda: gateway.membership.get("s0") is None)
+        rig.store.put("op/config", _config(8, KEY))
+        await wait_until(lambda: gateway.config_version == 8)
+        assert restores == []
+
+
+async def test_address_that_changes_ends_a_watch_of_the_earlier_one() -> None:
+    async with PlatformRig() as rig, StoreLink(*rig.store_address) as link:
+        await wait_until(lambda: rig.store.calls[-1] == "kv-watch")
+        client = rig.process._follower._store
+        watching = list(client._in_use)
+        client.set_address(link.address)
+        assert watching
+        assert not any(conn.is_open for conn in watching)
+
+
+async def test_endpoints_that_another_store_of_the_same_era_lacks_get_time_to_register() -> None:
+    async with PlatformRig(services=2) as rig:
+        rig.store.put("others/x", {})
+        await wait_until(lambda: rig.process._follower.revision == rig.store.revision)
+        gateway, restores = rig.process.gateway, []
+        gateway.restore_listeners.append(lambda: restores.append(True))
+        other = PlatformStoreStandIn()
+        other.put("op/config", _config(8, KEY))
+        async with ServedApp(other.app()) as served:
+            host, _, port = served.address.removeprefix("http://").partition(":")
+            rig.process._follower._store.set_address((host, int(port)))
+            await wait_until(lambda: gateway.config_version == 8)
+            assert restores == [True]
+            assert len(gateway.membership) == 2
+            other.put("servers/s0", rig.services[0].entry())
+            await wait_until(lambda: gateway.membership.get("s1") is None)
+            assert gateway.membership.get("s0") is not None
+
+
 async def test_list_is_exact_some_seconds_after_a_restore() -> None:
     async with PlatformRig(services=2) as rig:
         copy = rig.store.copy()
