Believe the end of a connection only once the request was received and no reset follows

Cause: an answer without a length was complete at the end of its connection, whether or not the endpoint had received the request. A reset that follows was never seen: after the end, reading tells nothing more, also if both were there as an entry that was paused went on.

Now such an answer is complete only if the connection was not reset, and, where its head came before the endpoint's kernel had acknowledged all of the request, once it has, and no reset has followed for another 0.2 s. Meanwhile the rest of the request is sent. A sound early answer may still have a length or chunks and leave the request unread, or end with the connection if the endpoint reads on. A refusal as not run holds by its head, whatever becomes of its body.

The same connection serves plain routes, streams, prefills, and calls of engines and of the store.

--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_calls.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_calls.py
@@ -180,7 +180,7 @@
                     outbound, share, timeout_s, not may_repeat
                 ) as sent:
                     if sent.head.was_not_run:
-                        await sent.read_to_end()
+                        await sent.skip_body()
                         return _Result(_Outcome.NOT_RUN, sent.head)
                     body, is_complete = await sent.read_start()
                     if resend is not None:
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_generation.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_generation.py
@@ -388,7 +388,7 @@
                 async with self._moved_if_silent(event_due_at):
                     sent = await stack.enter_async_context(sending)
                 if sent.head.was_not_run:
-                    await sent.read_to_end()
+                    await sent.skip_body()
                     self._reason = f"not run, status {sent.head.status}"
                     return _Outcome.NOT_RUN
                 stream.runs += 1
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_http_client.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_http_client.py
@@ -2,9 +2,12 @@
 
 import asyncio
 import contextlib
+import fcntl
 import itertools
 import re
 import socket
+import struct
+import termios
 from collections import deque
 from collections.abc import Callable
 from enum import StrEnum
@@ -34,6 +37,11 @@
 NO_ID = b""  # Id of an exchange whose answer bears none.
 CALL_REST_S = 0.3  # Far longer than an engine takes to answer a call.
 MAX_EXCHANGES = 256  # On one connection, which keeps their ids.
+# A peer that leaves a part of the request unread resets the connection within this time after the
+# end of its answer.
+EARLY_END_S = 0.2
+EARLY_END_CHECK_S = 0.01
+TCP_CLOSED = 7  # State in the kernel's `tcp_info` after a reset.
 UNSOLICITED = "closing a connection on which a peer sent more than its answer"
 
 AnswerIdReader = Callable[[ResponseHead], bytes | None]
@@ -61,7 +69,10 @@
 
 @attrs.define(eq=False)
 class _Answer:
-    """The current answer; ``ends_with_connection`` if no header states its length."""
+    """The current answer; ``ends_with_connection`` if no header states its length.
+
+    It ``is_early`` if its head came before the peer had received all of the request.
+    """
 
     exchange_id: bytes
     head: "asyncio.Future[ResponseHead]"
@@ -71,6 +82,7 @@
     is_complete: bool = False
     is_skipped: bool = False
     ends_with_connection: bool = False
+    is_early: bool = False
     error: LinkError | None = None
 
 
@@ -89,6 +101,11 @@
         while chunk := await conn.read():
             ...
 
+    Without a length, the end of the connection marks that of the answer, but only if the peer has
+    received all of the request, and does not reset the connection. A peer may answer early, before
+    it has read all of the request: such an answer is complete by its length or its last chunk, and
+    without them if the peer reads on to the end of the request.
+
     ``number`` identifies the connection in the logs, and ``uses`` counts its exchanges.
     ``call_answers`` are the successful answers to calls, which have no id, for who makes the calls.
     """
@@ -254,9 +271,55 @@
     def eof_received(self) -> bool:
         """Complete an answer whose end is marked by the close of the connection."""
         answer = self._answer
-        if answer is not None and answer.ends_with_connection and not answer.is_complete:
+        if answer is None or not answer.ends_with_connection:
+            return False
+        if answer.is_complete or answer.error is not None:
+            return False
+        self._may_reuse = False
+        if self._was_reset():
+            self._fail(LinkError(LinkFailure.BROKEN, "the connection was reset after its end"))
+            return False
+        if answer.is_early or not self._is_request_received():
+            # Keeps the connection open for the rest of the request.
+            self._confirm_end(answer, None)
+            return True
+        answer.is_complete = True
+        _wake(answer)
+        return False
+
+    def _confirm_end(self, answer: _Answer, received_at: float | None) -> None:
+        """Complete an early answer once the request is received and no reset has followed."""
+        if not self._is_open or answer.error is not None:
+            return
+        if self._was_reset():
+            text = "the connection was reset after the end of an early answer"
+            self._fail(LinkError(LinkFailure.BROKEN, text))
+            self.abort()
+            return
+        loop = asyncio.get_running_loop()
+        if received_at is None and self._is_request_received():
+            received_at = loop.time()
+        if received_at is not None and loop.time() >= received_at + EARLY_END_S:
             answer.is_complete = True
             _wake(answer)
+            return
+        loop.call_later(EARLY_END_CHECK_S, self._confirm_end, answer, received_at)
+
+    def _is_request_received(self) -> bool:
+        """Whether the peer's kernel has acknowledged all bytes of the request."""
+        if self._transport.get_write_buffer_size():
+            return False
+        sock = self._transport.get_extra_info("socket")
+        with contextlib.suppress(OSError):
+            queued = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, struct.pack("i", 0))
+            return struct.unpack("i", queued) == (0,)
+        return True
+
+    def _was_reset(self) -> bool:
+        """Whether the peer has reset the connection, which reading does not tell after its end."""
+        sock = self._transport.get_extra_info("socket")
+        with contextlib.suppress(OSError):
+            return sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0] == TCP_CLOSED
         return False
 
     def data_received(self, data: bytes) -> None:
@@ -312,6 +375,7 @@
             and head.first(b"content-length") is None
             and head.first(b"transfer-encoding") is None
         )
+        answer.is_early = answer.ends_with_connection and not self._is_request_received()
         self._update_idle_limit(head)
         if not answer.head.done():
             answer.head.set_result(head)
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_sending.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_sending.py
@@ -16,6 +16,7 @@
 from vanillashore_gateway._statements import EndpointStatements
 
 WAKE_S = 0.02  # For the event loop to read what waits in the sockets.
+UNUSED_BODY_TIMEOUT_S = 0.1
 MAX_HELD_BYTES = 65_536  # Of a body that is held until it is complete.
 
 
@@ -48,6 +49,12 @@
         """Return a short body; raise LinkError if it is cut off or exceeds `MAX_HELD_BYTES`."""
         return await self._conn.read_to_end(MAX_HELD_BYTES)
 
+    async def skip_body(self) -> None:
+        """Read a body that is not used, so that the connection can be; it may break off."""
+        with contextlib.suppress(LinkError, TimeoutError):
+            async with asyncio.timeout(UNUSED_BODY_TIMEOUT_S):
+                await self._conn.read_to_end(MAX_HELD_BYTES)
+
     async def read_start(self) -> tuple[bytes, bool]:
         """Return the body and true, or its beginning and false if it exceeds `MAX_HELD_BYTES`."""
         return await self._conn.read_start(MAX_HELD_BYTES)
--- a/packages/vanillashore-standins/src/vanillashore_standins/platform_endpoint.py
+++ b/packages/vanillashore-standins/src/vanillashore_standins/platform_endpoint.py
@@ -142,6 +142,23 @@
         return target.startswith(self.target)
 
 
+@attrs.frozen
+class EarlyAnswer:
+    """An answer to some targets that comes before the body of the request is read.
+
+    It has a head as usual, a ``status`` and a ``body``. The connection is closed for writing then,
+    unless ``is_framed``. The endpoint ``reads_on`` to the end of the request, or resets the
+    connection ``reset_s`` later.
+    """
+
+    target: str
+    body: bytes
+    status: int = 200
+    is_framed: bool = False
+    reads_on: bool = False
+    reset_s: float = 0.0
+
+
 class _Recorder:
     """Passes on to a stream writer, and keeps the answer to the current request."""
 
@@ -190,7 +207,8 @@
     After an answer for which ``copies_late``, called with the request's target and the answer, is
     true, a copy of it arrives with the answer to the next request on the connection.
 
-    Answers to some targets end as ``answer_cut`` says. Control calls have targets, too.
+    Answers to some targets end as ``answer_cut`` says, or come early as ``early_answer`` does.
+    Control calls have targets, too.
 
     The record states ``cold_ms``, and answers state ``states_cold_ms`` if it is not 0.
 
@@ -235,6 +253,7 @@
         self.copies_late: Callable[[str, bytes], bool] | None = None
         self.late_copies = 0
         self.answer_cut: AnswerCut | None = None
+        self.early_answer: EarlyAnswer | None = None
         self.connections = 0
         self.address = ""
         self._writers: set[asyncio.StreamWriter] = set()
@@ -338,6 +357,9 @@
         headers = {
             name.lower(): value for name, value in (line.split(": ", 1) for line in header_lines)
         }
+        early = self.early_answer
+        if early is not None and target.startswith(early.target):
+            return await self._answer_early(reader, writer, (method, target), headers, early)
         if self.read_delay_s and not target.startswith("/-/"):
             writer.transport.pause_reading()
             await asyncio.sleep(self.read_delay_s)
@@ -372,6 +394,35 @@
         finally:
             self._active.discard(request_id)
 
+    async def _answer_early(
+        self,
+        reader: asyncio.StreamReader,
+        writer: "_Recorder",
+        request_line: tuple[str, str],
+        headers: dict[str, str],
+        early: EarlyAnswer,
+    ) -> bool:
+        request_id = headers.get("x-request-id", "")
+        writer.transport.pause_reading()
+        is_refusal = early.status == 503
+        now = asyncio.get_running_loop().time()
+        arrival = Arrival(request_id, *request_line, headers, b"", not is_refusal, now, None)
+        self.arrivals.append(arrival)
+        own = {"X-Request-Id": request_id, "X-Server-Seal": SEAL_PREFIX + self.instance}
+        if is_refusal:
+            own["X-Not-Executed"] = "1"
+        length = len(early.body) if early.is_framed else None
+        writer.write(_head(early.status, own, length) + early.body)
+        if not early.is_framed:
+            writer.write_eof()
+        if early.reads_on:
+            writer.transport.resume_reading()
+            await reader.readexactly(int(headers.get("content-length", 0)))
+            return early.is_framed
+        await asyncio.sleep(early.reset_s)
+        _reset(writer)
+        return False
+
     def _begin_answer(self, writer: "_Recorder", target: str) -> None:
         """Send the answer before once more, if it is to be copied, and record the next one."""
         before, answer = writer.target, bytes(writer.answer)
