Take only what the protocol allows for an answer of an endpoint

Cause: every status that the parser could read counted, and all below 200 as interim answers.

Now a status outside 100 to 599, another version than HTTP/1.0 and 1.1, and 101, which no request asks for, are no answer, and fail the exchange at once: at plain routes, streams, prefills and calls alike.

--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_http_client.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_http_client.py
@@ -34,6 +34,11 @@
 # other requests. Larger than one read from the socket, which may contain a whole answer.
 MAX_OVERHEAD_BYTES = 524_288
 
+HTTP_VERSIONS = ("1.0", "1.1")
+SWITCHING_PROTOCOLS = 101  # No request offers another protocol.
+INTERIM_STATUSES = range(100, 200)
+STATUSES = range(100, 600)
+
 NO_ID = b""  # Id of an exchange whose answer bears none.
 CALL_REST_S = 0.3  # Far longer than an engine takes to answer a call.
 MAX_EXCHANGES = 256  # On one connection, which keeps their ids.
@@ -363,9 +368,11 @@
     def on_headers_complete(self) -> None:
         """Deliver the head, unless the answer is informational or belongs to another request."""
         answer = self._answer
-        status = self._parser.get_status_code()
+        status, version = self._parser.get_status_code(), self._parser.get_http_version()
+        if status not in STATUSES or status == SWITCHING_PROTOCOLS or version not in HTTP_VERSIONS:
+            raise ValueError(f"no answer in the protocol: HTTP/{version} with status {status:03}")
         head = ResponseHead(status, self._reason, tuple(self._headers))
-        answer.is_skipped = status < 200 or not self._belongs(head)
+        answer.is_skipped = status in INTERIM_STATUSES or not self._belongs(head)
         if answer.is_complete or answer.is_skipped:
             return
         if not self._parser.should_keep_alive():
--- a/packages/vanillashore-standins/src/vanillashore_standins/platform_endpoint.py
+++ b/packages/vanillashore-standins/src/vanillashore_standins/platform_endpoint.py
@@ -167,9 +167,15 @@
         self.target = ""
         self.answer = bytearray()
         self.cut: AnswerCut | None = None
+        self.status_line = ""
+        self.interim = b""
 
     def write(self, data: bytes) -> None:
         before = len(self.answer)
+        if not before and self.status_line:
+            data = self.status_line.encode() + data[data.index(b"\r\n") :]
+        if not before:
+            data = self.interim + data
         self.answer += data
         left = None if self.cut is None else self.cut.after_bytes - before
         if left is None or len(data) < left:
@@ -208,7 +214,8 @@
     true, a copy of it arrives with the answer to the next request on the connection.
 
     Answers to some targets end as ``answer_cut`` says, or come early as ``early_answer`` does.
-    Control calls have targets, too.
+    Those to ``odd_targets`` have the ``status_line``, if there is one, in place of their own, and
+    come after ``interim``. Control calls have targets, too.
 
     The record states ``cold_ms``, and answers state ``states_cold_ms`` if it is not 0.
 
@@ -254,6 +261,9 @@
         self.late_copies = 0
         self.answer_cut: AnswerCut | None = None
         self.early_answer: EarlyAnswer | None = None
+        self.odd_targets: tuple[str, ...] = ("/",)
+        self.status_line = ""
+        self.interim = b""
         self.connections = 0
         self.address = ""
         self._writers: set[asyncio.StreamWriter] = set()
@@ -429,6 +439,9 @@
         writer.begin(target)
         applies = self.answer_cut is not None and self.answer_cut.applies_to(target)
         writer.cut = self.answer_cut if applies else None
+        is_odd = target.startswith(self.odd_targets)
+        writer.status_line = self.status_line if is_odd else ""
+        writer.interim = self.interim if is_odd else b""
         if self.copies_late is not None and answer and self.copies_late(before, answer):
             self.late_copies += 1
             writer.write_unrecorded(answer)
