Bound what an entry keeps of what other entries name

Not seen; tried, as reports of bytes without end left it open.

Cause: notices of stops and of role changes, schedules of services, waiting generations and reviews of crashes had no bound, and names no length.

Now each has one (the oldest notices go, no schedule is kept for a service without an engine, the 4,097th waiting generation is turned down), and a datagram of over 4,096 bytes is ignored and counted. IDLE_S, which was to drop schedules, was not used by anything and is gone.

--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_crashing_parts.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_crashing_parts.py
@@ -138,7 +138,7 @@
         match message:
             case PartCrash(service, instance, new, proven):
                 self._evidence_of(service).add_crash(instance, new, proven, now)
-                if service not in self._settling:
+                if service not in self._settling and len(self._settling) < MAX_SERVICES:
                     self._settling.add(service)
                     loop = asyncio.get_running_loop()
                     loop.call_later(COLLECT_S, self._settle, service, now)
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_peers.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_peers.py
@@ -10,6 +10,8 @@
 
 KIND_BYTES = 24  # Of a datagram of unknown kind, for the log.
 MAX_LOGGED_KINDS = 16
+# Messages name requests, endpoints and services; the longest of this build have some 1,400 bytes.
+MAX_DATAGRAM_BYTES = 4_096
 
 
 class PeerHandler(Protocol):
@@ -33,8 +35,9 @@
 class PeerSocket(asyncio.DatagramProtocol):
     """Dispatches datagrams of other entries by their prefix.
 
-    Entries of another build may send messages of unknown kinds; ``record_ignored`` counts them, and
-    each kind is logged once.
+    Entries of another build may send messages of unknown kinds, and entries in trouble some that
+    are too long for their names to be kept; ``record_ignored`` counts them, and each kind is logged
+    once.
     """
 
     def __init__(self, handlers: Sequence[PeerHandler], record_ignored: Callable[[], None]) -> None:
@@ -49,15 +52,18 @@
 
     def datagram_received(self, data: bytes, addr: Any) -> None:
         """Pass a datagram to its handler."""
+        if len(data) > MAX_DATAGRAM_BYTES:
+            self._ignore(data, addr, "ignored a datagram that is too long")
+            return
         for handler in self._handlers:
             if data.startswith(handler.PREFIX):
                 handler.datagram_received(data, addr)
                 return
-        self._ignore(data, addr)
+        self._ignore(data, addr, "ignored a datagram of unknown kind")
 
-    def _ignore(self, data: bytes, addr: Any) -> None:
+    def _ignore(self, data: bytes, addr: Any, text: str) -> None:
         self._record_ignored()
         kind = data.partition(b",")[0][:KIND_BYTES]
         if kind not in self._logged_kinds and len(self._logged_kinds) < MAX_LOGGED_KINDS:
             self._logged_kinds.add(kind)
-            log.bind(sender=addr, kind=repr(kind)).warning("ignored a datagram of unknown kind")
+            log.bind(sender=addr, kind=repr(kind), bytes=len(data)).warning(text)
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_role_changes.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_role_changes.py
@@ -16,6 +16,7 @@
 from vanillashore_gateway._home_ranking import Address
 
 CHANGE_S = 20.0  # Running streams end first; after this time an order counts as lost.
+MAX_CHANGES = 4_096
 
 
 @attrs.frozen
@@ -101,6 +102,8 @@
         if notice.role is None:
             self._changes.pop(notice.start, None)
         elif notice.start not in self._changes:
+            if len(self._changes) >= MAX_CHANGES:
+                del self._changes[next(iter(self._changes))]
             self._changes[notice.start] = _Change(notice.role, self._clock() + CHANGE_S)
             log.bind(endpoint=notice.start.instance, role=notice.role.value).info(
                 "an engine is changing its role"
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_rotation.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_rotation.py
@@ -12,6 +12,8 @@
 NOTICE_EVERY_S = 1.0  # Datagrams may be lost.
 RESTART_S = 1.2  # From the end of a process until its successor is ready.
 
+MAX_STOPS = 1_024
+
 
 @attrs.frozen
 class StoppingNotice:
@@ -124,6 +126,8 @@
 
     def _handle(self, notice: StoppingNotice) -> None:
         now = self._clock()
+        if notice.name not in self._stops and len(self._stops) >= MAX_STOPS:
+            del self._stops[next(iter(self._stops))]
         self._stops[notice.name] = _Stop(
             now + notice.in_rotation_s, now + notice.left_s + RESTART_S
         )
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_slot_requests.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_slot_requests.py
@@ -26,7 +26,6 @@
 UNRESPONSIVE_S = 1.0  # A home that did not answer is not asked for this time.
 ASSIGN_EVERY_S = 0.05  # While generations wait; ends of others are handled as they arrive.
 RANKING_CACHE_SIZE = 64
-IDLE_S = 30.0  # A schedule without requests is dropped after this.
 
 Engines = Callable[[str], Sequence[Endpoint]]
 
@@ -41,11 +40,10 @@
 
 @attrs.define(eq=False)
 class _Home:
-    """A service's schedule at this entry, and when it was last asked."""
+    """A service's schedule at this entry."""
 
     schedule: SlotSchedule
     service: Service
-    asked_at: float
     timer: asyncio.TimerHandle | None = None
 
 
@@ -234,9 +232,11 @@
         now = self._clock()
         home = self._homes.get(service.name)
         if home is None:
-            home = _Home(SlotSchedule(self._rng), service, now)
-            self._homes[service.name] = home
-        home.asked_at, home.service = now, service
+            home = _Home(SlotSchedule(self._rng), service)
+            # Without an engine to use, a new schedule turns the generation down at once.
+            if self._engines(service.name):
+                self._homes[service.name] = home
+        home.service = service
         self._update(home)
         home.schedule.ask(key, ask, decide, now)
         self._assign_later(home)
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_slot_schedule.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_slot_schedule.py
@@ -37,6 +37,7 @@
 UNREACHABLE_S = 1.5  # Several entries would each wait in vain for an engine that does not answer.
 LOST_FACTOR = 3.0  # A grant that outlasts its expected time by this much is taken for lost.
 LOST_MARGIN_S = 5.0
+MAX_WAITING = 4_096  # Generations of one service, far more than can expect a slot in time.
 MAX_REMEMBERED = 4_096  # Refused generations that may return.
 RETURN_S = 15.0
 REMOTE_SHARE = 0.05  # Of an engine; a closer one is chosen between nearly equal ones.
@@ -212,7 +213,10 @@
             self._shares.record_asked(waiter.ask, now)
         waiter.is_behind = ask.is_repeated or self._shares.is_behind(ask)
         is_free = not self._waiters and self._choose(ask, now) is not None
-        if not is_free and self._is_hopeless(waiter, self._work_ahead(waiter, now), now):
+        is_full = len(self._waiters) >= MAX_WAITING
+        if is_full or (
+            not is_free and self._is_hopeless(waiter, self._work_ahead(waiter, now), now)
+        ):
             self._turn_down(waiter, now)
             return
         self._waiters[key] = waiter
