--- a/tests/adapter/test_main.py
+++ b/tests/adapter/test_main.py
@@ -32,6 +32,8 @@
     assert "zone is missing" in err
     assert "platform.address=10.200.1.7:x" in err
     assert main(["entry", "--settings", str(tmp_path / "none"), "--check"]) == 2
+    path.write_bytes(b"\xff")
+    assert main(["entry", "--settings", str(path), "--check"]) == 2
 
 
 @pytest.mark.parametrize(("evacuation_ms", "watch_s"), [(5_000, 2.25), (2_000, 0.9)])
@@ -52,9 +54,10 @@
     path.write_text(SETTINGS.replace("10.200.1.7", "10.200.1.8"))
     reload_settings(path, settings, store)
     assert store._address == ("10.200.1.8", 8361)
-    path.write_text("nothing")
-    reload_settings(path, settings, store)
-    assert store._address == ("10.200.1.8", 8361)
+    for invalid in (b"nothing", b"\xff"):
+        path.write_bytes(invalid)
+        reload_settings(path, settings, store)
+        assert store._address == ("10.200.1.8", 8361)
 
 
 @pytest.mark.parametrize("changed", ["", "limits.max_fds=4200\n"])
