Wait for a reset after the end of each answer without a length to a long request

Cause: an answer counted as early only if bytes of the request were unacknowledged as its head came. The kernel acknowledges what the endpoint has not read.

Now an answer without a length to a request of over 4 KB is whole 0.2 s after its end, if no reset has come. Events of streams are passed on meanwhile.

--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_http_client.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_http_client.py
@@ -42,10 +42,10 @@
 NO_ID = b""  # Id of an exchange whose answer bears none.
 CALL_REST_S = 0.3  # Far longer than an engine takes to answer a call.
 MAX_EXCHANGES = 256  # On one connection, which keeps their ids.
-# A peer that leaves a part of the request unread resets the connection within this time after the
-# end of its answer.
-EARLY_END_S = 0.2
-EARLY_END_CHECK_S = 0.01
+# A peer that has left a part of the request unread resets the connection within this time after it
+# has ended its answer.
+RESET_DELAY_S = 0.2
+RESET_CHECK_S = 0.01
 TCP_CLOSED = 7  # State in the kernel's `tcp_info` after a reset.
 UNSOLICITED = "closing a connection on which a peer sent more than its answer"
 
@@ -76,10 +76,11 @@
 class _Answer:
     """The current answer; ``ends_with_connection`` if no header states its length.
 
-    It ``is_early`` if its head came before the peer had received all of the request.
+    Its request ``is_long`` if the peer may end the answer without having read all of it.
     """
 
     exchange_id: bytes
+    is_long: bool
     head: "asyncio.Future[ResponseHead]"
     chunks: deque[bytes] = attrs.field(factory=deque)
     buffered: int = 0
@@ -87,7 +88,6 @@
     is_complete: bool = False
     is_skipped: bool = False
     ends_with_connection: bool = False
-    is_early: bool = False
     error: LinkError | None = None
 
 
@@ -107,9 +107,9 @@
             ...
 
     Without a length, the end of the connection marks that of the answer, but only if the peer has
-    received all of the request, and does not reset the connection. A peer may answer early, before
-    it has read all of the request: such an answer is complete by its length or its last chunk, and
-    without them if the peer reads on to the end of the request.
+    received all of the request, and does not reset the connection: for `RESET_DELAY_S`, if the
+    request is long. A peer may answer early, before it has read all of the request. Such an answer
+    is complete by its length or its last chunk, and without them if the peer reads on.
 
     ``number`` identifies the connection in the logs, and ``uses`` counts its exchanges.
     ``call_answers`` are the successful answers to calls, which have no id, for who makes the calls.
@@ -192,10 +192,11 @@
         self.uses += 1
         self._had_unnamed = NO_ID in self._carried
         self._carried.add(exchange_id)
-        self._answer = _Answer(exchange_id, asyncio.get_running_loop().create_future())
+        is_long = len(data) > LONG_REQUEST_BYTES
+        self._answer = _Answer(exchange_id, is_long, asyncio.get_running_loop().create_future())
         self._parser = httptools.HttpResponseParser(self)
         self._overhead_bytes = 0
-        if max_read_s is not None and len(data) > LONG_REQUEST_BYTES:
+        if max_read_s is not None and is_long:
             self._is_patient = True
             self._set_unacknowledged_timeout(max(UNACKNOWLEDGED_TIMEOUT_MS, int(max_read_s * 1e3)))
         self._transport.write(data)
@@ -284,7 +285,7 @@
         if self._was_reset():
             self._fail(LinkError(LinkFailure.BROKEN, "the connection was reset after its end"))
             return False
-        if answer.is_early or not self._is_request_received():
+        if answer.is_long or not self._is_request_received():
             # Keeps the connection open for the rest of the request.
             self._confirm_end(answer, None)
             return True
@@ -293,22 +294,22 @@
         return False
 
     def _confirm_end(self, answer: _Answer, received_at: float | None) -> None:
-        """Complete an early answer once the request is received and no reset has followed."""
+        """Complete an answer once all of its request is received and no reset has followed."""
         if not self._is_open or answer.error is not None:
             return
         if self._was_reset():
-            text = "the connection was reset after the end of an early answer"
+            text = "the connection was reset some time after its end"
             self._fail(LinkError(LinkFailure.BROKEN, text))
             self.abort()
             return
         loop = asyncio.get_running_loop()
         if received_at is None and self._is_request_received():
             received_at = loop.time()
-        if received_at is not None and loop.time() >= received_at + EARLY_END_S:
+        if received_at is not None and loop.time() >= received_at + RESET_DELAY_S:
             answer.is_complete = True
             _wake(answer)
             return
-        loop.call_later(EARLY_END_CHECK_S, self._confirm_end, answer, received_at)
+        loop.call_later(RESET_CHECK_S, self._confirm_end, answer, received_at)
 
     def _is_request_received(self) -> bool:
         """Whether the peer's kernel has acknowledged all bytes of the request."""
@@ -382,7 +383,6 @@
             and head.first(b"content-length") is None
             and head.first(b"transfer-encoding") is None
         )
-        answer.is_early = answer.ends_with_connection and not self._is_request_received()
         self._update_idle_limit(head)
         if not answer.head.done():
             answer.head.set_result(head)
--- a/tests/gateway/test_early_answers.py
+++ b/tests/gateway/test_early_answers.py
@@ -10,12 +10,19 @@
 
 from vanillashore_adapter import HttpStore
 from vanillashore_gateway import LinkError, LinkFailure, StoreUnavailableError, StreamOrigin
-from vanillashore_gateway._http_client import EARLY_END_CHECK_S, EARLY_END_S, open_connection
+from vanillashore_gateway._http_client import (
+    LONG_REQUEST_BYTES,
+    RESET_CHECK_S,
+    RESET_DELAY_S,
+    open_connection,
+)
 from vanillashore_standins import wait_until
 from vanillashore_standins.platform_endpoint import EarlyAnswer
 from vanillashore_standins.platform_rig import Answer, PlatformRig, configuration
 
 LONG = 2_000_000  # More than the kernels of both sides hold.
+SHORT = LONG_REQUEST_BYTES + 1  # As a whole in the kernel of the endpoint, before its head is read.
+SIZES = pytest.mark.parametrize("size", [SHORT, LONG])
 WHOLE = b"a whole answer"
 PART = WHOLE[:7]
 EVENT = b"id: 1\ndata: w1\n\n"
@@ -33,45 +40,51 @@
 
 
 @RESETS
-async def test_part_of_an_answer_to_a_payment_is_not_whole(reset_s: float) -> None:
+@SIZES
+async def test_part_of_an_answer_to_a_payment_is_not_whole(size: int, reset_s: float) -> None:
     """Guards against a part that is passed on as a whole success while the upload is sent."""
     async with _rig(services=1) as rig:
         rig.services[0].early_answer = EarlyAnswer("/pay", PART, reset_s=reset_s)
-        answer = await _upload(rig, "/pay/1")
+        answer = await _upload(rig, "/pay/1", size)
         assert (answer.status, b'"ran":"unknown"' in answer.body) == (502, True)
         assert len(rig.arrivals("id-1")) == 1
 
 
 @RESETS
-async def test_lookup_whose_answer_is_a_part_is_sent_to_another_endpoint(reset_s: float) -> None:
+@SIZES
+async def test_lookup_whose_answer_is_a_part_is_sent_to_another_endpoint(
+    size: int, reset_s: float
+) -> None:
     async with _rig(services=2) as rig:
         for endpoint in rig.services:
             endpoint.body = WHOLE
         rig.services[0].early_answer = EarlyAnswer("/stock", PART, reset_s=reset_s)
         for number in range(3):
-            answer = await rig.ask("POST", "/stock/1", f"id-{number}", b"u" * LONG)
+            answer = await rig.ask("POST", "/stock/1", f"id-{number}", b"u" * size)
             assert (answer.status, answer.body) == (200, WHOLE)
 
 
 @RESETS
+@SIZES
 @pytest.mark.parametrize("path", ["/quote/1", "/idea/1"])
-async def test_stream_that_ends_while_its_request_is_sent_is_not_whole(
-    path: str, reset_s: float
+async def test_stream_that_ends_before_its_request_is_read_is_not_whole(
+    path: str, size: int, reset_s: float
 ) -> None:
     async with _rig(decodes=1) as rig:
         rig.decodes[0].early_answer = EarlyAnswer(path[:5], EVENT, reset_s=reset_s)
-        answer = await _upload(rig, path, X_Token_Count="1000,500")
+        answer = await _upload(rig, path, size, X_Token_Count="1000,500")
         assert not (answer.status == 200 and answer.is_complete)
 
 
 @RESETS
-async def test_handle_of_a_prefill_that_ends_while_its_request_is_sent_is_not_used(
-    reset_s: float,
+@SIZES
+async def test_handle_of_a_prefill_that_ends_before_its_request_is_read_is_not_used(
+    size: int, reset_s: float
 ) -> None:
     async with _rig(prefills=1, decodes=1) as rig:
         handle = b'{"kv_handle":"kv1","tokens":1,"version":1}'
         rig.prefills[0].early_answer = EarlyAnswer("/idea", handle, reset_s=reset_s)
-        answer = await _upload(rig, "/idea/1", X_Token_Count="1000,500")
+        answer = await _upload(rig, "/idea/1", size, X_Token_Count="1000,500")
         assert (answer.status, answer.is_complete) == (200, True)
         assert not any("x-kv-source" in arrival.headers for arrival in rig.decodes[0].runs)
 
@@ -154,14 +167,17 @@
     assert caught.value.failure is LinkFailure.BROKEN
 
 
-async def test_answer_that_came_early_is_not_whole_before_the_request_is_received() -> None:
+@pytest.mark.parametrize("size", [LONG, 4 * LONG])
+async def test_answer_that_came_early_is_not_whole_before_the_request_is_received(
+    size: int,
+) -> None:
     peer = _Peer(UNFRAMED)
     conn = await open_connection(*peer.address)
-    body = b"u" * 4 * LONG
+    body = b"u" * size
     conn.send(b"POST / HTTP/1.1\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
     reading = asyncio.ensure_future(conn.read_to_end(1_000))
     with pytest.raises(TimeoutError):
-        async with asyncio.timeout(2 * EARLY_END_S):
+        async with asyncio.timeout(2 * RESET_DELAY_S):
             await asyncio.shield(reading)
     peer.may_reset.set()
     with pytest.raises(LinkError):
@@ -172,7 +188,7 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """Guards against a request that counts as read once the peer's kernel has it."""
-    monkeypatch.setattr("vanillashore_gateway._http_client.EARLY_END_S", 5.0)
+    monkeypatch.setattr("vanillashore_gateway._http_client.RESET_DELAY_S", 5.0)
     body = b"u" * 4 * LONG
     peer = _Peer(UNFRAMED, reads_later=len(body) - 20_000)
     conn = await open_connection(*peer.address)
@@ -181,15 +197,16 @@
     await conn.head()
     await wait_until(conn._is_request_received)
     with pytest.raises(TimeoutError):
-        async with asyncio.timeout(5 * EARLY_END_CHECK_S):
+        async with asyncio.timeout(5 * RESET_CHECK_S):
             await asyncio.shield(reading)
     peer.may_reset.set()
     with pytest.raises(LinkError):
         await reading
 
 
-async def test_answer_without_a_length_ends_with_the_connection() -> None:
-    request = b"POST / HTTP/1.1\r\nContent-Length: 9\r\n\r\n123456789"
+@pytest.mark.parametrize("size", [9, 100_000])
+async def test_answer_without_a_length_ends_with_the_connection(size: int) -> None:
+    request = b"POST / HTTP/1.1\r\nContent-Length: %d\r\n\r\n" % size + b"u" * size
     peer = _Peer(UNFRAMED, reads_first=len(request))
     conn = await open_connection(*peer.address)
     conn.send(request)
@@ -207,7 +224,7 @@
         f"{number:x}" * 40: StreamOrigin("models" * 20, "v1") for number in range(40_000)
     }
     writing = asyncio.ensure_future(client.write_origins(origins, 7))
-    await asyncio.sleep(EARLY_END_S / 2)
+    await asyncio.sleep(RESET_DELAY_S / 2)
     peer.may_reset.set()
     with pytest.raises(StoreUnavailableError):
         await writing
