Check the answers of services at a sidecar as an entry checks those of endpoints

Cause: aiohttp takes the end of a connection for that of an answer, any number for a status, and reads a body to its end.

Now a sidecar keeps a second handle on the connection, and believes its end only if the service has all of the request and no reset follows, for 0.2 s if the request has over 4 KB. Statuses outside 200 to 599 and bodies of over 16 MiB are no answer: the call ends as one that may have run.

--- a/packages/vanillashore-node/src/vanillashore_node/_sidecar_service.py
+++ b/packages/vanillashore-node/src/vanillashore_node/_sidecar_service.py
@@ -9,6 +9,7 @@
 from vanillashore_node._claims import ClaimedCalls
 from vanillashore_node._core import NodeCore
 from vanillashore_node._http_helpers import message_response
+from vanillashore_node._service_answers import ServiceResponse
 from vanillashore_node._sidecar_engine import read_order
 from vanillashore_store import ClaimStore
 from vanillashore_wire import (
@@ -48,6 +49,11 @@
     def __init__(self, core: NodeCore, address: str) -> None:
         self._core = core
         self.address = address.rstrip("/")
+        self._session = aiohttp.ClientSession(
+            connector=core.session.connector,
+            connector_owner=False,
+            response_class=ServiceResponse,
+        )
         self.claimed = ClaimedCalls(core, ClaimUpdater(ClaimStore(core.store)), self._run)
         core.hub.on(ClaimStatusRequest, self.claimed.status)
 
@@ -61,17 +67,18 @@
     async def _run(self, order: CallOrder) -> CallDone:
         timeout = aiohttp.ClientTimeout(total=order.deadline_s, sock_connect=CONNECT_TIMEOUT_S)
         headers = [(header.name, header.value) for header in order.headers]
+        data = base64.b64decode(order.body_base64)
         try:
-            async with self._core.session.request(
+            async with self._session.request(
                 order.method,
                 self.address + order.path,
                 headers=headers,
-                data=base64.b64decode(order.body_base64),
+                data=data,
                 timeout=timeout,
                 allow_redirects=False,
                 middlewares=() if order.idempotent else (_send_once,),
             ) as response:
-                body = await response.read()
+                body = await response.read_whole(len(data))
                 return CallDone(
                     response.status,
                     _forwarded_headers(response),
