Let the soak reload entries, and remove endpoints that never say that they leave

Now entries are reloaded without a change all the time, and half of the services that leave have their records removed instead.

--- a/packages/vanillashore-standins/src/vanillashore_standins/soak/_mutants.py
+++ b/packages/vanillashore-standins/src/vanillashore_standins/soak/_mutants.py
@@ -125,6 +125,15 @@
     HttpStore._check_era = lambda self, head: None
 
 
+def _forget_eras_at_reloads() -> None:
+    """Take a reload of the settings for a restored store."""
+
+    def set_address(self: HttpStore, address: tuple[str, int]) -> None:
+        self._era = None
+
+    HttpStore.set_address = set_address
+
+
 def _accept_while_stopping() -> None:
     """Begin generations until the end of a process that stops."""
     Shutdown.check_generation = lambda self, *args, **kwargs: None
@@ -183,6 +192,7 @@
     "forget-origins": _forget_origins,
     "refuse-resumption": _refuse_resumption,
     "ignore-eras": _ignore_eras,
+    "forget-eras-at-reloads": _forget_eras_at_reloads,
     "accept-while-stopping": _accept_while_stopping,
     "ignore-crashes": _ignore_crashes,
     "ignore-leaving-in-answers": _ignore_leaving_in_answers,
--- a/packages/vanillashore-standins/src/vanillashore_standins/soak/_run.py
+++ b/packages/vanillashore-standins/src/vanillashore_standins/soak/_run.py
@@ -29,6 +29,7 @@
 from vanillashore_standins.soak._limits import LimitFaults
 from vanillashore_standins.soak._parts import PartFaults, sound_prompt
 from vanillashore_standins.soak._proxy import ProxyMode
+from vanillashore_standins.soak._reloads import ReloadFaults
 from vanillashore_standins.soak._restores import RestoreFaults
 from vanillashore_standins.soak._statements import StatementFaults
 from vanillashore_standins.soak._stops import StopFaults
@@ -138,6 +139,9 @@
             random.Random(f"{plan.seed}-parts"),
             lambda name, options: self._new_caller(name, self.pool.addresses, options),
         )
+        self._reloads = ReloadFaults(self.pool, random.Random(f"{plan.seed}-reloads"))
+        self._removals = random.Random(f"{plan.seed}-removals")
+        self._removed: set[str] = set()
         self._copies = CopyFaults(kinds, random.Random(f"{plan.seed}-copies"))
         self._zones = ZoneFaults(
             self.endpoints,
@@ -168,7 +172,13 @@
             callers = [asyncio.ensure_future(caller.run()) for caller in self._callers]
             background = [
                 asyncio.ensure_future(f.run())
-                for f in (self._limits, self._versions, self._statements, self._copies)
+                for f in (
+                    self._limits,
+                    self._versions,
+                    self._statements,
+                    self._copies,
+                    self._reloads,
+                )
             ]
             # Restores come so often that hardly any evacuation would be certain to be known.
             if not self.plan.zones:
@@ -193,6 +203,7 @@
         self.faults["change_version"] = self._versions.count
         self.faults["leave_or_pause"] = self._statements.count
         self.faults["copy_answer"] = self._copies.count
+        self.faults["reload"] = self._reloads.count
         self.faults["restore_store"] = self._restores.count
         self.faults["close_zone_or_chill"] = self._zones.count
         self.faults["stop"] = self._stops.count
@@ -327,11 +338,17 @@
         if len(leaving) >= len(services) - 1:
             return
         endpoint = self.rng.choice([e for e in services if e.instance not in leaving])
-        self._put_endpoint(endpoint, state="draining")
+        # Some endpoints never report that they are leaving; their records are removed.
+        if self._removals.random() < 0.5:
+            self._removed.add(endpoint.instance)
+            self._write_endpoint(endpoint.instance)
+        else:
+            self._put_endpoint(endpoint, state="draining")
         span = TimeSpan(_now())
         self._drains.append((endpoint.instance, span))
         await asyncio.sleep(CHANGE_LIMIT_S + SETTLE_S)
         span.end = _now()
+        self._removed.discard(endpoint.instance)
         self._put_endpoint(endpoint)
 
     def _was_calm(self, since: float, until: float) -> bool:
@@ -464,8 +481,14 @@
         return self._callers + self._stops.callers + self._parts.callers
 
     def _put_endpoint(self, endpoint: EndpointStandIn, **changes: str) -> None:
-        entry = self._published[endpoint.instance] = endpoint.entry(**changes)
-        self.store.put(f"servers/{endpoint.instance}", entry)
+        self._published[endpoint.instance] = endpoint.entry(**changes)
+        self._write_endpoint(endpoint.instance)
+
+    def _write_endpoint(self, instance: str) -> None:
+        if instance in self._removed:
+            self.store.remove(f"servers/{instance}")
+        else:
+            self.store.put(f"servers/{instance}", self._published[instance])
 
     def _put_endpoint_again(self, endpoint: EndpointStandIn) -> None:
         self._put_endpoint(endpoint, state=self._published[endpoint.instance]["state"])
@@ -479,8 +502,8 @@
     def _write_again(self) -> None:
         """Write what the operator and the endpoints had written, in its newest state."""
         self.store.put("op/config", self._config())
-        for instance, entry in self._published.items():
-            self.store.put(f"servers/{instance}", entry)
+        for instance in self._published:
+            self._write_endpoint(instance)
         if self.plan.zones:
             self._zones.write_again()
 
