--- a/tests/gateway/test_store_restore.py
+++ b/tests/gateway/test_store_restore.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from vanillashore_gateway import Snapshot
 from vanillashore_standins import ServedApp, wait_until
 from vanillashore_standins.platform_rig import KEY, WORKSPACE, PlatformRig, configuration
 from vanillashore_standins.platform_store import PlatformStoreStandIn
@@ -244,3 +245,36 @@
         await _restore(rig, copy, new_revisions=True)
         assert [e.instance for e in membership.usable("orders")] == ["s1"]
         await wait_until(lambda: len(membership.usable("orders")) == 2, wait_s=12.0)
+
+
+async def test_restore_that_a_call_notices_first_is_no_reason_to_use_what_is_leaving(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a restore that a follower cannot see, as it reads a snapshot just then."""
+    async with PlatformRig(services=2) as rig:
+        copy = rig.store.copy()
+        rig.store.put("servers/s0", rig.services[0].entry(state="draining"))
+        membership, client = rig.process.gateway.membership, rig.process._follower._store
+        await wait_until(lambda: [e.instance for e in membership.usable("orders")] == ["s1"])
+        restores: list[bool] = []
+        rig.process.gateway.restore_listeners.append(lambda: restores.append(True))
+        read, is_asked, may_read = client.snapshot, asyncio.Event(), asyncio.Event()
+
+        async def snapshot() -> Snapshot:
+            is_asked.set()
+            await may_read.wait()
+            return await read()
+
+        monkeypatch.setattr(client, "snapshot", snapshot)
+        rig.store.put("others/x", {})
+        rig.store.drop_history()
+        await is_asked.wait()
+        rig.store.restore(copy)
+        rig.process._registration._wake.set()
+        await wait_until(lambda: client._era == rig.store.era)
+        calls = len(rig.store.calls)
+        may_read.set()
+        await wait_until(lambda: "kv-range" in rig.store.calls[calls:])
+        await wait_until(lambda: rig.store.calls[-1] == "kv-watch")
+        assert [e.instance for e in membership.usable("orders")] == ["s1"]
+        assert restores == [True]
