--- a/packages/vanillashore-standins/src/vanillashore_standins/soak/_reloads.py
+++ b/packages/vanillashore-standins/src/vanillashore_standins/soak/_reloads.py
@@ -10,7 +10,7 @@
 
 
 class ReloadFaults:
-    """Sends SIGHUP to one entry after another; nothing may follow from it."""
+    """Sends SIGHUP to entries that no other fault affects; nothing may follow from it."""
 
     def __init__(self, pool: EntryPool, rng: random.Random) -> None:
         self._pool = pool
@@ -21,9 +21,6 @@
         """Reload until cancelled."""
         while True:
             await asyncio.sleep(self._rng.random() * MAX_PAUSE_S)
-            # Before its start is complete, an entry may not handle the signal yet.
-            for entry in self._rng.sample(
-                self._pool.unaffected, min(1, len(self._pool.unaffected))
-            ):
-                entry.signal(signal.SIGHUP)
+            if entries := self._pool.unaffected:
+                self._rng.choice(entries).signal(signal.SIGHUP)
                 self.count += 1
