--- a/review/lib3/replica.py
+++ b/review/lib3/replica.py
@@ -32,6 +32,8 @@
         self.slots = 6
         self.running = self.waiting = 0
         self.body: Callable[[Message], bytes] = lambda message: b"x" * 800
+        # The status of a sealed answer to a request that has run; 200 unless it fails.
+        self.status: Callable[[Message], int] = lambda message: 200
         self._slots = asyncio.Semaphore(self.slots)
         self.server = Server(self._handle)
         self.state = "ready"
@@ -83,4 +85,4 @@
         finally:
             self.running -= 1
             self._slots.release()
-        return Answer(200, own | {"X-Server-Seal": SEAL}, self.body(message))
+        return Answer(self.status(message), own | {"X-Server-Seal": SEAL}, self.body(message))
