--- a/review/lib3/engine.py
+++ b/review/lib3/engine.py
@@ -6,7 +6,7 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 
-from lib3.http import Answer, Message, Server, json_answer, render
+from lib3.http import Answer, Message, Server, json_answer, render, reset
 from lib3.replica import HEARTBEAT_S, SEAL
 from lib3.store import Store
 
@@ -30,7 +30,8 @@
     """Runs streams of `EVENTS` events; most replicas drop a request when its connection closes.
 
     One that does not ``drops_closed`` works on to the end. ``before_event`` is awaited before each
-    event, and may hold a run up.
+    event, and may hold a run up. A run that ``loses_answer`` begins, and its connection is reset
+    before anything of the answer is sent.
     """
 
     def __init__(
@@ -45,6 +46,7 @@
         self.store, self.instance, self.service, self.stage = store, instance, service, stage
         self.runs, self.drops_closed = runs, drops_closed
         self.before_event: Callable[[StreamRun, int], Awaitable[None]] | None = None
+        self.loses_answer: Callable[[StreamRun], bool] = lambda run: False
         self.slots = 16
         self.calls: list[tuple[float, str]] = []
         self.server = Server(self._handle)
@@ -120,6 +122,11 @@
         self._running += 1
         try:
             await asyncio.sleep(0.1)
+            if self.loses_answer(run):
+                run.worked.append(asyncio.get_running_loop().time())
+                run.ended = "its answer was lost"
+                reset(writer)
+                return
             writer.write(render(200, head | {"X-Weight-Versions": "1"}, None))
             for number in range(run.after + 1, EVENTS + 1):
                 if self.before_event is not None:
