--- a/review/lib3/replica.py
+++ b/review/lib3/replica.py
@@ -34,9 +34,13 @@
         self.body: Callable[[Message], bytes] = lambda message: b"x" * 800
         # The status of a sealed answer to a request that has run; 200 unless it fails.
         self.status: Callable[[Message], int] = lambda message: 200
+        # A request that crashes the replica as it begins; it is back ``down_s`` later.
+        self.crashes: Callable[[Message], bool] = lambda message: False
+        self.down_s = 1.2
         self._slots = asyncio.Semaphore(self.slots)
         self.server = Server(self._handle)
         self.state = "ready"
+        self._tasks: set[asyncio.Task[None]] = set()
         self._beat: asyncio.Task[None] | None = None
 
     async def start(self) -> None:
@@ -50,6 +54,12 @@
             self.store.put(f"servers/{self.instance}", self.record(sequence))
             await asyncio.sleep(HEARTBEAT_S)
 
+    async def _crash(self) -> None:
+        port = int(self.server.address.rpartition(":")[2])
+        self.server.stop()
+        await asyncio.sleep(self.down_s)
+        await self.server.start(port)
+
     def record(self, sequence: int) -> dict[str, object]:
         """Return the entry in the store."""
         return {
@@ -81,6 +91,9 @@
         try:
             now = asyncio.get_running_loop().time()
             self.runs.append(Run(request_id, self.instance, now, message.first[1]))
+            if self.crashes(message):
+                self._tasks.add(asyncio.ensure_future(self._crash()))
+                await asyncio.sleep(3_600)
             await asyncio.sleep(self.work_s)
         finally:
             self.running -= 1
--- a/review/lib3/store.py
+++ b/review/lib3/store.py
@@ -3,6 +3,7 @@
 import asyncio
 import base64
 import json
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
 
@@ -33,6 +34,8 @@
         self._changed = asyncio.Event()
         self.server = Server(self._handle)
         self.latency_s = 0.004
+        # For how long a write is held back; its answer is lost then. ``None`` for usual writes.
+        self.late_s: Callable[[dict[str, Any]], float | None] = lambda body: None
         self.log: list[tuple[float, str]] = []
         self._expiry: asyncio.Task[None] | None = None
 
@@ -94,6 +97,10 @@
         if path == "/-/kv-watch":
             return await self._watch(query)
         if path == "/-/kv-txn":
+            late_s = self.late_s(body)
+            if late_s is not None:
+                asyncio.get_running_loop().call_later(late_s, self._txn, body)
+                await asyncio.sleep(3_600)
             return self._txn(body)
         if path == "/-/kv-lease":
             self._next_lease += 1
