--- a/review/11/case.py
+++ b/review/11/case.py
@@ -12,7 +12,7 @@
 HERE = Path(__file__).resolve().parent
 sys.path.insert(0, str(HERE.parent))
 
-from lib3.entry import Entry  # noqa: E402
+from lib3.entry import Entry, run_case  # noqa: E402
 from lib3.http import Message, Outcome, call  # noqa: E402
 from lib3.replica import PlainReplica, Run  # noqa: E402
 from lib3.store import Store  # noqa: E402
@@ -152,4 +152,4 @@
     return 1 if broken else 0
 
 
-sys.exit(asyncio.run(main()))
+run_case(main)
--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -3,6 +3,6 @@
 set -eu
 cd "$(dirname "$0")/.."
 python3 -m compileall -q review/lib3
-for folder in review/11 review/12 review/13 review/14 review/15; do
-  if [ -d "$folder" ]; then python3 -m compileall -q "$folder"; fi
+for folder in review/11 review/12 review/13 review/14; do
+  python3 -m compileall -q "$folder"
 done
--- a/review/lib3/engine.py
+++ b/review/lib3/engine.py
@@ -62,9 +62,14 @@
 
     async def _heartbeat(self) -> None:
         while True:
-            self.store.put(f"servers/{self.instance}", self.record())
+            if not self.store.is_away:
+                self.write()
             await asyncio.sleep(HEARTBEAT_S)
 
+    def write(self) -> None:
+        """Write the entry in the store."""
+        self.store.put(f"servers/{self.instance}", self.record())
+
     def record(self) -> dict[str, object]:
         """Return the entry in the store."""
         return {
--- a/review/lib3/entry.py
+++ b/review/lib3/entry.py
@@ -6,7 +6,10 @@
 import signal
 import socket
 import sys
+import traceback
+from collections.abc import Awaitable, Callable
 from pathlib import Path
+from typing import NoReturn
 
 from lib3.http import call
 
@@ -137,3 +140,18 @@
             self.process.send_signal(signal.SIGCONT)
             self.process.kill()
             await self.process.wait()
+
+
+def run_case(main: Callable[[], Awaitable[int]]) -> NoReturn:
+    """Play a case and exit with its code; 2 if it was ended or could not run."""
+
+    def end(number: int, frame: object) -> NoReturn:
+        raise SystemExit(2)
+
+    signal.signal(signal.SIGTERM, end)
+    try:
+        code = asyncio.run(main())
+    except Exception:
+        traceback.print_exc()
+        code = 2
+    sys.exit(code)
--- a/review/lib3/replica.py
+++ b/review/lib3/replica.py
@@ -37,6 +37,7 @@
         # A request that crashes the replica as it begins; it is back ``down_s`` later.
         self.crashes: Callable[[Message], bool] = lambda message: False
         self.down_s = 1.2
+        self.is_leaving = False
         self._slots = asyncio.Semaphore(self.slots)
         self.server = Server(self._handle)
         self.state = "ready"
@@ -49,11 +50,21 @@
         self._beat = asyncio.ensure_future(self._heartbeat())
 
     async def _heartbeat(self) -> None:
-        sequence = 0
         while True:
-            self.store.put(f"servers/{self.instance}", self.record(sequence))
+            if not self.store.is_away:
+                self.write()
             await asyncio.sleep(HEARTBEAT_S)
 
+    def write(self) -> None:
+        """Write the entry in the store."""
+        self.store.put(f"servers/{self.instance}", self.record(0))
+
+    def leave(self) -> None:
+        """Remove the entry in the store, say so in all answers, and go on serving."""
+        self.is_leaving = True
+        self._beat.cancel()
+        self.store.remove(f"servers/{self.instance}")
+
     async def _crash(self) -> None:
         port = int(self.server.address.rpartition(":")[2])
         self.server.stop()
@@ -80,6 +91,8 @@
             return Answer(421, {"X-Instance-Id": self.instance})
         load = f"{self.running},{self.waiting},{self.slots}"
         own = {"X-Request-Id": request_id, "X-Server-Load": load}
+        if self.is_leaving:
+            own["Server-Leaving"] = "1"
         if self.waiting >= 2 * self.slots:
             return Answer(503, own | {"X-Not-Executed": "1"})
         self.waiting += 1
--- a/review/lib3/store.py
+++ b/review/lib3/store.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import base64
+import copy
 import json
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -38,12 +39,35 @@
         self.late_s: Callable[[dict[str, Any]], float | None] = lambda body: None
         self.log: list[tuple[float, str]] = []
         self._expiry: asyncio.Task[None] | None = None
+        self.era = 1
+        self.is_away = False
 
     async def start(self) -> str:
         """Serve on a loopback port."""
         self._expiry = asyncio.ensure_future(self._expire())
         return await self.server.start()
 
+    def copy(self) -> tuple[Any, ...]:
+        """Return a copy to go back to."""
+        state = (self.items, self.revision, self.events, self.leases, self.ttl_s, self._next_lease)
+        return copy.deepcopy(state)
+
+    def go_away(self) -> None:
+        """Lose all connections, and take no call until `restore`."""
+        self.is_away = True
+        for writer in list(self.server.writers):
+            writer.transport.abort()
+
+    def restore(self, state: tuple[Any, ...]) -> None:
+        """Come back from a copy: what was written since is gone, and the era rises by one."""
+        state = copy.deepcopy(state)
+        self.items, self.revision, self.events = state[:3]
+        self.leases, self.ttl_s, self._next_lease = state[3:]
+        self.era += 1
+        self.is_away = False
+        self._changed.set()
+        self._changed = asyncio.Event()
+
     def put(self, key: str, value: object, lease: int = 0) -> int:
         """Write a key with a JSON value."""
         data = base64.b64encode(json.dumps(value, separators=(",", ":")).encode()).decode()
@@ -87,8 +111,17 @@
         for key in [k for k, item in self.items.items() if item.lease == lease]:
             self.remove(key)
 
-    async def _handle(self, message: Message, writer: asyncio.StreamWriter) -> Answer:
+    async def _handle(self, message: Message, writer: asyncio.StreamWriter) -> Answer | None:
         await asyncio.sleep(self.latency_s)
+        era = self.era
+        answer = None if self.is_away else await self._answer(message)
+        if answer is None or self.is_away or self.era != era:
+            writer.transport.abort()
+            return None
+        answer.headers["Store-Era"] = str(self.era)
+        return answer
+
+    async def _answer(self, message: Message) -> Answer:
         path, query = message.path, message.query
         body = json.loads(message.body) if message.body else {}
         now = asyncio.get_running_loop().time()
@@ -142,6 +175,8 @@
         loop = asyncio.get_running_loop()
         until = loop.time() + min(30_000, int(query.get("wait_ms", 0))) / 1_000
         while True:
+            if after > self.revision:
+                return json_answer({}, 410)
             events = [
                 e for e in self.events if e["revision"] > after and e["key"].startswith(prefix)
             ]
--- a/review/lib3/streams.py
+++ b/review/lib3/streams.py
@@ -42,8 +42,10 @@
     }
 
 
-async def send_stream(entry: Entry, number: int) -> tuple[str, Outcome]:
-    """Send one stream request."""
+async def send_stream(
+    entry: Entry, number: int, last_event: int | None = None
+) -> tuple[str, Outcome]:
+    """Send one stream request, or take a stream up after ``last_event``."""
     request_id = f"{number:016x}"
     headers = {
         "Host": HOST,
@@ -54,5 +56,7 @@
         "X-Deadline-Ms": "14000",
         "Authorization": f"Bearer {KEY}",
     }
+    if last_event is not None:
+        headers["Last-Event-Id"] = str(last_event)
     outcome = await call(entry.front, "POST", f"/quote/{number}", headers, b"a brief" * 400, 14.0)
     return request_id, outcome
