--- a/review/lib3/engine.py
+++ b/review/lib3/engine.py
@@ -3,10 +3,9 @@
 import asyncio
 import itertools
 import json
-from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 
-from lib3.http import Answer, Message, Server, json_answer, render, reset
+from lib3.http import Answer, Message, Server, json_answer, render
 from lib3.replica import HEARTBEAT_S, SEAL
 from lib3.store import Store
 
@@ -27,12 +26,7 @@
 
 
 class Engine:
-    """Runs streams of `EVENTS` events; most replicas drop a request when its connection closes.
-
-    One that does not ``drops_closed`` works on to the end. ``before_event`` is awaited before each
-    event, and may hold a run up. A run that ``loses_answer`` begins, and its connection is reset
-    before anything of the answer is sent.
-    """
+    """Runs streams of `EVENTS` events, and drops a request when its connection closes."""
 
     def __init__(
         self,
@@ -41,17 +35,13 @@
         service: str,
         stage: str,
         runs: list[StreamRun],
-        drops_closed: bool = True,
     ) -> None:
         self.store, self.instance, self.service, self.stage = store, instance, service, stage
-        self.runs, self.drops_closed = runs, drops_closed
-        self.before_event: Callable[[StreamRun, int], Awaitable[None]] | None = None
-        self.loses_answer: Callable[[StreamRun], bool] = lambda run: False
+        self.runs = runs
         self.slots = 16
         self.calls: list[tuple[float, str]] = []
         self.server = Server(self._handle)
         self._ids = itertools.count(1)
-        self._tasks: set[asyncio.Task[None]] = set()
         self._running = 0
         self._beat: asyncio.Task[None] | None = None
 
@@ -108,17 +98,7 @@
         )
         self.runs.append(run)
         head = own | {"X-Server-Seal": SEAL, "Content-Type": "text/event-stream"}
-        work = asyncio.ensure_future(self._stream(run, head, writer))
-        self._tasks.add(work)
-        work.add_done_callback(self._tasks.discard)
-        if self.drops_closed:
-            try:
-                await work
-            except asyncio.CancelledError:
-                run.ended = "dropped, as the connection was closed"
-                raise
-        else:
-            await asyncio.shield(work)
+        await self._stream(run, head, writer)
         return None
 
     async def _stream(
@@ -127,22 +107,13 @@
         self._running += 1
         try:
             await asyncio.sleep(0.1)
-            if self.loses_answer(run):
-                run.worked.append(asyncio.get_running_loop().time())
-                run.ended = "its answer was lost"
-                reset(writer)
-                return
             writer.write(render(200, head | {"X-Weight-Versions": "1"}, None))
             for number in range(run.after + 1, EVENTS + 1):
-                if self.before_event is not None:
-                    await self.before_event(run, number)
                 run.worked.append(asyncio.get_running_loop().time())
                 event = f"id: {number}\ndata: piece {number} of {run.request_id}\n\n".encode()
-                if not writer.is_closing():
-                    writer.write(b"%x\r\n%b\r\n" % (len(event), event))
+                writer.write(b"%x\r\n%b\r\n" % (len(event), event))
                 await asyncio.sleep(STEP_S)
-            if not writer.is_closing():
-                writer.write(b"0\r\n\r\n")
+            writer.write(b"0\r\n\r\n")
             run.ended = "complete"
         finally:
             self._running -= 1
--- a/review/lib3/http.py
+++ b/review/lib3/http.py
@@ -3,8 +3,6 @@
 import asyncio
 import contextlib
 import json
-import socket
-import struct
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from urllib.parse import parse_qsl, urlsplit
@@ -83,14 +81,6 @@
     return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
 
 
-def reset(writer: asyncio.StreamWriter) -> None:
-    """Close a connection with a reset."""
-    sock = writer.get_extra_info("socket")
-    with contextlib.suppress(OSError):
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-    writer.transport.abort()
-
-
 Handler = Callable[[Message, asyncio.StreamWriter], Awaitable[Answer | None]]
 
 
