Withhold failures that callers would take for refusals

Callers saw: an endpoint ran a payment and failed it with its own 503.

Cause: for an endpoint's answer only X-Not-Executed and 421 state that nothing ran; for an answer to a caller 408, 421, 429 and 503 promise it. The entry held its own refusals to the second sentence, and endpoints' answers to the first alone.

Change: the adapter decodes which statuses imply "not run" to callers. Such an answer without the endpoint's statement is not passed on if the request may run once at most; the caller gets the entry's own 502 endpoint_failed, without seal, body and Retry-After. Decided by the head, so for long answers too, and for streams that may not be resumed. What is passed on stays unchanged.

The soak's endpoints fail with 408, 429 and 503, too.

--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_calls.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_calls.py
@@ -44,7 +44,8 @@
 class _Result:
     """Result of one send attempt.
 
-    A long answer ``is_relayed`` to the caller already. A request that was not sent ``is_withheld``
+    A long answer ``is_relayed`` to the caller already; one that must not reach it is withheld, and
+    the caller gets a ``refusal`` in its place. A request that was not sent ``is_withheld``
     if the endpoint was not to get it. An answer ``is_unread`` if its caller read it too slowly.
     """
 
@@ -56,6 +57,7 @@
     is_relayed: bool = False
     is_withheld: bool = False
     is_unread: bool = False
+    refusal: RefusalError | None = None
 
 
 class CallForwarder:
@@ -75,6 +77,8 @@
         self._budget.earn()
         self._responder = responder
         result = await self._obtain_answer()
+        if result.refusal is not None:
+            raise result.refusal
         head = result.head
         if not result.is_relayed:
             headers = end_to_end(head.headers)
@@ -182,6 +186,10 @@
                     if sent.head.was_not_run:
                         await sent.skip_body()
                         return _Result(_Outcome.NOT_RUN, sent.head)
+                    if not self._job.may_pass_on(sent.head):
+                        await sent.drain_body()
+                        withheld = self._job.withhold_answer(outbound.endpoint, sent.head)
+                        return _Result(_Outcome.ANSWERED, sent.head, refusal=withheld)
                     body, is_complete = await sent.read_start()
                     if resend is not None:
                         resend.cancel()
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_domain.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_domain.py
@@ -235,10 +235,11 @@
 
     ``is_sealed`` is true if the answer carries the seal with which an endpoint's application marks
     its answers. ``was_not_run`` is the endpoint's statement that it did not and will not run the
-    request. ``limit_per_s`` is the number of requests per second that the endpoint accepts from all
-    entries together; ``None`` is no limit. ``is_leaving`` states that the endpoint is to stop soon.
-    An endpoint that turns a request away may want nothing from this entry for ``pause_s``. One that
-    is cold states for how long with ``cold_s``.
+    request; callers conclude the same from a status that ``implies_not_run``. ``limit_per_s`` is
+    the number of requests per second that the endpoint accepts from all entries together; ``None``
+    is no limit. ``is_leaving`` states that the endpoint is to stop soon. An endpoint that turns a
+    request away may want nothing from this entry for ``pause_s``. One that is cold states for how
+    long with ``cold_s``.
     """
 
     status: int
@@ -246,6 +247,7 @@
     headers: tuple[Header, ...]
     is_sealed: bool
     was_not_run: bool
+    implies_not_run: bool = False
     load: Load | None = None
     limit_per_s: float | None = None
     is_leaving: bool = False
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_generation.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_generation.py
@@ -96,6 +96,7 @@
         self._announced: StreamOrigin | None = None
         self._announcement: asyncio.Future[list[None]] | None = None
         self._reason = ""
+        self._refusal: RefusalError | None = None  # In place of an answer that is withheld.
         self._permitted_at = 0.0
         self._next_hold: Hold | None = None
         self._prompt_sent_at: float | None = None
@@ -137,12 +138,15 @@
                 else:
                     self._tools.slot_finder.release(hold)
             if outcome is _Outcome.DONE:
-                responder.finish()
+                if self._refusal is None:
+                    responder.finish()
                 self._tools.crashes.record_success(self._job.fingerprint)
                 self._record_output_size()
                 held_s = self._tools.clock() - hold.taken_at
                 self._tools.slot_finder.record_answer_time(self._job.service, held_s)
                 self._tools.shutdown.record_answer(self._job.service.name, held_s)
+                if self._refusal is not None:
+                    raise self._refusal
                 self._log_answered()
                 return
             # An engine that has run the request may have taken the cache, which it can only once.
@@ -426,6 +430,10 @@
         head = sent.head
         is_stream = head.status == 200
         if not responder.has_begun:
+            if not is_stream and not self._job.may_pass_on(head):
+                await sent.drain_body()
+                self._refusal = self._job.withhold_answer(sent.endpoint, head)
+                return
             if not is_stream:
                 body = await sent.read_to_end()
                 responder.begin(head.status, head.reason, end_to_end(head.headers), len(body))
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_job.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_job.py
@@ -12,6 +12,7 @@
 from vanillashore_gateway._dialect import Dialect
 from vanillashore_gateway._domain import (
     DEFAULT_RANK,
+    AnswerHead,
     CallerRequest,
     Endpoint,
     EndpointRole,
@@ -100,6 +101,19 @@
             return refused
         return Refused(ErrorCode.ENDPOINT_FAILED, f"the answer was lost; {refused.text}")
 
+    def may_pass_on(self, head: AnswerHead) -> bool:
+        """Whether the answer of an endpoint that may have run the request may reach the caller.
+
+        Some statuses make callers send the request again, which not every request allows.
+        """
+        return self.route.may_repeat or not head.implies_not_run
+
+    def withhold_answer(self, endpoint: Endpoint, head: AnswerHead) -> RefusalError:
+        """Log that an answer is not passed on, and return what the caller gets in its place."""
+        self.log_decision("answer withheld", endpoint=endpoint.instance, status=head.status)
+        text = f"an endpoint failed with status {head.status}, and may have run the request"
+        return refusal(ErrorCode.ENDPOINT_FAILED, text)
+
     def choose(self, tools: Tools, role: EndpointRole, share: float) -> Endpoint | None:
         """Choose an endpoint that was not tried yet, and log the choice."""
         now = tools.clock()
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_sending.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_sending.py
@@ -51,9 +51,14 @@
 
     async def skip_body(self) -> None:
         """Read a body that is not used, so that the connection can be; it may break off."""
-        with contextlib.suppress(LinkError, TimeoutError):
+        with contextlib.suppress(LinkError):
+            await self.drain_body()
+
+    async def drain_body(self) -> None:
+        """Read the beginning of a body that is not used; raise LinkError if it is cut off."""
+        with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(UNUSED_BODY_TIMEOUT_S):
-                await self._conn.read_to_end(MAX_HELD_BYTES)
+                await self._conn.read_start(MAX_HELD_BYTES)
 
     async def read_start(self) -> tuple[bytes, bool]:
         """Return the body and true, or its beginning and false if it exceeds `MAX_HELD_BYTES`."""
--- a/packages/vanillashore-standins/src/vanillashore_standins/platform_endpoint.py
+++ b/packages/vanillashore-standins/src/vanillashore_standins/platform_endpoint.py
@@ -35,7 +35,8 @@
 class Fault(StrEnum):
     """Fault that an endpoint injects into one request.
 
-    With ``NO_STREAM`` an engine answers with a success that is no stream, and with
+    With ``ERROR`` an endpoint answers with its ``error_status`` although it ran the request. With
+    ``NO_STREAM`` an engine answers with a success that is no stream, and with
     ``NO_STREAM_UNTYPED`` it does not even say so. Those named ``ENDLESS``
     send bytes until the caller closes the connection.
     """
@@ -202,7 +203,8 @@
     """Serves one instance on a loopback port.
 
     Each request consumes one of ``faults``; requests after the last one succeed, and each control
-    call has the ``control_fault``. Plain answers have ``body``, or name the request. Answers name
+    call has the ``control_fault``. Plain answers have ``body``, or name the request; errors have
+    ``error_status`` and ``error_body``. Answers name
     ``limit_per_s`` unless it is ``None``, and with ``says_leaving`` all answers say so; successes
     bear ``extra_headers``. ``version`` is that of the endpoint's software. While ``may_answer`` is
     not set, answers do not begin, and streams pause. While ``retry_after`` is set, requests are
@@ -235,6 +237,8 @@
         self.control_fault = Fault.NONE
         self.highest_fence = 0
         self.body = b""
+        self.error_status = 500
+        self.error_body = b"failed"
         self.limit_per_s: float | None = None
         self.says_leaving = False
         self.extra_headers: dict[str, str] = {}
@@ -517,7 +521,7 @@
         if fault is Fault.UNSEALED:
             del server_headers["X-Server-Seal"]
         if fault is Fault.ERROR:
-            return await _reply(writer, 500, server_headers, b"failed")
+            return await _reply(writer, self.error_status, server_headers, self.error_body)
         if fault in (Fault.NO_STREAM, Fault.NO_STREAM_UNTYPED):
             is_typed = fault is Fault.NO_STREAM
             json_type = {"Content-Type": "application/json"} if is_typed else {}
--- a/packages/vanillashore-standins/src/vanillashore_standins/soak/_mutants.py
+++ b/packages/vanillashore-standins/src/vanillashore_standins/soak/_mutants.py
@@ -22,6 +22,7 @@
 )
 from vanillashore_gateway._cold_rates import ColdRates
 from vanillashore_gateway._crashes import CrashMonitor
+from vanillashore_gateway._job import Job
 from vanillashore_gateway._limit_requests import RequestLimits
 from vanillashore_gateway._membership import Membership
 from vanillashore_gateway._resumption import Resumption
@@ -77,6 +78,11 @@
     )
 
 
+def _pass_on_failures() -> None:
+    """Pass on an endpoint's failure with any status, also after a run."""
+    Job.may_pass_on = lambda self, head: True
+
+
 def _ignore_request_limits() -> None:
     """Send to endpoints as if they named no limit."""
 
@@ -186,6 +192,7 @@
     "ignore-leaving": _ignore_leaving,
     "keep-old-keys": _keep_old_keys,
     "refuse-after-run": _refuse_after_run,
+    "pass-on-failures": _pass_on_failures,
     "ignore-request-limits": _ignore_request_limits,
     "keep-limits-for-each-entry": _keep_limits_for_each_entry,
     "ignore-versions": _ignore_versions,
--- a/packages/vanillashore-standins/src/vanillashore_standins/soak/_run.py
+++ b/packages/vanillashore-standins/src/vanillashore_standins/soak/_run.py
@@ -49,6 +49,8 @@
 REQUEST_FAULTS = [fault for fault in Fault if fault not in (Fault.NONE, *NO_STREAMS)]
 # A plain answer without end is passed on like any long one, so callers receive its bytes.
 ENGINE_FAULTS = frozenset({Fault.ENDLESS_BODY, Fault.ENDLESS_EVENT})
+# Of failures after a run; to callers all but the last say that the request has not run.
+ERROR_STATUSES = (408, 429, 503, 500)
 
 
 @attrs.frozen
@@ -104,6 +106,9 @@
             *(self._engine(f"p{i}", "prefill") for i in range(plan.prefills)),
             *(self._engine(f"d{i}", "decode") for i in range(plan.decodes)),
         ]
+        statuses = random.Random(f"{plan.seed}-errors")
+        for endpoint in self.endpoints:
+            endpoint.error_status = statuses.choice(ERROR_STATUSES)
         self._folder = folder
         self._published: dict[str, dict[str, object]] = {}
         self._restores = RestoreFaults(
@@ -449,7 +454,9 @@
             if record is not None and record.path in RUNS_ONCE_PATHS and count > 1:
                 self.violations.append(f"{request_id}: ran {count} times")
         for record in records.values():
-            if record.status in NOT_RUN_STATUSES and runs[record.request_id]:
+            # An endpoint's own failure reaches the caller of a request that may run again.
+            is_own = bool(record.code) or record.path in RUNS_ONCE_PATHS
+            if record.status in NOT_RUN_STATUSES and is_own and runs[record.request_id]:
                 self.violations.append(
                     f"{record.request_id}: refused with {record.status}, but it ran"
                 )
--- a/tests/adapter/test_decoding.py
+++ b/tests/adapter/test_decoding.py
@@ -242,6 +242,12 @@
     )
 
 
+def test_statuses_that_make_callers_repeat_any_request() -> None:
+    statuses = range(200, 600)
+    heads = [PlatformDialect().decode_answer(ResponseHead(s, b"", ())) for s in statuses]
+    assert [head.status for head in heads if head.implies_not_run] == [408, 421, 429, 503]
+
+
 @pytest.mark.parametrize(
     ("value", "limit_per_s"),
     [(None, None), (b"4", 4.0), (b" 0.25 ", 0.25), (b"-1", None), (b"1e3", None), (b"nan", None)],
