Withhold failures of services that callers would take for refusals

Callers saw: a service behind a sidecar ran a call that may run once and failed it with 408, 421, 429 or 503. The entry of vanillashore-node passed that on, without "ran"; to a caller it means that nothing ran.

A service's status was handed through, and services do not state whether a call that they failed has run.

Change: the entry answers 502 outcome_unknown, ran: unknown, and records the status for "explain". Other failures, and calls that may be repeated, are passed on as before.

--- a/packages/vanillashore-node/src/vanillashore_node/_call_dispatch.py
+++ b/packages/vanillashore-node/src/vanillashore_node/_call_dispatch.py
@@ -13,7 +13,15 @@
 from vanillashore_resilience import RetryBudget
 from vanillashore_schema import RouteConfig
 from vanillashore_store import StoreUnavailableError
-from vanillashore_wire import CallDone, CallOrder, ErrorCode, RefusalError, Refused, WasExecuted
+from vanillashore_wire import (
+    NOT_EXECUTED_STATUSES,
+    CallDone,
+    CallOrder,
+    ErrorCode,
+    RefusalError,
+    Refused,
+    WasExecuted,
+)
 
 MAX_ATTEMPTS = 3
 BAR_TIMEOUT_S = 1.0
@@ -59,9 +67,22 @@
         """Run a call; the RefusalError raised states whether it ran, as far as that is known."""
         self._budget.earn()
         try:
-            return await self._attempts(order, route)
+            done = await self._attempts(order, route)
         finally:
             self._placer.forget(order.request_id)
+        self._check_status(order, done)
+        return done
+
+    def _check_status(self, order: CallOrder, done: CallDone) -> None:
+        """Raise RefusalError if the caller would take the answer for a word that nothing ran.
+
+        Services do not state whether a call that they failed has run.
+        """
+        if order.idempotent or done.status not in NOT_EXECUTED_STATUSES:
+            return
+        self._core.decisions.record(order.request_id, "answer withheld", f"status {done.status}")
+        text = f"the service failed with status {done.status}, and may have run the call"
+        raise RefusalError(Refused(ErrorCode.OUTCOME_UNKNOWN, text, WasExecuted.UNKNOWN))
 
     async def _attempts(self, order: CallOrder, route: RouteConfig) -> CallDone:
         deadline = time.monotonic() + order.deadline_s
--- a/packages/vanillashore-standins/src/vanillashore_standins/_service_app.py
+++ b/packages/vanillashore-standins/src/vanillashore_standins/_service_app.py
@@ -15,13 +15,16 @@
 class ServiceOptions:
     """Delay and faults of the service.
 
-    ``lose_answers`` and ``fail_before_run`` are the numbers of calls that are still to be affected.
+    ``lose_answers``, ``fail_before_run`` and ``fail_after_run`` are the numbers of calls that are
+    still to be affected; those that fail after they ran have ``fail_status``.
     """
 
     name: str = "service"
     delay_s: float = 0.0
     lose_answers: int = 0
     fail_before_run: int = 0
+    fail_after_run: int = 0
+    fail_status: int = 503
 
 
 @attrs.define
@@ -76,6 +79,9 @@
         options.lose_answers -= 1
         request.transport.abort()
         raise ConnectionResetError("fault injected")
+    if options.fail_after_run > 0:
+        options.fail_after_run -= 1
+        return web.json_response({"error": {"message": "failed"}}, status=options.fail_status)
     echo = body.decode(errors="replace")
     return web.json_response({"service": options.name, "run": number, "echo": echo})
 
--- a/packages/vanillashore-wire/src/vanillashore_wire/__init__.py
+++ b/packages/vanillashore-wire/src/vanillashore_wire/__init__.py
@@ -26,6 +26,7 @@
     Withdrawal,
 )
 from vanillashore_wire._errors import (
+    NOT_EXECUTED_STATUSES,
     ErrorCode,
     RefusalError,
     Refused,
@@ -124,6 +125,7 @@
     "HoldRenewal",
     "HoldRenewed",
     "Load",
+    "NOT_EXECUTED_STATUSES",
     "NoticedRequest",
     "LoanAnswer",
     "LoanAnswers",
--- a/packages/vanillashore-wire/src/vanillashore_wire/_errors.py
+++ b/packages/vanillashore-wire/src/vanillashore_wire/_errors.py
@@ -6,6 +6,9 @@
 
 from vanillashore_wire._codec import message
 
+# From these statuses callers conclude that their request was not executed and never will be.
+NOT_EXECUTED_STATUSES = frozenset({408, 421, 429, 503})
+
 
 class WasExecuted(StrEnum):
     """Whether a refused or failed request may have been executed.
