Refuse no call by the status of its last attempt if an earlier one may run it

Callers saw: a call that may run once went to a sidecar that was not heard of again, the next one was full, and the caller got 503 overloaded with ran: unknown, though the call may run.

Cause: "ran" collects the outcomes of all attempts, the code and so the status are those of the last one.

Change: if an attempt may have run the call, a code whose status says that nothing ran becomes outcome_unknown (502) with the same Retry-After.

--- a/packages/vanillashore-node/src/vanillashore_node/_call_dispatch.py
+++ b/packages/vanillashore-node/src/vanillashore_node/_call_dispatch.py
@@ -167,7 +167,17 @@
 
 
 def _unknown(refused: Refused) -> Refused:
-    if refused.retry_after_s is not None:
+    """Return the refusal of a call that may have run, now or by an earlier call with its key.
+
+    Its code is kept only if an attempt of this call cannot have run it, or the status says nothing
+    of that.
+    """
+    retry_after_s = refused.retry_after_s
+    may_have_run = refused.ran is WasExecuted.UNKNOWN
+    is_misleading = may_have_run and refused.code.status in NOT_EXECUTED_STATUSES
+    if retry_after_s is not None and not is_misleading:
         return attrs.evolve(refused, ran=WasExecuted.UNKNOWN)
+    if retry_after_s is None:
+        retry_after_s = RETRY_AFTER_S
     text = f"it is not known whether the call ran: {refused.code.value}: {refused.text}"
-    return Refused(ErrorCode.OUTCOME_UNKNOWN, text, WasExecuted.UNKNOWN, RETRY_AFTER_S)
+    return Refused(ErrorCode.OUTCOME_UNKNOWN, text, WasExecuted.UNKNOWN, retry_after_s)
