Refuse no request at the gate once the HTTP server has its head

Callers saw: 503 memory_full, ran: no, from an entry of vanillashore-node, for a call that ran.

Cause: a connection whose head had come slowly gave way to another one between the end of its head and the turn of the event loop in which the server's task begins the request. The gate still took it for its own and wrote the refusal, and the server went on to serve the request.

Change: once the head is whole, giving way only takes the room; the request asks for room again as it begins.

--- a/packages/vanillashore-node/src/vanillashore_node/_gated_connection.py
+++ b/packages/vanillashore-node/src/vanillashore_node/_gated_connection.py
@@ -291,7 +291,9 @@
     def _give_way(self) -> None:
         """Refuse the request that arrives, in favour of another one."""
         if self._request is None:
-            self._refuse(no_room().refused)
+            # The server serves a request whose head is whole, which asks for room again.
+            if not self._has_head:
+                self._refuse(no_room().refused)
             return
         self._gave_way = True
         if self._read_scope is not None:
--- a/tests/node/test_gated_connection.py
+++ b/tests/node/test_gated_connection.py
@@ -1,10 +1,11 @@
 """What a node's gate does for callers that pipeline, stall or are answered early."""
 
 import asyncio
+import time
 
 import attrs
 
-from vanillashore_ingress._held_bytes import HeldLimits
+from vanillashore_ingress._held_bytes import Admission, CallerAccount, HeldLimits
 from vanillashore_schema import LimitSettings
 from vanillashore_standins.testing import KEY, FleetPlan, SmallFleet
 
@@ -96,3 +97,30 @@
         for answer in await asyncio.gather(*asked):
             # The service's queue is full, but the body was received.
             assert answer.status == 200 or b"overloaded" in await answer.read()
+
+
+async def test_request_whose_head_is_whole_is_not_refused_in_favour_of_another() -> None:
+    """Guards against a 503 to a request that the server has in hand and runs."""
+    async with SmallFleet(PLAN) as fleet:
+        gate = fleet.entries[0].core.gate.state
+        gate.held.limits = HeldLimits(300_000, 300_000, gate.held.request_bytes)
+        reader, writer = await _connect(fleet)
+        writer.write(ORDER[:20])
+        await fleet.until(lambda: gate.held.held > 0)
+        (conn,) = gate.table._standings
+        receive_head = conn._receive_head
+
+        def receive_beside_another(data: bytes) -> None:
+            receive_head(data)
+            # Another request needs all the room before the server's task gets this one.
+            gate.held.clock = lambda: time.monotonic() + 60.0
+            assert CallerAccount(gate.held).begin(232_000) is Admission.ADMITTED
+
+        conn._receive_head = receive_beside_another
+        writer.write(ORDER[20:])
+        async with asyncio.timeout(10.0):
+            answer = await reader.readuntil(b"\r\n\r\n")
+        await fleet.until(lambda: not fleet.entries[0].core.state.active)
+        writer.close()
+        ran = sum(s.runs_of("/pay", b"order") for s in fleet.service_states.values())
+        assert (answer[9:12], ran) in ((b"503", 0), (b"200", 1))
