--- a/tests/gateway/test_store_restore.py
+++ b/tests/gateway/test_store_restore.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from vanillashore_gateway import Snapshot
+from vanillashore_gateway import Snapshot, StoreRestoredError
 from vanillashore_standins import ServedApp, wait_until
 from vanillashore_standins.platform_rig import KEY, WORKSPACE, PlatformRig, configuration
 from vanillashore_standins.platform_store import PlatformStoreStandIn
@@ -278,3 +278,25 @@
         await wait_until(lambda: rig.store.calls[-1] == "kv-watch")
         assert [e.instance for e in membership.usable("orders")] == ["s1"]
         assert restores == [True]
+
+
+async def test_pages_of_a_snapshot_are_of_one_era(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against a snapshot joined from the state before a restore and that after it."""
+    async with PlatformRig(services=8) as rig:
+        client = rig.new_client()
+        await client.snapshot()
+        read, pages = client._read, []
+
+        async def read_page(*args: Any) -> Any:
+            pages.append(await read(*args))
+            if len(pages) == 1:
+                rig.store.restore(rig.store.copy())
+                with pytest.raises(StoreRestoredError):
+                    await client.renew(1)
+            return pages[-1]
+
+        monkeypatch.setattr(client, "_read", read_page)
+        with pytest.raises(StoreRestoredError):
+            await client.snapshot()
+        assert len((await client.snapshot()).items) >= 8
+        assert len(pages) > 2
