Register an entry again whose key the store has lost or put under another lease

Cause: the late write put the entry's key under the first lease again, which the entry had given up. The key went with it. The entry renewed its second lease for good, and no entry was listed any more.

One that has withdrawn does nothing more.

--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_following.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_following.py
@@ -244,17 +244,19 @@
         self._rng = rng
         self._renewed_at = 0.0
         self._wake = asyncio.Event()
+        self._is_overwritten = False
+        self._is_withdrawn = False
         self.lease: int | None = None
 
     def is_held(self, now: float) -> bool:
-        """Whether the lease is certainly still valid at the store."""
-        return (
-            self.lease is not None and now - self._renewed_at < REGISTRATION_TTL_S - LEASE_MARGIN_S
-        )
+        """Whether the lease is certainly still valid at the store, and has this entry's key."""
+        if self.lease is None or self._is_overwritten:
+            return False
+        return now - self._renewed_at < REGISTRATION_TTL_S - LEASE_MARGIN_S
 
     async def run(self) -> None:
-        """Register and renew until cancelled."""
-        while True:
+        """Register and renew until cancelled, or until the registration is withdrawn."""
+        while not self._is_withdrawn:
             self._wake.clear()
             # The lease starts when the store receives the call, so this earlier time is safe.
             sent_at = self._clock()
@@ -263,8 +265,12 @@
                     self.lease = await self._store.register_entry(
                         self._name, self.address, REGISTRATION_TTL_S
                     )
+                    self._is_overwritten = False
                     log.bind(lease=self.lease).info("registered this entry at the store")
                 else:
+                    if self._is_overwritten:
+                        await self._store.write_entry(self._name, self.address, self.lease)
+                        self._is_overwritten = False
                     await self._store.renew(self.lease)
                 self._renewed_at = sent_at
             except LeaseExpiredError:
@@ -282,6 +288,19 @@
                 async with asyncio.timeout(RENEW_EVERY_S * (0.8 + 0.4 * self._rng.random())):
                     await self._wake.wait()
 
+    def record_stored(self, lease: int) -> None:
+        """Note under which lease the store has this entry; 0 if it does not have it.
+
+        A write without an answer may be done seconds later, under a lease that was given up.
+        """
+        was_overwritten = self._is_overwritten
+        self._is_overwritten = self.lease is not None and lease != self.lease
+        if self._is_overwritten and not was_overwritten:
+            log.bind(lease=self.lease, stored_lease=lease).warning(
+                "this entry is registered under another lease, or not at all; writing it again"
+            )
+            self._wake.set()
+
     def record_restore(self) -> None:
         """Register again at once: the lease is gone, or has been given to another entry."""
         self.lease = None
@@ -289,6 +308,7 @@
 
     async def withdraw(self) -> None:
         """Remove the registration, if the store is reachable."""
+        self._is_withdrawn = True
         if self.lease is None:
             return
         try:
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_gateway.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_gateway.py
@@ -175,6 +175,8 @@
         self._snapshots_to_settle = 0
         self._expiry: asyncio.TimerHandle | None = None
         self.restore_listeners: list[Callable[[], None]] = []
+        # Called with the lease under which the store has this entry, 0 if it does not have it.
+        self.on_own_registration: Callable[[int], None] = lambda _: None
         self._synced_at = now()
         retries = RetryLimits(cfg.retry_ratio * BUDGET_SHARE, cfg.retry_slack * BUDGET_SHARE)
         self.budgets = RetryBudgets(cfg.node, retries, cfg.expected_entries, now)
@@ -326,7 +328,11 @@
     def apply_snapshot(self, snapshot: Snapshot) -> None:
         """Replace the state with a full snapshot of the store."""
         endpoints = [c.endpoint for c in snapshot.items if isinstance(c, EndpointWritten)]
-        entries = {c.name: c.address for c in snapshot.items if isinstance(c, EntryWritten)}
+        registrations = [c for c in snapshot.items if isinstance(c, EntryWritten)]
+        entries = {c.name: c.address for c in registrations}
+        self.on_own_registration(
+            next((c.lease for c in registrations if c.name == self.cfg.node), 0)
+        )
         known = set(self._entries.addresses)
         evacuated = {c.data_centre for c in snapshot.items if isinstance(c, EvacuationRequested)}
         if self._snapshots_to_settle == SNAPSHOTS_TO_SETTLE and self._has_snapshot:
@@ -382,11 +388,15 @@
                 self.duty.set_holder(holder, fence)
             case DutyRemoved():
                 self.duty.clear_holder()
-            case EntryWritten(name, address):
+            case EntryWritten(name, address, lease):
+                if name == self.cfg.node:
+                    self.on_own_registration(lease)
                 self._entries.put(name, address)
                 self._update_entries()
                 self._greet(name)
             case EntryRemoved(name):
+                if name == self.cfg.node:
+                    self.on_own_registration(0)
                 if self._entries.remove(name):
                     self._record_entries_removed([name])
                 else:
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_platform_store.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_platform_store.py
@@ -63,10 +63,14 @@
 
 @attrs.frozen
 class EntryWritten:
-    """An entry registered itself; ``address`` is for messages of other entries."""
+    """An entry registered itself; ``address`` is for messages of other entries.
+
+    The registration ends with the ``lease``, 0 if it has none.
+    """
 
     name: str
     address: tuple[str, int]
+    lease: int = 0
 
 
 @attrs.frozen
@@ -187,6 +191,10 @@
         """Register this entry under a new lease, and return the lease."""
         ...
 
+    async def write_entry(self, name: str, address: tuple[str, int], lease: int) -> None:
+        """Register this entry under a lease; raise LeaseExpiredError if it has ended."""
+        ...
+
     async def renew(self, lease: int) -> None:
         """Renew a lease; raise LeaseExpiredError if it has ended."""
         ...
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_process.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_process.py
@@ -54,6 +54,7 @@
         gateway.limits.is_registered = lambda: self._registration.is_held(now())
         gateway.budgets.is_registered = gateway.limits.is_registered
         gateway.registration_checks.is_held = gateway.limits.is_registered
+        gateway.on_own_registration = self._registration.record_stored
         self._roles = RoleDuty(
             cfg.node,
             store,
