Rank requests without visiting each pair of a route and a workspace

Cause: _rank_levels visited 17.5 million pairs in the event loop to find the pairs of ranks that occur.

Change: the ranks of each side are collected first, and their product taken.

--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_routing.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_routing.py
@@ -1,5 +1,6 @@
 """Lookup of a request's route, workspace and service."""
 
+import itertools
 import random
 from collections import defaultdict
 
@@ -70,18 +71,20 @@
 
 
 def _rank_pair(route: Route, workspace: Workspace | None) -> tuple[int, int]:
+    return _workspace_rank(workspace), route.rank
+
+
+def _workspace_rank(workspace: Workspace | None) -> int:
     rank = workspace.rank if workspace is not None else None
-    return DEFAULT_RANK if rank is None else rank, route.rank
+    return DEFAULT_RANK if rank is None else rank
 
 
 def _rank_levels(config: ServingConfig) -> dict[tuple[int, int], int]:
     """Return the level of each combination of ranks that a request may have."""
-    pairs = {
-        _rank_pair(route, workspace)
-        for route in config.routes
-        for workspace in (None, *config.workspaces)
-    }
-    return {pair: level for level, pair in enumerate(sorted(pairs))}
+    workspace_ranks = {_workspace_rank(workspace) for workspace in (None, *config.workspaces)}
+    route_ranks = {route.rank for route in config.routes}
+    pairs = itertools.product(sorted(workspace_ranks), sorted(route_ranks))
+    return {pair: level for level, pair in enumerate(pairs)}
 
 
 def _ranked_services(config: ServingConfig) -> frozenset[str]:
