Compare an entry's registration by revisions, and withhold answers earlier

Read again: after a write was answered, an entry dropped what the list had told it meanwhile, so that a late write that was seen before the answer went unnoticed. The registration, its removal and the answer to a write carry the store's revision now, and a report counts if it is of a later one than the last write. Between two writes of a registration pass 0.5 s. An entry grants its lease itself, and register_entry writes under it.

A stream's answer that is withheld is refused before anything of it is recorded, as it is no answer of the usual length.

--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_following.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_following.py
@@ -27,6 +27,7 @@
 SNAPSHOT_MARGIN_BYTES = 65_536  # Smaller savings are not worth giving up a call.
 REGISTRATION_TTL_S = 8.0  # Two renewals may fail before other entries drop this one.
 RENEW_EVERY_S = 2.5
+REWRITE_DELAY_S = 0.5  # Between two writes of a registration that is overwritten.
 OUTAGE_LOG_EVERY_S = 5.0
 # After a restore, what others had written is written again, and all entries have noticed and
 # registered. A second snapshot then replaces what was merged from the first.
@@ -226,6 +227,14 @@
         return max_delay_s * (0.5 + self._rng.random() / 2)
 
 
+@attrs.frozen
+class StoredRegistration:
+    """The lease under which the store has an entry as of a revision; 0 if it does not have it."""
+
+    lease: int
+    revision: int
+
+
 class EntryRegistration:
     """Registers this entry for the other entries, under a lease."""
 
@@ -244,15 +253,25 @@
         self._rng = rng
         self._renewed_at = 0.0
         self._wake = asyncio.Event()
-        self._is_overwritten = False
+        self._written_revision = 0  # The revision of this entry's last write.
+        self._stored = StoredRegistration(0, 0)
         self._is_withdrawn = False
         self.lease: int | None = None
 
     def is_held(self, now: float) -> bool:
-        """Whether the lease is certainly still valid at the store, and has this entry's key."""
-        if self.lease is None or self._is_overwritten:
-            return False
-        return now - self._renewed_at < REGISTRATION_TTL_S - LEASE_MARGIN_S
+        """Whether the store certainly has this entry, under a lease that is still valid."""
+        is_valid = now - self._renewed_at < REGISTRATION_TTL_S - LEASE_MARGIN_S
+        return self.lease is not None and is_valid and not self._is_overwritten
+
+    @property
+    def _is_overwritten(self) -> bool:
+        """Whether another write has followed this entry's own.
+
+        One without an answer may be done seconds later, under a lease that was given up.
+        """
+        stored = self._stored
+        is_later = self.lease is not None and stored.revision > self._written_revision
+        return is_later and stored.lease != self.lease
 
     async def run(self) -> None:
         """Register and renew until cancelled, or until the registration is withdrawn."""
@@ -262,15 +281,13 @@
             sent_at = self._clock()
             try:
                 if self.lease is None:
-                    self.lease = await self._store.register_entry(
-                        self._name, self.address, REGISTRATION_TTL_S
-                    )
-                    self._is_overwritten = False
-                    log.bind(lease=self.lease).info("registered this entry at the store")
+                    lease = await self._store.grant_lease(REGISTRATION_TTL_S)
+                    await self._register(lease)
+                    self.lease = lease
+                    log.bind(lease=lease).info("registered this entry at the store")
                 else:
                     if self._is_overwritten:
-                        await self._store.write_entry(self._name, self.address, self.lease)
-                        self._is_overwritten = False
+                        await self._register(self.lease)
                     await self._store.renew(self.lease)
                 self._renewed_at = sent_at
             except LeaseExpiredError:
@@ -280,32 +297,37 @@
                 self.lease = None
                 continue
             except StoreRestoredError:
-                self.lease = None
+                self._forget()
                 continue
             except StoreUnavailableError as exc:
                 log.bind(reason=str(exc)).info("this entry's lease was not renewed")
+            wait_s = REWRITE_DELAY_S if self._is_overwritten else RENEW_EVERY_S
             with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(RENEW_EVERY_S * (0.8 + 0.4 * self._rng.random())):
+                async with asyncio.timeout(wait_s * (0.8 + 0.4 * self._rng.random())):
                     await self._wake.wait()
 
-    def record_stored(self, lease: int) -> None:
-        """Note under which lease the store has this entry; 0 if it does not have it.
+    async def _register(self, lease: int) -> None:
+        self._written_revision = await self._store.register_entry(self._name, self.address, lease)
 
-        A write without an answer may be done seconds later, under a lease that was given up.
-        """
-        was_overwritten = self._is_overwritten
-        self._is_overwritten = self.lease is not None and lease != self.lease
-        if self._is_overwritten and not was_overwritten:
-            log.bind(lease=self.lease, stored_lease=lease).warning(
+    def record_stored(self, stored: StoredRegistration) -> None:
+        """Note how the store has this entry, and write it again if that is not as it should be."""
+        self._stored = stored
+        if self._is_overwritten:
+            log.bind(lease=self.lease, stored_lease=stored.lease).warning(
                 "this entry is registered under another lease, or not at all; writing it again"
             )
             self._wake.set()
 
     def record_restore(self) -> None:
         """Register again at once: the lease is gone, or has been given to another entry."""
-        self.lease = None
+        self._forget()
         self._wake.set()
 
+    def _forget(self) -> None:
+        """Drop what the store has lost, as its numbers are given out again."""
+        self.lease = None
+        self._stored = StoredRegistration(0, 0)
+
     async def withdraw(self) -> None:
         """Remove the registration, if the store is reachable."""
         self._is_withdrawn = True
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_gateway.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_gateway.py
@@ -28,6 +28,7 @@
 from vanillashore_gateway._engine_calls import EngineCalls
 from vanillashore_gateway._entry_list import EntryList
 from vanillashore_gateway._errors import ErrorCode, RefusalError, Refused, refusal
+from vanillashore_gateway._following import StoredRegistration
 from vanillashore_gateway._front import ListenerState
 from vanillashore_gateway._generation import GenerationForwarder
 from vanillashore_gateway._job import Job, Tools, crash_refusal, give_up_at
@@ -175,8 +176,7 @@
         self._snapshots_to_settle = 0
         self._expiry: asyncio.TimerHandle | None = None
         self.restore_listeners: list[Callable[[], None]] = []
-        # Called with the lease under which the store has this entry, 0 if it does not have it.
-        self.on_own_registration: Callable[[int], None] = lambda _: None
+        self.on_own_registration: Callable[[StoredRegistration], None] = lambda _: None
         self._synced_at = now()
         retries = RetryLimits(cfg.retry_ratio * BUDGET_SHARE, cfg.retry_slack * BUDGET_SHARE)
         self.budgets = RetryBudgets(cfg.node, retries, cfg.expected_entries, now)
@@ -330,9 +330,9 @@
         endpoints = [c.endpoint for c in snapshot.items if isinstance(c, EndpointWritten)]
         registrations = [c for c in snapshot.items if isinstance(c, EntryWritten)]
         entries = {c.name: c.address for c in registrations}
-        self.on_own_registration(
-            next((c.lease for c in registrations if c.name == self.cfg.node), 0)
-        )
+        own = [c for c in registrations if c.name == self.cfg.node]
+        stored = StoredRegistration(own[0].lease, own[0].revision) if own else None
+        self.on_own_registration(stored or StoredRegistration(0, snapshot.revision))
         known = set(self._entries.addresses)
         evacuated = {c.data_centre for c in snapshot.items if isinstance(c, EvacuationRequested)}
         if self._snapshots_to_settle == SNAPSHOTS_TO_SETTLE and self._has_snapshot:
@@ -388,15 +388,15 @@
                 self.duty.set_holder(holder, fence)
             case DutyRemoved():
                 self.duty.clear_holder()
-            case EntryWritten(name, address, lease):
+            case EntryWritten(name, address, lease, revision):
                 if name == self.cfg.node:
-                    self.on_own_registration(lease)
+                    self.on_own_registration(StoredRegistration(lease, revision))
                 self._entries.put(name, address)
                 self._update_entries()
                 self._greet(name)
-            case EntryRemoved(name):
+            case EntryRemoved(name, revision):
                 if name == self.cfg.node:
-                    self.on_own_registration(0)
+                    self.on_own_registration(StoredRegistration(0, revision))
                 if self._entries.remove(name):
                     self._record_entries_removed([name])
                 else:
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_generation.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_generation.py
@@ -138,15 +138,14 @@
                 else:
                     self._tools.slot_finder.release(hold)
             if outcome is _Outcome.DONE:
-                if self._refusal is None:
-                    responder.finish()
+                if self._refusal is not None:
+                    raise self._refusal
+                responder.finish()
                 self._tools.crashes.record_success(self._job.fingerprint)
                 self._record_output_size()
                 held_s = self._tools.clock() - hold.taken_at
                 self._tools.slot_finder.record_answer_time(self._job.service, held_s)
                 self._tools.shutdown.record_answer(self._job.service.name, held_s)
-                if self._refusal is not None:
-                    raise self._refusal
                 self._log_answered()
                 return
             # An engine that has run the request may have taken the cache, which it can only once.
--- a/packages/vanillashore-gateway/src/vanillashore_gateway/_platform_store.py
+++ b/packages/vanillashore-gateway/src/vanillashore_gateway/_platform_store.py
@@ -65,19 +65,21 @@
 class EntryWritten:
     """An entry registered itself; ``address`` is for messages of other entries.
 
-    The registration ends with the ``lease``, 0 if it has none.
+    The registration ends with the ``lease``, 0 if it has none. It was written at a ``revision``.
     """
 
     name: str
     address: tuple[str, int]
     lease: int = 0
+    revision: int = 0
 
 
 @attrs.frozen
 class EntryRemoved:
-    """An entry's registration was removed."""
+    """An entry's registration was removed, at a ``revision``."""
 
     name: str
+    revision: int = 0
 
 
 @attrs.frozen
@@ -187,12 +189,11 @@
         """
         ...
 
-    async def register_entry(self, name: str, address: tuple[str, int], ttl_s: float) -> int:
-        """Register this entry under a new lease, and return the lease."""
-        ...
+    async def register_entry(self, name: str, address: tuple[str, int], lease: int) -> int:
+        """Register this entry under a lease, and return the revision of its registration.
 
-    async def write_entry(self, name: str, address: tuple[str, int], lease: int) -> None:
-        """Register this entry under a lease; raise LeaseExpiredError if it has ended."""
+        Raises LeaseExpiredError if the lease has ended.
+        """
         ...
 
     async def renew(self, lease: int) -> None:
--- a/tests/adapter/test_store.py
+++ b/tests/adapter/test_store.py
@@ -68,7 +68,12 @@
     monkeypatch: pytest.MonkeyPatch, body: str
 ) -> None:
     store = _store_answering(monkeypatch, body)
-    for call in (store.register_entry("a", ADDRESS, 8.0), store.acquire_duty("d", "a", 7)):
+    calls = (
+        store.grant_lease(8.0),
+        store.register_entry("a", ADDRESS, 7),
+        store.acquire_duty("d", "a", 7),
+    )
+    for call in calls:
         with pytest.raises(StoreUnavailableError, match="malformed"):
             run_in_virtual_time(call)
 
@@ -77,7 +82,7 @@
     entry = '{"key":"vanillashore/entries/a","value":"WyIxMC4wLjAuMSIsMV0=","revision":3}'
     body = f'{{"items":[{{}},{{"key":7}},7,{entry}],"at":7}}'
     snapshot = run_in_virtual_time(_store_answering(monkeypatch, body).snapshot())
-    assert snapshot.items == (EntryWritten("a", ("10.0.0.1", 1)),)
+    assert snapshot.items == (EntryWritten("a", ("10.0.0.1", 1), revision=3),)
 
 
 @pytest.mark.parametrize("value", ["", "not base64", "e30="])
--- a/tests/gateway/test_following.py
+++ b/tests/gateway/test_following.py
@@ -155,10 +155,7 @@
 async def test_duty_is_acquired_by_one_entry() -> None:
     async with PlatformRig() as rig:
         stores = [rig.new_client() for _ in range(3)]
-        leases = [
-            await store.register_entry(f"e{i}", ("127.0.0.1", 1), 5.0)
-            for i, store in enumerate(stores)
-        ]
+        leases = [await store.grant_lease(5.0) for store in stores]
         fences = await asyncio.gather(
             *(store.acquire_duty("roles", f"e{i}", leases[i]) for i, store in enumerate(stores))
         )
--- a/tests/gateway/test_registration.py
+++ b/tests/gateway/test_registration.py
@@ -46,6 +46,26 @@
         assert rig.entries_know_each_other()
 
 
+async def test_late_write_that_is_seen_before_the_answer_to_the_own_one_is_undone(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against an answer that arrives late and makes the entry forget what it has seen."""
+    async with PlatformRig() as rig:
+        registration, follower = rig.process._registration, rig.process._follower
+        register, late = rig.process._follower._store.register_entry, []
+
+        async def register_late(name: str, address: tuple[str, int], lease: int) -> int:
+            revision = await register(name, address, lease)
+            if not late:
+                late.append(rig.store.put(ENTRY_KEY, list(address), lease + 50))
+                await wait_until(lambda: follower.revision == late[0])
+            return revision
+
+        monkeypatch.setattr(follower._store, "register_entry", register_late)
+        registration.record_restore()
+        await wait_until(lambda: late and _stored_lease(rig) == registration.lease)
+
+
 async def test_registration_that_is_sound_is_not_written_again() -> None:
     async with PlatformRig(entries=2) as rig:
         rig.store.put("others/x", {})
--- a/tests/gateway/test_store_restore.py
+++ b/tests/gateway/test_store_restore.py
@@ -146,7 +146,7 @@
         store = rig.new_client()
         fences = []
         for _ in range(2):
-            lease = await store.register_entry("e", ("127.0.0.1", 1), 5.0)
+            lease = await store.grant_lease(5.0)
             fences.append(await store.acquire_duty("roles", "e", lease))
             rig.store.put("others/x", {})
             rig.store.restore(copy)
