--- a/tests/node/test_gated_connection.py
+++ b/tests/node/test_gated_connection.py
@@ -112,9 +112,10 @@
 
         def receive_beside_another(data: bytes) -> None:
             receive_head(data)
-            # Another request needs all the room before the server's task gets this one.
+            # Before the server's task gets this request, another one needs more than is left.
             gate.held.clock = lambda: time.monotonic() + 60.0
-            assert CallerAccount(gate.held).begin(232_000) is Admission.ADMITTED
+            left = gate.held.limits.total - gate.held.held - gate.held.request_bytes
+            assert CallerAccount(gate.held).begin(left + 1_000) is Admission.ADMITTED
 
         conn._receive_head = receive_beside_another
         writer.write(ORDER[20:])
